--- a/ava.config.js
+++ b/ava.config.js
@@ -1,6 +1,6 @@
 /** Tests run from the compiled output of every package. */
 const config = {
-	files: ['packages/*/dist/**/*.test.js'],
+	files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
 	timeout: '120s',
 	workerThreads: false,
 };
--- /dev/null
+++ b/packages/core/src/admission/lane.ts
@@ -0,0 +1,163 @@
+import {ColdLimit} from './cold-limit.js';
+import {Slowness} from './work-estimate.js';
+
+/** Pause after the first failure of a target, in milliseconds; doubles with each further one. */
+const firstPauseMs = 60;
+
+/** Longest pause, in milliseconds; a target that recovers is found within it. */
+const maxPauseMs = 1500;
+
+/** Pause after a target refused as full, in milliseconds: about the time until a slot is free. */
+const fullPauseMs = 40;
+
+/** Weight of one result in the share of failures. */
+const failureWeight = 0.12;
+
+/** Share of failures above which a target gets one request at a time. */
+const greyShare = 0.35;
+
+/** How a request that was sent ended, from the target's point of view. */
+export enum LaneEnding {
+	/** A whole answer, whatever its status. */
+	Answered = 'answered',
+	/** The target said that it did not run the request since it is full. */
+	Full = 'full',
+	/** The target said that it did not run the request for another reason. */
+	NotRun = 'not-run',
+	/** No connection. */
+	Unreachable = 'unreachable',
+	/** The connection broke or the answer was no answer. */
+	Broken = 'broken',
+	/** No answer in time. */
+	Silent = 'silent',
+	/** The caller left, or the request was given up for reasons that are not the target's. */
+	Cancelled = 'cancelled',
+}
+
+/** Settings of a lane. */
+export type LaneCfg = {
+	readonly id: string;
+	/** Requests that the target runs at the same time. */
+	readonly slots: number;
+	/** Requests a second that it bears while cold. */
+	readonly coldRate: number;
+};
+
+/** One target as its gate sees it: slots, cold limit, failures. */
+export class Lane {
+	readonly slowness = new Slowness();
+	readonly cold: ColdLimit;
+	private running = 0;
+	private failuresInRow = 0;
+	private failureShare = 0;
+	private pausedUntil = Number.NEGATIVE_INFINITY;
+	private isClosed = false;
+
+	constructor(private cfg: LaneCfg) {
+		this.cold = new ColdLimit(cfg.coldRate);
+	}
+
+	get id(): string {
+		return this.cfg.id;
+	}
+
+	/** Requests in flight. */
+	get inFlight(): number {
+		return this.running;
+	}
+
+	/** Requests that it may run at the same time at the moment. */
+	get limit(): number {
+		return this.isGrey ? 1 : this.cfg.slots;
+	}
+
+	/** Whether so many requests fail that only single ones are tried. */
+	get isGrey(): boolean {
+		return this.failureShare > greyShare;
+	}
+
+	/** Whether the target fails one request after the other. */
+	get isFailing(): boolean {
+		return this.failuresInRow >= 2;
+	}
+
+	/** Work that it does, in slots of usual speed. */
+	get capacity(): number {
+		return this.isClosed ? 0 : this.limit / this.slowness.lasting;
+	}
+
+	/** Takes changed settings. */
+	configure(cfg: LaneCfg): void {
+		this.cfg = cfg;
+		this.cold.setRate(cfg.coldRate);
+	}
+
+	/** Starts nothing more. */
+	close(): void {
+		this.isClosed = true;
+	}
+
+	/** Whether a request may start now. */
+	allows(now: number): boolean {
+		return !this.isClosed && this.running < this.limit && now >= this.pausedUntil && this.cold.allows(now);
+	}
+
+	/** When a request may start if no request ends before, at the earliest; infinite when only an end helps. */
+	nextAt(now: number): number {
+		if (this.isClosed || this.running >= this.limit) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		return Math.max(this.pausedUntil, this.cold.nextAt(now));
+	}
+
+	/** Counts a start. */
+	start(now: number): void {
+		this.running += 1;
+		this.cold.started(now);
+	}
+
+	/** Counts an end. `ratio` is the time it took in relation to its expected work. */
+	finish(ending: LaneEnding, ratio: number, now: number): void {
+		this.running = Math.max(0, this.running - 1);
+		switch (ending) {
+			case LaneEnding.Answered: {
+				this.succeeded();
+				this.slowness.learn(ratio);
+				break;
+			}
+
+			case LaneEnding.Full: {
+				this.pausedUntil = Math.max(this.pausedUntil, now + fullPauseMs);
+				this.failureShare += (1 - this.failureShare) * failureWeight;
+				break;
+			}
+
+			case LaneEnding.Unreachable:
+			case LaneEnding.Broken:
+			case LaneEnding.Silent: {
+				this.failed(now);
+				break;
+			}
+
+			case LaneEnding.NotRun:
+			case LaneEnding.Cancelled: {
+				break;
+			}
+		}
+	}
+
+	private succeeded(): void {
+		this.failuresInRow = 0;
+		this.failureShare -= this.failureShare * failureWeight;
+	}
+
+	private failed(now: number): void {
+		this.failuresInRow += 1;
+		this.failureShare += (1 - this.failureShare) * failureWeight;
+		if (this.failuresInRow >= 2) {
+			const pause = Math.min(maxPauseMs, firstPauseMs * (2 ** (this.failuresInRow - 2)));
+			this.pausedUntil = Math.max(this.pausedUntil, now + pause);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/admission/work-gate.ts
@@ -0,0 +1,292 @@
+/**
+ * Admission to one target, or to the targets of one service in one failure domain.
+ *
+ * Answers overload: what can't be answered in time is refused when it arrives,
+ * with the time at which there will be room. Among what waits, urgent work goes
+ * first, and requests that can still meet their objective go before those that
+ * can't, so that a burst does not make every request late.
+ */
+import {ErrorKind} from '../errors/index.js';
+import {Lane, type LaneCfg, type LaneEnding} from './lane.js';
+
+/** A request as the gate sees it. All times are monotonic milliseconds. */
+export type WorkItem = {
+	/** Unique among the requests that the gate holds. */
+	readonly id: string;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Time by which an answer is of full use. */
+	readonly objectiveAt: number;
+	/** Time by which an answer is worthless. */
+	readonly deadline: number;
+	/** Expected time on an idle target of usual speed. */
+	readonly workMs: number;
+	/** Targets that must not get it. */
+	readonly excluded?: ReadonlySet<string>;
+};
+
+/** A request that is to be sent now. */
+export type WorkStart = {
+	readonly item: WorkItem;
+	readonly lane: Lane;
+};
+
+/** A request that will not be sent. */
+export type WorkRefusal = {
+	readonly item: WorkItem;
+	readonly error: ErrorKind;
+	/** When there is expected to be room, from now, in milliseconds. */
+	readonly retryAfterMs: number;
+};
+
+/** What follows from an event. */
+export type WorkStep = {
+	readonly starts: readonly WorkStart[];
+	readonly refusals: readonly WorkRefusal[];
+};
+
+/** Share by which work may take longer than expected and still meet the objective. */
+const workMargin = 1.25;
+
+/** Expected wait in relation to the time left beyond which a late request is refused at once. */
+const lateShare = 0.7;
+
+/** Bounds of the time after which a caller is asked to come back, in milliseconds. */
+const minRetryAfterMs = 50;
+const maxRetryAfterMs = 2000;
+
+/** Longest time between two ticks while something waits, in milliseconds. */
+const maxTickMs = 50;
+
+/** Queue and slots of a group of targets. */
+export class WorkGate {
+	private readonly lanes = new Map<string, Lane>();
+	private readonly waiting = new Map<string, WorkItem>();
+
+	/** Requests that wait. */
+	get queued(): number {
+		return this.waiting.size;
+	}
+
+	/** Requests in flight. */
+	get inFlight(): number {
+		let sum = 0;
+		for (const lane of this.lanes.values()) {
+			sum += lane.inFlight;
+		}
+
+		return sum;
+	}
+
+	/** The target with this id. */
+	lane(id: string): Lane | undefined {
+		return this.lanes.get(id);
+	}
+
+	/** All targets. */
+	allLanes(): Iterable<Lane> {
+		return this.lanes.values();
+	}
+
+	/** Adds a target or changes its settings. */
+	setLane(cfg: LaneCfg): Lane {
+		const known = this.lanes.get(cfg.id);
+		if (known !== undefined) {
+			known.configure(cfg);
+			return known;
+		}
+
+		const lane = new Lane(cfg);
+		this.lanes.set(cfg.id, lane);
+		return lane;
+	}
+
+	/** Removes a target; what runs there ends by itself. */
+	removeLane(id: string): void {
+		this.lanes.get(id)?.close();
+		this.lanes.delete(id);
+	}
+
+	/** Asks for a request to be sent. It may start, wait, or be refused in the step that this returns. */
+	offer(item: WorkItem, now: number): WorkStep {
+		const refusal = this.refusalFor(item, now);
+		if (refusal !== undefined) {
+			return {starts: [], refusals: [refusal]};
+		}
+
+		this.waiting.set(item.id, item);
+		return this.tick(now);
+	}
+
+	/** Takes the end of a started request; `ratio` as for `Lane.finish`. */
+	finish(lane: Lane, ending: LaneEnding, ratio: number, now: number): WorkStep {
+		lane.finish(ending, ratio, now);
+		return this.tick(now);
+	}
+
+	/** Gives up a request that waits; false when it does not wait here. */
+	cancel(id: string): boolean {
+		return this.waiting.delete(id);
+	}
+
+	/** Starts what may start and refuses what can no longer be served. */
+	tick(now: number): WorkStep {
+		const starts: WorkStart[] = [];
+		for (;;) {
+			const start = this.nextStart(now);
+			if (start === undefined) {
+				break;
+			}
+
+			this.waiting.delete(start.item.id);
+			start.lane.start(now);
+			starts.push(start);
+		}
+
+		return {starts, refusals: this.expire(now)};
+	}
+
+	/** Milliseconds until `tick` is due; undefined when nothing waits. */
+	nextTick(now: number): number | undefined {
+		if (this.waiting.size === 0) {
+			return undefined;
+		}
+
+		let next = now + maxTickMs;
+		for (const lane of this.lanes.values()) {
+			next = Math.min(next, lane.nextAt(now));
+		}
+
+		return Math.max(1, next - now);
+	}
+
+	/** Expected wait of a new request with this priority that is in time, in milliseconds. */
+	expectedWait(priority: number, now: number): number {
+		if ([...this.lanes.values()].some(lane => lane.allows(now)) && this.waiting.size === 0) {
+			return 0;
+		}
+
+		return this.waitBehind(item => item.priority <= priority && !isLate(item, now), now);
+	}
+
+	private waitBehind(isAhead: (item: WorkItem) => boolean, now: number): number {
+		let capacity = 0;
+		let busy = 0;
+		let slots = 0;
+		let opensAt = Number.POSITIVE_INFINITY;
+		for (const lane of this.lanes.values()) {
+			capacity += lane.limit / lane.slowness.factor;
+			busy += lane.inFlight;
+			slots += lane.limit;
+			opensAt = Math.min(opensAt, lane.nextAt(now));
+		}
+
+		if (capacity === 0) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		let ahead = 0;
+		let mean = 0;
+		for (const item of this.waiting.values()) {
+			mean += item.workMs / this.waiting.size;
+			if (isAhead(item)) {
+				ahead += item.workMs;
+			}
+		}
+
+		// Requests in flight are on average half done.
+		const inService = busy >= slots ? (mean || this.typicalWork()) / 2 / Math.max(1, slots) : 0;
+		const held = Number.isFinite(opensAt) ? Math.max(0, opensAt - now) : 0;
+		return held + (ahead / capacity) + inService;
+	}
+
+	private typicalWork(): number {
+		return 100;
+	}
+
+	private refusalFor(item: WorkItem, now: number): WorkRefusal | undefined {
+		const usable = [...this.lanes.values()].filter(lane => item.excluded?.has(lane.id) !== true);
+		if (usable.length === 0) {
+			return refuse(item, ErrorKind.NoTarget, minRetryAfterMs * 4);
+		}
+
+		const quickest = Math.min(...usable.map(lane => lane.slowness.factor)) * item.workMs;
+		if (this.waiting.size === 0 && usable.some(lane => lane.allows(now))) {
+			return now >= item.deadline ? refuse(item, ErrorKind.DeadlinePassed, minRetryAfterMs) : undefined;
+		}
+
+		const wait = this.waitBehind(other => goesBefore(other, item, now), now);
+		const left = item.deadline - now;
+		const isInTime = now + wait + quickest <= item.objectiveAt;
+		if (isInTime || (wait + quickest <= left * lateShare)) {
+			return undefined;
+		}
+
+		return refuse(item, ErrorKind.DeadlineTooClose, wait);
+	}
+
+	private nextStart(now: number): WorkStart | undefined {
+		const open = [...this.lanes.values()].filter(lane => lane.allows(now));
+		if (open.length === 0 || this.waiting.size === 0) {
+			return undefined;
+		}
+
+		let best: WorkItem | undefined;
+		for (const item of this.waiting.values()) {
+			const mayStart = open.some(lane => item.excluded?.has(lane.id) !== true);
+			if (mayStart && (best === undefined || goesBefore(item, best, now))) {
+				best = item;
+			}
+		}
+
+		if (best === undefined) {
+			return undefined;
+		}
+
+		const item = best;
+		const lanes = open.filter(lane => item.excluded?.has(lane.id) !== true);
+		return {item, lane: lanes.reduce((a, b) => laneCost(b) < laneCost(a) ? b : a)};
+	}
+
+	private expire(now: number): WorkRefusal[] {
+		const refusals: WorkRefusal[] = [];
+		for (const item of this.waiting.values()) {
+			// A quarter of the usual work is the least that a fast target may need.
+			if (now + (item.workMs / 4) > item.deadline) {
+				this.waiting.delete(item.id);
+				refusals.push(refuse(item, ErrorKind.DeadlinePassed, minRetryAfterMs));
+			}
+		}
+
+		return refusals;
+	}
+}
+
+/** Cheaper lanes are faster at the moment and emptier. */
+function laneCost(lane: Lane): number {
+	return lane.slowness.factor * (1 + (lane.inFlight / Math.max(1, lane.limit)));
+}
+
+/** Whether a request that starts now is expected to miss its objective. */
+function isLate(item: WorkItem, now: number): boolean {
+	return now + (item.workMs * workMargin) > item.objectiveAt;
+}
+
+/** Order of what waits: in time before late, then by priority, then by the time at which it is late or worthless. */
+function goesBefore(a: WorkItem, b: WorkItem, now: number): boolean {
+	const lateA = isLate(a, now);
+	if (lateA !== isLate(b, now)) {
+		return !lateA;
+	}
+
+	if (a.priority !== b.priority) {
+		return a.priority < b.priority;
+	}
+
+	return lateA ? a.deadline < b.deadline : a.objectiveAt < b.objectiveAt;
+}
+
+function refuse(item: WorkItem, error: ErrorKind, waitMs: number): WorkRefusal {
+	const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
+	return {item, error, retryAfterMs};
+}
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,3 @@
+export * from './host-routes.js';
+export * from './model.js';
+export * from './split.js';
--- /dev/null
+++ b/packages/gateway/src/desk/desks.ts
@@ -0,0 +1,103 @@
+import {WorkEstimate, type Clock} from '@bluebellyard/core';
+import type {Order, OrderResult} from '../dispatch/order.js';
+import type {Telemetry} from '../telemetry/index.js';
+import {sharedDesk, targetDesk, type View} from '../view/index.js';
+import {Desk, type DeskTarget} from './desk.js';
+import type {TargetClient} from './target-client.js';
+
+/** Settings of the desks. */
+export type DesksOptions = {
+	readonly view: View;
+	readonly client: TargetClient;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	readonly onDisowned: (target: string, order: Order) => void;
+};
+
+/** The desks of this instance. One is made when the first order for it comes. */
+export class Desks {
+	private readonly desks = new Map<string, Desk>();
+	private readonly estimate = new WorkEstimate();
+
+	constructor(private readonly options: DesksOptions) {
+		options.view.onChange(() => {
+			this.followView();
+		});
+	}
+
+	/** Requests that wait at all desks. */
+	get queued(): number {
+		return this.sum(desk => desk.queued);
+	}
+
+	/** Requests at targets. */
+	get inFlight(): number {
+		return this.sum(desk => desk.inFlight);
+	}
+
+	/** Expected work of a request on a target of usual speed, in milliseconds. */
+	expectedWork(route: string, objectiveMs: number): number {
+		return this.estimate.of(route, objectiveMs);
+	}
+
+	/** Lasting slowness of the targets that this instance sends work to. */
+	slowness(): Array<readonly [string, number]> {
+		const own = [...this.desks].filter(([id]) => this.options.view.steward(id) !== undefined);
+		return own.flatMap(([, desk]) => desk.slowness());
+	}
+
+	/** Runs an order at a desk. */
+	async run(id: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
+		return this.desk(id).run(order, signal);
+	}
+
+	private desk(id: string): Desk {
+		const known = this.desks.get(id);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const desk = new Desk({...this.options, estimate: this.estimate});
+		this.desks.set(id, desk);
+		desk.setTargets(this.targetsByDesk().get(id) ?? []);
+		return desk;
+	}
+
+	private followView(): void {
+		const targets = this.targetsByDesk();
+		for (const [id, desk] of this.desks) {
+			const own = targets.get(id);
+			desk.setTargets(own ?? []);
+			if (own === undefined && desk.queued === 0 && desk.inFlight === 0) {
+				this.desks.delete(id);
+			}
+		}
+	}
+
+	private targetsByDesk(): Map<string, DeskTarget[]> {
+		const {view} = this.options;
+		const byDesk = new Map<string, DeskTarget[]>();
+		for (const target of view.targets.values()) {
+			const service = view.allServices.get(target.service);
+			if (service === undefined || !view.isUsable(target)) {
+				continue;
+			}
+
+			const id = service.isSharded ? targetDesk(target.id) : sharedDesk(target.service, target.domain);
+			const list = byDesk.get(id) ?? [];
+			list.push({...target, coldRate: service.coldRate});
+			byDesk.set(id, list);
+		}
+
+		return byDesk;
+	}
+
+	private sum(figure: (desk: Desk) => number): number {
+		let sum = 0;
+		for (const desk of this.desks.values()) {
+			sum += figure(desk);
+		}
+
+		return sum;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/desk/index.ts
@@ -0,0 +1,3 @@
+export * from './desk.js';
+export * from './desks.js';
+export * from './target-client.js';
--- /dev/null
+++ b/packages/gateway/src/desk/target-client.ts
@@ -0,0 +1,266 @@
+/**
+ * Sends single requests to targets and judges their answers.
+ */
+import {Buffer} from 'node:buffer';
+import {Client, Pool, type Dispatcher} from 'undici';
+import {LaneEnding} from '@bluebellyard/core';
+import type {HeaderList, TargetHeaders, Wire} from '../ports/index.js';
+
+/** Time to open a connection to a target, in milliseconds; a first packet that was lost is not waited for. */
+const connectTimeoutMs = 350;
+
+/** How long an idle connection is kept when the target does not say, in milliseconds. */
+const keepAliveMs = 4000;
+
+/** Longest time for which an idle connection is kept, in milliseconds: targets may forget it earlier than they say. */
+const maxKeepAliveMs = 8000;
+
+/** Largest answer, in bytes. */
+const maxAnswerBytes = 64 * 1024 * 1024;
+
+/** Largest head of an answer, in bytes. */
+const maxHeadBytes = 65_536;
+
+/** One request for a target. */
+export type TargetRequest = {
+	readonly addr: string;
+	/** Name that the target must have. */
+	readonly target: string;
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: HeaderList;
+	readonly body: Buffer;
+	readonly timeLeftMs: number;
+	/** Whether it must run at most once; such a request never goes on a connection that idled. */
+	readonly isOnce: boolean;
+	/** Connections that may be kept to this target. */
+	readonly connections: number;
+	readonly signal: AbortSignal;
+};
+
+/** What became of it. */
+export type TargetOutcome = {
+	readonly ending: LaneEnding;
+	/** Whether it has surely not run. */
+	readonly isNotRun: boolean;
+	/** Present with `LaneEnding.Answered`, `Full` and `NotRun`. */
+	readonly status: number;
+	readonly headers: HeaderList;
+	readonly body: Buffer;
+	readonly meta: TargetHeaders | undefined;
+	readonly reason: string;
+};
+
+/** Status with which targets refuse requests that are meant for another one, or for keys that they do not hold. */
+const misdirected = 421;
+
+/** Status of an answer that promises that a request did not run. */
+const promises = new Set([408, 421, 429, 503]);
+
+/** Connections to all targets. */
+export class TargetClient {
+	private readonly pools = new Map<string, Pool>();
+	private opened = 0;
+
+	constructor(private readonly wire: Wire) {
+}
+
+	/** Connections opened so far. */
+	get connectionsOpened(): number {
+		return this.opened;
+	}
+
+	/** Sends a request and waits for its whole answer; never rejects. */
+	async send(req: TargetRequest): Promise<TargetOutcome> {
+		const dispatcher = req.isOnce ? this.single(req.addr) : this.pool(req.addr, req.connections);
+		const exchange = new Exchange(req, this.wire);
+		dispatcher.dispatch({
+			method: req.method,
+			path: req.path,
+			headers: this.wire.toTarget(req.headers, {requestId: req.requestId, timeLeftMs: req.timeLeftMs, target: req.target}),
+			body: req.body.length === 0 ? null : req.body,
+		}, exchange);
+		const outcome = await exchange.result;
+		if (dispatcher instanceof Client) {
+			dispatcher.close().catch(() => undefined);
+		}
+
+		return outcome;
+	}
+
+	/** Closes the connections to an address. */
+	forget(addr: string): void {
+		const pool = this.pools.get(addr);
+		this.pools.delete(addr);
+		pool?.close().catch(() => undefined);
+	}
+
+	/** Closes everything at once. */
+	async close(): Promise<void> {
+		await Promise.all([...this.pools.values()].map(async pool => pool.destroy()));
+	}
+
+	private pool(addr: string, connections: number): Pool {
+		const known = this.pools.get(addr);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const pool = new Pool(`http://${addr}`, {...clientOptions, connections});
+		pool.on('connect', () => {
+			this.opened += 1;
+		});
+		this.pools.set(addr, pool);
+		return pool;
+	}
+
+	private single(addr: string): Client {
+		this.opened += 1;
+		return new Client(`http://${addr}`, clientOptions);
+	}
+}
+
+const clientOptions = {
+	connect: {timeout: connectTimeoutMs},
+	pipelining: 1,
+	headersTimeout: 0,
+	bodyTimeout: 0,
+	keepAliveTimeout: keepAliveMs,
+	keepAliveMaxTimeout: maxKeepAliveMs,
+	maxHeaderSize: maxHeadBytes,
+};
+
+/** One request under way. */
+class Exchange implements Dispatcher.DispatchHandler {
+	readonly result: Promise<TargetOutcome>;
+	private readonly resolve: (outcome: TargetOutcome) => void;
+	private controller: Dispatcher.DispatchController | undefined;
+	private isDone = false;
+	private isWritten = false;
+	private status = 0;
+	private headers: HeaderList = [];
+	private meta: TargetHeaders | undefined;
+	private readonly chunks: Buffer[] = [];
+	private size = 0;
+	private readonly timer: NodeJS.Timeout;
+	private readonly onAbort: () => void;
+
+	constructor(private readonly req: TargetRequest, private readonly wire: Wire) {
+		let resolve: (outcome: TargetOutcome) => void = () => undefined;
+		this.result = new Promise(done => {
+			resolve = done;
+		});
+		this.resolve = resolve;
+		this.onAbort = () => {
+			this.fail(LaneEnding.Cancelled, 'given up');
+		};
+
+		this.timer = setTimeout(() => {
+			this.fail(this.isWritten ? LaneEnding.Silent : LaneEnding.Unreachable, 'no answer in time');
+		}, req.timeLeftMs);
+		req.signal.addEventListener('abort', this.onAbort, {once: true});
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.controller = controller;
+		if (this.isDone) {
+			controller.abort(new Error('given up'));
+			return;
+		}
+
+		this.isWritten = true;
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		if (status < 200) {
+			return;
+		}
+
+		this.status = status;
+		this.headers = toList(headers);
+		this.meta = this.wire.readTarget(headers);
+	}
+
+	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		this.size += chunk.length;
+		if (this.size > maxAnswerBytes) {
+			this.fail(LaneEnding.Broken, 'the answer is too large');
+			return;
+		}
+
+		this.chunks.push(chunk);
+	}
+
+	onResponseEnd(): void {
+		this.finish(this.judge());
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
+		const ending = this.isWritten ? LaneEnding.Broken : LaneEnding.Unreachable;
+		this.finish({...this.empty(ending, err.message), isNotRun: !this.isWritten});
+	}
+
+	private judge(): TargetOutcome {
+		const {meta, status, headers} = this;
+		const whole = {
+			status, headers, body: this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks), meta,
+		};
+		if (meta?.isNotRun === true || status === misdirected) {
+			const ending = status === misdirected ? LaneEnding.NotRun : LaneEnding.Full;
+			return {
+				...whole, ending, isNotRun: true, reason: `target answered ${status}, not run`,
+			};
+		}
+
+		if (meta?.requestId !== this.req.requestId) {
+			this.controller?.abort(new Error('answer of another request'));
+			return this.empty(LaneEnding.Broken, 'answer of another request');
+		}
+
+		if (status < 300 && !meta.isSealed) {
+			return this.empty(LaneEnding.Broken, 'answer without a seal');
+		}
+
+		if (promises.has(status)) {
+			return this.empty(LaneEnding.Broken, `target answered ${status} without saying that it did not run`);
+		}
+
+		return {
+			...whole, ending: LaneEnding.Answered, isNotRun: false, reason: '',
+		};
+	}
+
+	private fail(ending: LaneEnding, reason: string): void {
+		const isNotRun = !this.isWritten;
+		this.finish({...this.empty(ending, reason), isNotRun});
+		this.controller?.abort(new Error(reason));
+	}
+
+	private empty(ending: LaneEnding, reason: string): TargetOutcome {
+		return {
+			ending, isNotRun: false, status: 0, headers: [], body: Buffer.alloc(0), meta: this.meta, reason,
+		};
+	}
+
+	private finish(outcome: TargetOutcome): void {
+		if (this.isDone) {
+			return;
+		}
+
+		this.isDone = true;
+		clearTimeout(this.timer);
+		this.req.signal.removeEventListener('abort', this.onAbort);
+		this.resolve(outcome);
+	}
+}
+
+function toList(headers: Record<string, string | string[] | undefined>): HeaderList {
+	return Object.entries(headers).flatMap(([name, value]) => {
+		if (value === undefined) {
+			return [];
+		}
+
+		return Array.isArray(value) ? value.map(one => [name, one] as const) : [[name, value] as const];
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/front/caller-server.ts
@@ -0,0 +1,270 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {
+	ErrorKind, Repeat, Split, type Clock, type HostRoute,
+} from '@bluebellyard/core';
+import {
+	failure, type Dispatcher, type FailedResult, type Order, type OrderResult,
+} from '../dispatch/index.js';
+import type {CallerHeaders, Wire} from '../ports/index.js';
+import type {Telemetry} from '../telemetry/index.js';
+import type {View} from '../view/index.js';
+import {sendFailure, statusOf} from './refusal.js';
+
+/** Largest head of a request that the parser takes, in bytes; the limit of the configuration is checked besides. */
+const maxHeadBytes = 65_536;
+
+/** Time for which idle connections are kept beyond the limit that callers know, in milliseconds. */
+const idleSlackMs = 1000;
+
+/** Time beyond its deadline after which a request is answered in any case, in milliseconds. */
+const finalSlackMs = 200;
+
+/** When to come back while this instance has no configuration, in milliseconds. */
+const startingRetryMs = 400;
+
+/** Settings of the server. */
+export type CallerServerOptions = {
+	readonly view: View;
+	readonly wire: Wire;
+	readonly dispatcher: Dispatcher;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	/** Called with the key of each request for a sharded service. */
+	readonly onKey: (service: string, key: number, route: HostRoute) => void;
+};
+
+/** Takes the requests of callers. */
+export class CallerServer {
+	private readonly server: Server;
+	private readonly split = new Map<string, Split>();
+	private isStopping = false;
+	private running = 0;
+
+	constructor(private readonly options: CallerServerOptions) {
+		this.server = createServer({
+			maxHeaderSize: maxHeadBytes, requestTimeout: 0, keepAlive: true, noDelay: true,
+		}, (req, res) => {
+			void this.serve(req, res);
+		});
+		this.server.on('checkContinue', (req, res) => {
+			res.writeContinue();
+			void this.serve(req, res);
+		});
+		this.followLimits();
+		options.view.onChange(() => {
+			this.followLimits();
+		});
+	}
+
+	/** Requests that have no answer yet. */
+	get inFlight(): number {
+		return this.running;
+	}
+
+	/** Listens. */
+	async start(host: string, port: number): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(port, host, () => {
+				const addr = this.server.address();
+				resolve(typeof addr === 'object' && addr !== null ? addr.port : port);
+			});
+		});
+	}
+
+	/** Tells callers with each answer to connect elsewhere. */
+	beginStop(): void {
+		this.isStopping = true;
+	}
+
+	/** Takes no new connections and closes idle ones. */
+	closeIdle(): void {
+		this.server.close();
+		this.server.closeIdleConnections();
+	}
+
+	/** Closes everything at once. */
+	close(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private followLimits(): void {
+		const {idleTimeoutMs, headerTimeoutMs} = this.options.view.limits;
+		this.server.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
+		this.server.headersTimeout = headerTimeoutMs + idleSlackMs;
+	}
+
+	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {clock, wire, telemetry} = this.options;
+		const arrivedAt = clock.now();
+		const abort = new AbortController();
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				abort.abort();
+			}
+		});
+		this.running += 1;
+		const headers = wire.readCaller(req.headers);
+		try {
+			const {result, route} = await this.answer(req, headers, arrivedAt, abort.signal);
+			this.send(res, req, result);
+			this.note(headers, route, result, clock.now() - arrivedAt);
+		} catch (err) {
+			telemetry.error('front', 'A request failed inside the gateway.', {id: headers.requestId, err});
+			sendFailure(res, failure(ErrorKind.Internal, {isNotRun: false}));
+		} finally {
+			this.running -= 1;
+		}
+	}
+
+	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, signal: AbortSignal): Promise<{result: OrderResult; route?: HostRoute}> {
+		const {view, dispatcher, clock} = this.options;
+		if (view.version === undefined) {
+			return {result: failure(ErrorKind.NotReady, {retryAfterMs: startingRetryMs, reason: 'no configuration yet'})};
+		}
+
+		const route = view.routes.match(req.headers.host ?? '', req.url ?? '/');
+		if (route === undefined) {
+			return {result: failure(ErrorKind.NoRoute, {reason: `version ${view.version}`})};
+		}
+
+		const body = await readBody(req, view.limits.bodyBytes);
+		if (body === undefined) {
+			return {route, result: failure(signal.aborted ? ErrorKind.CallerLeft : ErrorKind.BodyTooLarge, {reason: 'body not read'})};
+		}
+
+		const order = this.toOrder(req, {
+			headers, route, body, arrivedAt,
+		});
+		const guard = new AbortController();
+		const result = await new Promise<OrderResult>(resolve => {
+			const timer = setTimeout(() => {
+				resolve(failure(ErrorKind.TargetTimeout, {isNotRun: false, reason: 'no result at the deadline'}));
+				guard.abort();
+			}, Math.max(1, order.deadline - clock.now() + finalSlackMs));
+			void dispatcher.run(order, route.maxTargets, AbortSignal.any([signal, guard.signal])).then(outcome => {
+				clearTimeout(timer);
+				resolve(outcome);
+			});
+		});
+		return {route, result};
+	}
+
+	private toOrder(req: IncomingMessage, {headers, route, body, arrivedAt}: {headers: CallerHeaders; route: HostRoute; body: Buffer; arrivedAt: number}): Order {
+		const service = this.splitOf(route.name).next(route.services);
+		const waitMs = Math.min(headers.patienceMs ?? route.timeoutMs, route.timeoutMs);
+		if (headers.key !== undefined && this.options.view.allServices.get(service)?.isSharded === true) {
+			this.options.onKey(service, headers.key, route);
+		}
+
+		return {
+			requestId: headers.requestId,
+			method: req.method ?? 'GET',
+			path: req.url ?? '/',
+			headers: toPairs(req.rawHeaders),
+			body,
+			route: route.name,
+			service,
+			key: headers.key,
+			priority: route.priority,
+			isOnce: route.repeat === Repeat.Once,
+			objectiveMs: route.objectiveMs,
+			arrivedAt,
+			objectiveAt: arrivedAt + route.objectiveMs,
+			deadline: arrivedAt + waitMs,
+			excluded: [],
+		};
+	}
+
+	private splitOf(route: string): Split {
+		const split = this.split.get(route) ?? new Split();
+		this.split.set(route, split);
+		return split;
+	}
+
+	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
+		if (this.isStopping || !req.complete) {
+			res.setHeader('connection', 'close');
+		}
+
+		if (result.kind === 'failure') {
+			sendFailure(res, result);
+			return;
+		}
+
+		const {status, headers, body} = result.answer;
+		for (const [name, value] of this.options.wire.toCaller(headers)) {
+			res.appendHeader(name, value);
+		}
+
+		res.writeHead(status, {'content-length': body.length});
+		res.end(body);
+	}
+
+	private note(headers: CallerHeaders, route: HostRoute | undefined, result: OrderResult, tookMs: number): void {
+		const {telemetry} = this.options;
+		const fields = {
+			id: headers.requestId, route: route?.name, key: headers.key, tookMs: Math.round(tookMs), waitMs: Math.round(result.waitMs), target: result.target, version: this.options.view.version,
+		};
+		telemetry.metrics.latency.observe({route: route?.name ?? 'none'}, tookMs / 1000);
+		if (result.kind === 'answer') {
+			telemetry.metrics.requests.inc({result: `${Math.floor(result.answer.status / 100)}xx`});
+			if (result.answer.status < 400) {
+				telemetry.success(fields);
+			} else {
+				telemetry.request('The target answered a failure.', {...fields, status: result.answer.status});
+			}
+
+			return;
+		}
+
+		telemetry.metrics.requests.inc({result: result.error});
+		telemetry.request(result.isNotRun ? 'Refused.' : 'Failed, outcome unknown.', {
+			...fields, status: statusOf(result), error: result.error, isNotRun: result.isNotRun, reason: result.reason, retryAfterMs: Math.round(result.retryAfterMs),
+			...refusedBy(result),
+		});
+	}
+}
+
+function refusedBy({target}: FailedResult): {target: string | undefined} {
+	return {target};
+}
+
+/** The body of a request; undefined when it is longer than allowed or ends early. */
+async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+	if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
+		return Buffer.alloc(0);
+	}
+
+	const chunks: Buffer[] = [];
+	let size = 0;
+	try {
+		for await (const chunk of req) {
+			const bytes = chunk as Buffer;
+			size += bytes.length;
+			if (size > maxBytes) {
+				return undefined;
+			}
+
+			chunks.push(bytes);
+		}
+	} catch {
+		// The caller broke the connection off; nobody is left to be told.
+		return undefined;
+	}
+
+	return Buffer.concat(chunks);
+}
+
+function toPairs(raw: readonly string[]): Array<readonly [string, string]> {
+	const pairs: Array<readonly [string, string]> = [];
+	for (let i = 0; i + 1 < raw.length; i += 2) {
+		pairs.push([raw[i], raw[i + 1]]);
+	}
+
+	return pairs;
+}
--- /dev/null
+++ b/packages/gateway/src/front/index.ts
@@ -0,0 +1,3 @@
+export * from './caller-server.js';
+export * from './probe-server.js';
+export * from './refusal.js';
--- /dev/null
+++ b/packages/gateway/src/front/refusal.ts
@@ -0,0 +1,39 @@
+import type {ServerResponse} from 'node:http';
+import {answerTable, ErrorKind} from '@bluebellyard/core';
+import type {FailedResult} from '../dispatch/index.js';
+
+/** Status that promises that a request has not run and never will. */
+const notRunStatus = 503;
+
+/** Status for an outcome that is not known. */
+const unknownStatus = 502;
+
+const msPerSecond = 1000;
+
+/** Status of a failure: only what has surely not run gets a status that says so. */
+export function statusOf({error, isNotRun}: Pick<FailedResult, 'error' | 'isNotRun'>): number {
+	const {status} = answerTable[error];
+	if (isNotRun) {
+		return status >= 500 ? notRunStatus : status;
+	}
+
+	return status === 504 ? status : unknownStatus;
+}
+
+/** Writes the answer to a request that no target answered. */
+export function sendFailure(res: ServerResponse, result: Pick<FailedResult, 'error' | 'isNotRun' | 'retryAfterMs'>): void {
+	if (result.error === ErrorKind.CallerGone || result.error === ErrorKind.CallerLeft || res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	const status = statusOf(result);
+	const body = JSON.stringify({error: result.error, message: answerTable[result.error].text});
+	const headers: Record<string, string | number> = {'content-type': 'application/json', 'content-length': body.length};
+	if (status === notRunStatus || status === 429) {
+		headers['retry-after'] = (Math.max(50, result.retryAfterMs) / msPerSecond).toFixed(2);
+	}
+
+	res.writeHead(status, headers);
+	res.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,219 @@
+/**
+ * One instance of the gateway: all of its parts, wired together.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+	systemClock, type Clock, type HoldTiming, type HostRoute, type RetryBudgetCfg,
+} from '@bluebellyard/core';
+import {Desks, TargetClient} from './desk/index.js';
+import {Dispatcher, type Order} from './dispatch/index.js';
+import {CallerServer, ProbeServer} from './front/index.js';
+import {
+	Coordinator, PeerOp, type Report,
+} from './keeper/index.js';
+import {PeerNet} from './peers/index.js';
+import type {
+	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
+} from './ports/index.js';
+import type {GatewaySettings} from './settings/index.js';
+import {type Telemetry} from './telemetry/index.js';
+import {View, type NodeInfo} from './view/index.js';
+
+/** Hold of a grant, in milliseconds: long enough for a change of the leader, short enough that a lost target's keys come back soon. */
+const usualHoldMs = 6000;
+
+/** Time after which a grant without an answer is cut off, in milliseconds. */
+const grantTimeoutMs = 500;
+
+/** Instances among which the extra retries are shared out; more instances than that exceed it only if all retry at once. */
+const retrySharers = 16;
+
+/** Part of the allowed share of retries that the instances use, so that uneven load does not exceed it. */
+const retryShareUsed = 0.5;
+
+/** Keys that are reported at once at most. */
+const maxReportedKeys = 4000;
+
+/** Time after a stop was asked for until idle connections are closed, in milliseconds: the balancer has taken note by then. */
+const stopIdleMs = 2200;
+
+/** Time before the end of the grace at which the process ends in any case, in milliseconds. */
+const stopReserveMs = 400;
+
+/** Between two looks at whether all requests ended, in milliseconds. */
+const stopCheckMs = 50;
+
+/** Between two updates of gauges, in milliseconds. */
+const gaugeEveryMs = 1000;
+
+/** What the platform provides. */
+export type PlatformPorts = {
+	readonly log: KeyedLog;
+	readonly operators: OperatorFeed;
+	readonly targets: TargetFeed;
+	readonly control: TargetControl;
+	readonly wire: Wire;
+	/** Path of the health check on the health address. */
+	readonly healthPath: string;
+};
+
+/** One instance. */
+export class Gateway {
+	readonly view = new View();
+	readonly coordinator: Coordinator;
+	private readonly net: PeerNet;
+	private readonly client: TargetClient;
+	private readonly desks: Desks;
+	private readonly dispatcher: Dispatcher;
+	private readonly callers: CallerServer;
+	private readonly health: ProbeServer;
+	private readonly metrics: ProbeServer;
+	private readonly keys = new Map<string, number[]>();
+	private readonly self: NodeInfo;
+	private gauges: NodeJS.Timeout | undefined;
+	private isStopping = false;
+
+	constructor(
+		private readonly cfg: GatewaySettings,
+		ports: PlatformPorts,
+		private readonly telemetry: Telemetry,
+		private readonly clock: Clock = systemClock,
+	) {
+		const {view} = this;
+		const {peers} = cfg.listen;
+		this.self = {
+			name: cfg.instance.name, domain: cfg.instance.domain, incarnation: randomUUID(), addr: `${peers.host}:${peers.port}`,
+		};
+		const {self} = this;
+		const random = () => Math.random();
+		this.net = new PeerNet(async (op, body, signal) => op === PeerOp.Work
+			? this.dispatcher.runForPeer(body, signal)
+			: this.coordinator.handle(op as PeerOp, body), clock);
+		this.client = new TargetClient(ports.wire);
+		this.coordinator = new Coordinator({
+			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), report: () => this.report(),
+		});
+		this.desks = new Desks({
+			view,
+			client: this.client,
+			clock,
+			telemetry,
+			onDisowned: (target: string, order: Order) => {
+				if (order.key !== undefined) {
+					this.coordinator.reportDisowned({service: order.service, owner: target, key: order.key});
+				}
+			},
+		});
+		this.dispatcher = new Dispatcher({
+			self, view, desks: this.desks, net: this.net, clock, telemetry, random, retryBudget: toBudget(cfg),
+		});
+		this.callers = new CallerServer({
+			view,
+			wire: ports.wire,
+			dispatcher: this.dispatcher,
+			clock,
+			telemetry,
+			onKey: (service, key, route) => {
+				this.count(service, key, route);
+			},
+		});
+		this.health = new ProbeServer(async path => path === ports.healthPath
+			? {status: this.isReady ? 200 : 503, type: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
+			: undefined);
+		this.metrics = new ProbeServer(async () => ({status: 200, type: 'text/plain; version=0.0.4', body: await telemetry.metrics.text()}));
+	}
+
+	/** Whether this instance can serve callers. */
+	get isReady(): boolean {
+		return !this.isStopping && this.view.version !== undefined && this.view.targets.size > 0;
+	}
+
+	/** Opens all ports and starts. */
+	async start(): Promise<void> {
+		const {listen} = this.cfg;
+		await this.net.start(listen.peers.host, listen.peers.port);
+		await this.health.start(listen.health.host, listen.health.port);
+		await this.callers.start(listen.callers.host, listen.callers.port);
+		if (listen.metrics !== undefined) {
+			await this.metrics.start(listen.metrics.host, listen.metrics.port);
+		}
+
+		this.coordinator.start();
+		this.gauges = setInterval(() => {
+			this.updateGauges();
+		}, gaugeEveryMs);
+		this.telemetry.info('gateway', 'Started.', {...this.self, callers: `${listen.callers.host}:${listen.callers.port}`});
+	}
+
+	/** Hands everything over, lets requests end and closes, within the grace. */
+	async stop(): Promise<void> {
+		if (this.isStopping) {
+			return;
+		}
+
+		this.isStopping = true;
+		const startedAt = this.clock.now();
+		this.telemetry.info('gateway', 'Stopping.', {inFlight: this.callers.inFlight, queued: this.desks.queued});
+		this.callers.beginStop();
+		this.coordinator.leave();
+		await pause(stopIdleMs);
+		this.callers.closeIdle();
+		const end = startedAt + this.cfg.shutdown.grace - stopReserveMs;
+		while (this.clock.now() < end && this.callers.inFlight + this.desks.inFlight + this.desks.queued > 0) {
+			// eslint-disable-next-line no-await-in-loop
+			await pause(stopCheckMs);
+		}
+
+		this.telemetry.info('gateway', 'Stopped.', {unanswered: this.callers.inFlight, tookMs: Math.round(this.clock.now() - startedAt)});
+		await this.close();
+	}
+
+	/** Closes everything at once. */
+	async close(): Promise<void> {
+		clearInterval(this.gauges);
+		this.coordinator.stop();
+		this.callers.close();
+		this.health.close();
+		this.metrics.close();
+		this.net.close();
+		await this.client.close();
+	}
+
+	private count(service: string, key: number, route: HostRoute): void {
+		const list = this.keys.get(service) ?? [];
+		this.keys.set(service, list);
+		if (list.length < maxReportedKeys) {
+			list.push(key, Math.round(this.desks.expectedWork(route.name, route.objectiveMs)));
+		}
+	}
+
+	private report(): Report {
+		const keys = Object.fromEntries(this.keys);
+		this.keys.clear();
+		return {keys, slowness: this.desks.slowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const), isLeaving: this.isStopping};
+	}
+
+	private updateGauges(): void {
+		const {metrics} = this.telemetry;
+		metrics.queued.set(this.desks.queued);
+		metrics.inFlight.set(this.desks.inFlight);
+		metrics.viewAge.set(this.coordinator.heardAgeMs / 1000);
+		metrics.leads.set(this.coordinator.isLeader ? 1 : 0);
+		metrics.logLinesDropped.set(this.telemetry.suppressedLines);
+	}
+}
+
+function toTiming(cfg: GatewaySettings): HoldTiming {
+	return {holdMs: Math.min(usualHoldMs, cfg.keys['hold-max']), transitMs: grantTimeoutMs};
+}
+
+function toBudget({retries}: GatewaySettings): RetryBudgetCfg {
+	const burst = Math.max(1, Math.floor(retries.extra / retrySharers / 2));
+	return {share: retries.ratio * retryShareUsed, perSecond: burst / (retries.window / 1000), burst};
+}
+
+async function pause(ms: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,4 @@
+export * from './gateway.js';
+export * from './ports/index.js';
+export * from './settings/index.js';
+export * from './telemetry/index.js';
--- /dev/null
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -0,0 +1,383 @@
+/**
+ * Follows the leader, and takes the lead when there is none.
+ */
+import type {Clock, HoldTiming} from '@bluebellyard/core';
+import {LinkError, type PeerNet} from '../peers/index.js';
+import {
+	StaleAppendError, type KeyedLog, type OperatorFeed, type TargetControl, type TargetFeed,
+} from '../ports/index.js';
+import type {Telemetry} from '../telemetry/index.js';
+import type {NodeInfo, View} from '../view/index.js';
+import {Directory} from './directory.js';
+import {Leader} from './leader.js';
+import {
+	PeerOp, type AskReply, type Disowned, type Ping, type Pong, type Report,
+} from './messages.js';
+import {NewsReader} from './news-reader.js';
+import {OwnerLog, type OwnerState} from './owner-log.js';
+
+/** Between two ticks, in milliseconds. */
+const tickMs = 100;
+
+/** Silence of the leader after which another one is sought, in milliseconds: two of its messages are lost. */
+const silenceMs = 1400;
+
+/** Largest random addition to waits, in milliseconds, so that few instances try at once. */
+const spreadMs = 400;
+
+/** Age of the leader's store contact above which an instance that reaches the store takes over, in milliseconds. */
+const staleLeaderMs = 2000;
+
+/** Pause between two tries to take the lead, in milliseconds. */
+const retryMs = 800;
+
+/** Longest wait for answers of other instances, in milliseconds. */
+const askTimeoutMs = 350;
+
+/** Instances that are asked before an election. */
+const askedInstances = 6;
+
+/** Silence after which an instance that reaches no other one takes the lead, in milliseconds: it may be the last one. */
+const aloneMs = 4000;
+
+/** Settings of a coordinator. */
+export type CoordinatorOptions = {
+	readonly self: NodeInfo;
+	readonly view: View;
+	readonly net: PeerNet;
+	readonly log: KeyedLog;
+	readonly operators: OperatorFeed;
+	readonly targets: TargetFeed;
+	readonly control: TargetControl;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	readonly timing: HoldTiming;
+	/** Measurements since the last call. */
+	readonly report: () => Report;
+	/** A number from 0 to 1. */
+	readonly random: () => number;
+};
+
+/** Membership and lead of one instance. */
+export class Coordinator {
+	private readonly directory: Directory;
+	private readonly ownerLog: OwnerLog;
+	private readonly reader: NewsReader;
+	private readonly others = new Map<string, NodeInfo>();
+	private leader: Leader | undefined;
+	private term = 0;
+	private leaderNode: NodeInfo | undefined;
+	private heardAt: number;
+	private leaderStoreAge = 0;
+	private appliedSeq = -1;
+	private isElecting = false;
+	private nextTryAt: number;
+	private isLeaving = false;
+	private isAnnounced = false;
+	private storeFailedAt = Number.NEGATIVE_INFINITY;
+	private timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly options: CoordinatorOptions) {
+		const {log, clock} = options;
+		this.directory = new Directory(log);
+		this.ownerLog = new OwnerLog(log);
+		this.reader = new NewsReader(options);
+		this.heardAt = clock.now();
+		this.nextTryAt = clock.now() + this.spread();
+	}
+
+	/** Whether this instance leads. */
+	get isLeader(): boolean {
+		return this.leader !== undefined;
+	}
+
+	/** Time since the leader was heard, in milliseconds; 0 on the leader. */
+	get heardAgeMs(): number {
+		return this.isLeader ? 0 : this.options.clock.now() - this.heardAt;
+	}
+
+	/** Term of the leader as known here. */
+	get currentTerm(): number {
+		return this.term;
+	}
+
+	/** Starts to follow and to tick. */
+	start(): void {
+		void this.announce();
+		this.timer = setInterval(() => {
+			this.tick();
+		}, tickMs);
+	}
+
+	/** Gives charges and the lead away; the instance goes on answering. */
+	leave(): void {
+		this.isLeaving = true;
+		const successor = this.leader?.live().find(node => node.name !== this.options.self.name);
+		if (successor !== undefined) {
+			this.options.telemetry.info('leader', 'Handing the lead over.', {to: successor.name, term: this.term});
+			this.options.net.call(successor.addr, PeerOp.Succeed, this.term).catch((err: unknown) => {
+				this.options.telemetry.warn('leader', 'The successor does not answer.', {to: successor.name, err});
+			});
+		}
+	}
+
+	/** Stops everything. */
+	stop(): void {
+		clearInterval(this.timer);
+		this.reader.stop();
+		this.leader?.stop();
+	}
+
+	/** Tells the leader that an owner does not hold a key. */
+	reportDisowned(disowned: Disowned): void {
+		if (this.leader !== undefined) {
+			this.leader.disowned(disowned);
+		} else if (this.leaderNode !== undefined) {
+			this.options.net.call(this.leaderNode.addr, PeerOp.Disowned, disowned).catch((err: unknown) => {
+				this.options.telemetry.warn('follower', 'The leader could not be told of a disowned key.', {...disowned, err});
+			});
+		}
+	}
+
+	/** Answers a message of another instance. */
+	handle(op: PeerOp, body: unknown): unknown {
+		switch (op) {
+			case PeerOp.Ping: {
+				return this.takePing(body as Ping);
+			}
+
+			case PeerOp.Ask: {
+				return this.answerAsk();
+			}
+
+			case PeerOp.Hello: {
+				const node = body as NodeInfo;
+				this.others.set(node.name, node);
+				this.leader?.addNode(node);
+				return this.isLeader;
+			}
+
+			case PeerOp.Succeed: {
+				this.nextTryAt = this.options.clock.now();
+				void this.elect(true);
+				return true;
+			}
+
+			case PeerOp.Disowned: {
+				this.leader?.disowned(body as Disowned);
+				return true;
+			}
+
+			case PeerOp.Work: {
+				return undefined;
+			}
+		}
+	}
+
+	private tick(): void {
+		if (this.leader !== undefined) {
+			this.leader.tick();
+			return;
+		}
+
+		const now = this.options.clock.now();
+		const isSilent = now - this.heardAt > silenceMs || this.term === 0;
+		const isStale = this.leaderStoreAge > staleLeaderMs;
+		if (!this.isLeaving && (isSilent || isStale) && now >= this.nextTryAt) {
+			void this.elect(false);
+		}
+	}
+
+	private spread(): number {
+		return this.options.random() * spreadMs;
+	}
+
+	private async announce(): Promise<void> {
+		const {self, net, telemetry} = this.options;
+		while (!this.isAnnounced) {
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await this.directory.announce(self);
+				// eslint-disable-next-line no-await-in-loop
+				for (const node of await this.directory.list()) {
+					this.meet(node);
+				}
+
+				this.isAnnounced = true;
+			} catch (err) {
+				telemetry.warn('follower', 'The store could not be told of this instance.', {err});
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise(resolve => {
+					setTimeout(resolve, retryMs);
+				});
+			}
+		}
+
+		await Promise.allSettled([...this.others.values()].map(async node =>
+			net.call(node.addr, PeerOp.Hello, self, AbortSignal.timeout(askTimeoutMs))));
+	}
+
+	private meet(node: NodeInfo): void {
+		if (node.name !== this.options.self.name) {
+			this.others.set(node.name, node);
+		}
+	}
+
+	private takePing(ping: Ping): Pong {
+		const {clock, view, self, report, telemetry} = this.options;
+		if (ping.term >= this.term) {
+			if (ping.term > this.term || this.leaderNode?.name !== ping.leader.name) {
+				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, term: ping.term});
+				this.appliedSeq = -1;
+			}
+
+			this.term = ping.term;
+			this.leaderNode = ping.leader;
+			if (this.leader !== undefined) {
+				this.stepDown('another instance leads');
+			}
+
+			this.reader.stop();
+			this.heardAt = clock.now();
+			this.leaderStoreAge = ping.storeAgeMs;
+			if (ping.delta.isFull || ping.base === this.appliedSeq) {
+				this.appliedSeq = ping.delta.seq;
+				if (ping.delta.isFull || ping.delta.set.length > 0 || ping.delta.gone.length > 0) {
+					view.apply(ping.delta);
+				}
+			} else {
+				this.appliedSeq = -1;
+			}
+		}
+
+		return {
+			term: this.term, incarnation: self.incarnation, seq: this.appliedSeq, report: {...report(), isLeaving: this.isLeaving},
+		};
+	}
+
+	private answerAsk(): AskReply {
+		return {
+			term: this.term,
+			isLeader: this.isLeader,
+			heardAgeMs: this.heardAgeMs,
+			storeAgeMs: this.leader?.storeAgeMs ?? this.leaderStoreAge,
+		};
+	}
+
+	/** Takes the lead if nobody else has it. */
+	private async elect(isNamed: boolean): Promise<void> {
+		const {clock, telemetry} = this.options;
+		if (this.isElecting || this.leader !== undefined) {
+			return;
+		}
+
+		this.isElecting = true;
+		this.nextTryAt = clock.now() + retryMs + this.spread();
+		try {
+			const state = await this.ownerLog.read();
+			const mayLead = isNamed || await this.isLeadFree(state);
+			if (mayLead) {
+				const term = Math.max(this.term, state.leader?.term ?? 0) + 1;
+				await this.ownerLog.lead({term, name: this.options.self.name, incarnation: this.options.self.incarnation}, state);
+				await this.lead(term, state);
+			}
+		} catch (err) {
+			if (!(err instanceof StaleAppendError)) {
+				this.storeFailedAt = clock.now();
+			}
+
+			telemetry.warn('follower', 'Could not take the lead.', {err, term: this.term});
+		} finally {
+			this.isElecting = false;
+		}
+	}
+
+	private async isLeadFree(state: OwnerState): Promise<boolean> {
+		const {clock, telemetry} = this.options;
+		if ((state.leader?.term ?? 0) > this.term && this.term > 0) {
+			// Somebody else was faster; it will show itself.
+			this.term = state.leader?.term ?? 0;
+			this.heardAt = clock.now();
+			this.leaderStoreAge = 0;
+			return false;
+		}
+
+		const asked = this.instancesToAsk(state.leader?.name);
+		const answers = await this.ask(asked);
+		const hasLeader = answers.some(answer => answer.storeAgeMs < staleLeaderMs
+			&& (answer.isLeader || answer.heardAgeMs < silenceMs) && answer.term > 0);
+		const isAlone = asked.length > 0 && answers.length === 0;
+		if (hasLeader || (isAlone && this.heardAgeMs < aloneMs && this.term > 0)) {
+			telemetry.info('follower', 'Cut off from the leader; reading the store here.', {answers: answers.length, term: this.term});
+			this.appliedSeq = -1;
+			this.reader.start(false);
+			return false;
+		}
+
+		return true;
+	}
+
+	private instancesToAsk(leader: string | undefined): NodeInfo[] {
+		const {view, self, random} = this.options;
+		for (const node of view.nodes()) {
+			this.meet(node);
+		}
+
+		const all = [...this.others.values()].filter(node => node.name !== self.name);
+		const first = all.filter(node => node.name === leader);
+		const rest = all.filter(node => node.name !== leader).map(node => ({node, rank: random()})).toSorted((a, b) => a.rank - b.rank);
+		return [...first, ...rest.map(({node}) => node)].slice(0, askedInstances);
+	}
+
+	private async ask(nodes: readonly NodeInfo[]): Promise<AskReply[]> {
+		const {net} = this.options;
+		const results = await Promise.allSettled(nodes.map(async node =>
+			await net.call(node.addr, PeerOp.Ask, undefined, AbortSignal.timeout(askTimeoutMs)) as AskReply));
+		return results.flatMap(result => result.status === 'fulfilled' ? [result.value] : []);
+	}
+
+	private async lead(term: number, state: OwnerState): Promise<void> {
+		const {self, view, clock, telemetry} = this.options;
+		telemetry.info('leader', 'Leading.', {term, former: state.leader?.name, services: state.maps.size});
+		const wasAway = clock.now() - this.storeFailedAt < silenceMs || this.leaderStoreAge > staleLeaderMs;
+		this.term = term;
+		this.leaderNode = self;
+		const leader = new Leader({
+			...this.options,
+			term,
+			ownerLog: this.ownerLog,
+			reader: this.reader,
+			isLeaving: () => this.isLeaving,
+			onSuperseded: () => {
+				this.stepDown('the store names another leader');
+			},
+		}, state);
+		this.leader = leader;
+		this.reader.stop();
+		this.reader.start(wasAway);
+		view.store.set(`node/${self.name}`, self);
+		for (const node of this.others.values()) {
+			leader.addNode(node);
+		}
+
+		leader.tick();
+		for (const node of await this.directory.list()) {
+			this.meet(node);
+			leader.addNode(node);
+		}
+	}
+
+	private stepDown(reason: string): void {
+		this.options.telemetry.info('leader', 'Not leading any more.', {reason, term: this.term});
+		this.leader?.stop();
+		this.leader = undefined;
+		this.reader.stop();
+		this.appliedSeq = -1;
+		this.heardAt = this.options.clock.now();
+	}
+}
+
+/** Whether an error of a call to another instance proves that the call did not arrive. */
+export function isUnsent(err: unknown): boolean {
+	return err instanceof LinkError && !err.isSent;
+}
--- /dev/null
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -0,0 +1,444 @@
+/**
+ * Sees to it that each key of one sharded service has an owner that holds it,
+ * and never two. Runs on the leader only.
+ *
+ * A range changes hands in this order: the store has the record of the new
+ * owner; the former owner released the range, or its last grant has surely
+ * lapsed, or its process is known to have ended; the new owner is granted the
+ * range under the offset of the record.
+ */
+import {
+	ErrorKind, lapseOf, planKeys, type FormerOwner, type HoldTiming, type Holding, type KeyMap, type KeyRange, type KeyRates, type Owner, type Clock,
+} from '@bluebellyard/core';
+import {
+	GrantReply, StaleAppendError, type TargetControl,
+} from '../ports/index.js';
+import type {Telemetry} from '../telemetry/index.js';
+import type {OwnedRange} from '../view/index.js';
+
+/** Part of the hold after which a grant is renewed, so that two more tries fit before it lapses. */
+const renewShare = 1 / 3;
+
+/** Time until a grant or release that failed is sent again, in milliseconds. */
+const retryMs = 250;
+
+/** Longest wait for the answer to a release, in milliseconds: it comes when running work has ended. */
+const releaseTimeoutMs = 2500;
+
+/** Time between two plans for balance, in milliseconds: load is measured over seconds. */
+const balanceEveryMs = 700;
+
+/** Time that a confirmed change of formers may wait for another write, in milliseconds. */
+const tidyAfterMs = 400;
+
+/** Time after the first target of a service was seen until keys are first given out, in milliseconds, so that all targets of a start take part. */
+const settleMs = 700;
+
+/** Adjoining ranges of one owner under different fencing tokens above which they are joined. */
+const maxRangesPerOwner = 4;
+
+/** Settings of a keeper. */
+export type KeeperOptions = {
+	readonly service: string;
+	readonly control: TargetControl;
+	readonly clock: Clock;
+	readonly timing: HoldTiming;
+	readonly telemetry: Telemetry;
+	/** Writes a new map; resolves to it once the store has it. */
+	readonly write: (change: (fence: number) => KeyMap) => Promise<KeyMap>;
+	/** Called when routes of requests may have changed. */
+	readonly onChange: () => void;
+	/** Called after a write whose outcome is not known, or that was out of date. */
+	readonly onDoubt: () => void;
+	/** Address of a target, also of one that is gone. */
+	readonly addrOf: (owner: string) => string | undefined;
+	/** Whether the process is known to have ended. */
+	readonly hasEnded: (owner: string) => boolean;
+	/** Time at which the grants of former leaders have surely lapsed. */
+	readonly inheritedEnd: () => number;
+};
+
+/** What a keeper may do and knows at a tick. */
+export type KeeperInput = {
+	readonly owners: readonly Owner[];
+	readonly rates: KeyRates;
+	/** Whether keys may change hands; not while the store is away. */
+	readonly mayMove: boolean;
+};
+
+type Grant = {
+	isInFlight: boolean;
+	/** When the last accepted grant was sent. */
+	acceptedSentAt: number;
+	/** When the last grant without an answer was sent. */
+	unansweredSentAt: number;
+	nextAt: number;
+	isOpen: boolean;
+	/** Whether the owner accepted it from this leader, so that grants of former leaders are void. */
+	isFenced: boolean;
+};
+
+type Leaving = {
+	readonly lapsesAt: number;
+	/** From then on an answered release is enough. */
+	readonly releaseCountsAt: number;
+	isInFlight: boolean;
+	isReleased: boolean;
+	nextAt: number;
+	handover: string | undefined;
+};
+
+/** Owner of the keys of one service on behalf of all instances. */
+export class KeyKeeper {
+	private grants = new Map<string, Grant>();
+	private readonly leaving = new Map<string, Leaving>();
+	private readonly handovers = new Map<string, string>();
+	private isWriting = false;
+	private tidySince: number | undefined;
+	private balancedAt = Number.NEGATIVE_INFINITY;
+	private ownersSince: number | undefined;
+	/** Since when an owner answers no grant. */
+	private readonly silence = new Map<string, number>();
+
+	constructor(private readonly options: KeeperOptions, private map: KeyMap, isTakenOver: boolean) {
+		for (const holding of map.holdings) {
+			if (holding.owner !== '') {
+				this.grants.set(grantKey(holding), newGrant(isTakenOver));
+			}
+		}
+	}
+
+	/** Owners as callers' requests are to be routed. */
+	ranges(): Map<string, OwnedRange> {
+		const {service} = this.options;
+		const rows = new Map<string, OwnedRange>();
+		for (const holding of this.map.holdings) {
+			const isOpen = holding.formers.length === 0 && (this.grants.get(grantKey(holding))?.isOpen ?? false);
+			rows.set(`keys/${service}/${holding.from}`, {to: holding.to, owner: holding.owner, isOpen});
+		}
+
+		return rows;
+	}
+
+	/**
+	 * Gives all ranges a new fencing token, so that owners refuse what a former
+	 * leader may still send.
+	 */
+	takeOver(): void {
+		this.write(fence => this.map.refence(fence));
+	}
+
+	/** Replaces the map by what the store has, after a write in doubt. */
+	reload(map: KeyMap): void {
+		this.isWriting = false;
+		this.adopt(map);
+	}
+
+	/** Takes note that an owner said it does not hold a key that it was granted. */
+	disowned(owner: string, key: number): void {
+		const holding = this.map.at(key);
+		const grant = this.grants.get(grantKey(holding));
+		if (holding.owner === owner && grant !== undefined) {
+			grant.nextAt = Math.min(grant.nextAt, this.options.clock.now());
+		}
+	}
+
+	/** How long an owner has answered no grant, in milliseconds. */
+	silentFor(owner: string): number {
+		return this.options.clock.now() - (this.silence.get(owner) ?? Number.POSITIVE_INFINITY);
+	}
+
+	/** Does what is due. */
+	tick(input: KeeperInput): void {
+		const now = this.options.clock.now();
+		if (input.mayMove && !this.isWriting) {
+			this.plan(input, now);
+		}
+
+		for (const holding of this.map.holdings) {
+			if (holding.owner === '') {
+				continue;
+			}
+
+			if (this.clearFormers(holding, now)) {
+				this.renew(holding, now);
+			}
+		}
+	}
+
+	private plan({owners, rates}: KeeperInput, now: number): void {
+		if (owners.length === 0) {
+			return;
+		}
+
+		this.ownersSince ??= now;
+		const usable = new Set(owners.map(owner => owner.id));
+		const isHomeless = this.map.holdings.some(holding => !usable.has(holding.owner));
+		const isFirst = this.map.holdings.every(holding => holding.owner === '');
+		const isSettling = isFirst && now - this.ownersSince < settleMs;
+		const isBalanceDue = now - this.balancedAt >= balanceEveryMs;
+		if (isSettling || !(isHomeless || isBalanceDue)) {
+			this.tidy(now);
+			return;
+		}
+
+		this.balancedAt = now;
+		const moves = planKeys(this.map, owners, rates);
+		if (moves.length === 0) {
+			this.tidy(now);
+			return;
+		}
+
+		this.options.telemetry.info('keeper', 'Keys change hands.', {
+			service: this.options.service, moves: moves.map(({from, to, owner}) => `${from}-${to}>${owner}`).slice(0, 8), count: moves.length, isHomeless,
+		});
+		this.options.telemetry.moves(moves.length);
+		this.write(fence => this.map.assign(moves, fence));
+	}
+
+	/** Writes cleared formers, and joins ranges of one owner when there are many. */
+	private tidy(now: number): void {
+		const owners = new Set(this.map.holdings.map(holding => holding.owner));
+		const isScattered = this.map.holdings.length > owners.size * maxRangesPerOwner;
+		if (this.tidySince !== undefined && now - this.tidySince >= tidyAfterMs) {
+			this.tidySince = undefined;
+			this.write(fence => isScattered ? this.map.refence(fence) : this.map);
+		}
+	}
+
+	private write(change: (fence: number) => KeyMap): void {
+		this.isWriting = true;
+		this.options.write(change).then(map => {
+			this.isWriting = false;
+			this.adopt(map);
+			this.options.onChange();
+		}, (err: unknown) => {
+			const isStale = err instanceof StaleAppendError;
+			this.options.telemetry.warn('keeper', 'The owners could not be written; reading them again.', {
+				service: this.options.service, isStale, err,
+			});
+			this.options.onDoubt();
+		});
+	}
+
+	/** Takes a new map; ranges that stay with their owner stay granted. */
+	private adopt(map: KeyMap): void {
+		const former = this.map;
+		const before = this.grants;
+		const now = this.options.clock.now();
+		this.map = map;
+		this.grants = new Map();
+		for (const holding of map.holdings) {
+			if (holding.owner === '') {
+				continue;
+			}
+
+			const known = covering(former, holding).map(old => before.get(grantKey(old)));
+			const [first] = known;
+			const isSame = covering(former, holding).every(old => old.owner === holding.owner);
+			const grant = newGrant(isSame && known.every(old => old?.isOpen === true));
+			if (isSame && first !== undefined) {
+				const hasSameFence = covering(former, holding).every(old => old.fence === holding.fence);
+				grant.acceptedSentAt = hasSameFence ? Math.min(...known.map(old => old?.acceptedSentAt ?? Number.NEGATIVE_INFINITY)) : Number.NEGATIVE_INFINITY;
+				grant.unansweredSentAt = Math.max(...known.map(old => old?.unansweredSentAt ?? Number.NEGATIVE_INFINITY));
+				grant.isFenced = known.every(old => old?.isFenced === true);
+				grant.nextAt = hasSameFence ? Math.min(...known.map(old => old?.nextAt ?? now)) : now;
+			}
+
+			this.grants.set(grantKey(holding), grant);
+			for (const old of holding.formers) {
+				this.startLeaving(holding, old, {former, before, now});
+			}
+		}
+
+		this.tidySince ??= map.holdings.some(holding => holding.formers.length > 0) ? now : undefined;
+	}
+
+	private startLeaving(holding: Holding, old: FormerOwner, {former, before, now}: {former: KeyMap; before: ReadonlyMap<string, Grant>; now: number}): void {
+		const key = leavingKey(holding, old);
+		if (this.leaving.has(key)) {
+			return;
+		}
+
+		const {timing, inheritedEnd} = this.options;
+		const held = covering(former, holding).filter(part => part.owner === old.owner).map(part => before.get(grantKey(part)));
+		const isFenced = held.length > 0 && held.every(grant => grant?.isFenced === true);
+		const inherited = isFenced ? Number.NEGATIVE_INFINITY : inheritedEnd();
+		const unanswered = Math.max(Number.NEGATIVE_INFINITY, ...held.map(grant => lapseOf(pendingSince(grant, now), timing)));
+		this.leaving.set(key, {
+			lapsesAt: Math.max(inherited, lapseOf(now, timing)),
+			releaseCountsAt: Math.max(inherited, unanswered),
+			isInFlight: false,
+			isReleased: false,
+			nextAt: now,
+			handover: undefined,
+		});
+	}
+
+	/** Works on the former owners of a range; true when none is left. */
+	private clearFormers(holding: Holding, now: number): boolean {
+		let isClear = true;
+		for (const former of holding.formers) {
+			if (this.isGone(holding, former, now)) {
+				const leaving = this.leaving.get(leavingKey(holding, former));
+				if (leaving?.handover !== undefined) {
+					this.handovers.set(grantKey(holding), leaving.handover);
+				}
+
+				this.leaving.delete(leavingKey(holding, former));
+				this.map = this.map.clearFormer(holding, former.owner);
+				this.tidySince ??= now;
+			} else {
+				isClear = false;
+			}
+		}
+
+		return isClear;
+	}
+
+	private isGone(holding: Holding, former: FormerOwner, now: number): boolean {
+		const {hasEnded, inheritedEnd, timing} = this.options;
+		if (hasEnded(former.owner)) {
+			return true;
+		}
+
+		const key = leavingKey(holding, former);
+		let leaving = this.leaving.get(key);
+		if (leaving === undefined) {
+			const end = Math.max(inheritedEnd(), lapseOf(now, timing));
+			leaving = {
+				lapsesAt: end, releaseCountsAt: inheritedEnd(), isInFlight: false, isReleased: false, nextAt: now, handover: undefined,
+			};
+			this.leaving.set(key, leaving);
+		}
+
+		if (now >= leaving.lapsesAt || (leaving.isReleased && now >= leaving.releaseCountsAt)) {
+			return true;
+		}
+
+		if (!leaving.isReleased && !leaving.isInFlight && now >= leaving.nextAt) {
+			void this.release(holding, former, leaving);
+		}
+
+		return false;
+	}
+
+	private async release(range: KeyRange, former: FormerOwner, leaving: Leaving): Promise<void> {
+		const {
+			control, addrOf, clock, telemetry, service, onChange,
+		} = this.options;
+		const addr = addrOf(former.owner);
+		if (addr === undefined) {
+			return;
+		}
+
+		leaving.isInFlight = true;
+		try {
+			leaving.handover = await control.release(addr, {from: range.from, to: range.to, fence: former.fence}, releaseTimeoutMs);
+			leaving.isReleased = true;
+		} catch (err) {
+			telemetry.warn('keeper', 'A release was not answered.', {
+				service, owner: former.owner, from: range.from, to: range.to, err,
+			});
+			leaving.nextAt = clock.now() + retryMs;
+		} finally {
+			leaving.isInFlight = false;
+		}
+
+		onChange();
+	}
+
+	private renew(holding: Holding, now: number): void {
+		const grant = this.grants.get(grantKey(holding));
+		if (grant === undefined || grant.isInFlight || now < grant.nextAt) {
+			return;
+		}
+
+		void this.grant(holding, grant);
+	}
+
+	private async grant(holding: Holding, grant: Grant): Promise<void> {
+		const {
+			control, addrOf, clock, timing, telemetry, service, onChange,
+		} = this.options;
+		const addr = addrOf(holding.owner);
+		const sentAt = clock.now();
+		grant.nextAt = sentAt + retryMs;
+		if (addr === undefined) {
+			return;
+		}
+
+		grant.isInFlight = true;
+		const handover = this.handovers.get(grantKey(holding));
+		const wasOpen = grant.isOpen;
+		try {
+			const reply = await control.grant(addr, {
+				from: holding.from, to: holding.to, fence: holding.fence, holdMs: timing.holdMs, handover,
+			}, timing.transitMs);
+			this.silence.delete(holding.owner);
+			if (reply === GrantReply.Accepted) {
+				grant.acceptedSentAt = sentAt;
+				grant.isOpen = true;
+				grant.isFenced = true;
+				grant.nextAt = sentAt + (timing.holdMs * renewShare);
+			} else {
+				this.refused(holding, reply);
+			}
+		} catch (err) {
+			grant.unansweredSentAt = sentAt;
+			this.silence.set(holding.owner, this.silence.get(holding.owner) ?? sentAt);
+			telemetry.warn('keeper', 'A grant was not answered.', {
+				service, owner: holding.owner, from: holding.from, to: holding.to, fence: holding.fence, err,
+			});
+		} finally {
+			grant.isInFlight = false;
+		}
+
+		if (grant.isOpen !== wasOpen) {
+			onChange();
+		}
+	}
+
+	/** A refused grant needs a higher fencing token. */
+	private refused(holding: Holding, reply: GrantReply): void {
+		this.options.telemetry.warn('keeper', 'A grant was refused.', {
+			service: this.options.service, owner: holding.owner, from: holding.from, to: holding.to, fence: holding.fence, reply, error: ErrorKind.TargetFenced,
+		});
+		if (reply === GrantReply.Fenced && !this.isWriting && this.map.at(holding.from).fence === holding.fence) {
+			const move = {from: holding.from, to: holding.to, owner: holding.owner};
+			this.write(fence => this.map.assign([move], fence));
+		}
+	}
+}
+
+/** When the oldest grant that may still be under way without an answer was sent; long ago when there is none. */
+function pendingSince(grant: Grant | undefined, now: number): number {
+	if (grant === undefined) {
+		return Number.NEGATIVE_INFINITY;
+	}
+
+	return grant.isInFlight ? now : grant.unansweredSentAt;
+}
+
+function covering(map: KeyMap, range: KeyRange): Holding[] {
+	return map.holdings.filter(holding => holding.from <= range.to && range.from <= holding.to);
+}
+
+function newGrant(isOpen: boolean): Grant {
+	return {
+		isInFlight: false,
+		acceptedSentAt: Number.NEGATIVE_INFINITY,
+		unansweredSentAt: Number.NEGATIVE_INFINITY,
+		nextAt: Number.NEGATIVE_INFINITY,
+		isOpen,
+		isFenced: false,
+	};
+}
+
+function grantKey({from, to, owner, fence}: Holding): string {
+	return `${from}-${to}/${fence}@${owner}`;
+}
+
+function leavingKey({from, to, fence}: Holding, former: FormerOwner): string {
+	return `${from}-${to}/${fence}<${former.owner}/${former.fence}`;
+}
--- /dev/null
+++ b/packages/gateway/src/keeper/leader.ts
@@ -0,0 +1,464 @@
+/**
+ * What the leader does: reads the store, decides about keys and stewards, and
+ * tells all instances.
+ */
+import {
+	KeyLoad, KeyMap, lapseOf, type Clock, type HoldTiming, type KeyRates, type Owner, type Service, type TargetInfo,
+} from '@bluebellyard/core';
+import type {PeerNet} from '../peers/index.js';
+import type {TargetControl} from '../ports/index.js';
+import type {Telemetry} from '../telemetry/index.js';
+import {
+	sharedDesk, targetDesk, type NodeInfo, type View,
+} from '../view/index.js';
+import {ClockWatch} from './clock-watch.js';
+import {KeyKeeper} from './key-keeper.js';
+import {
+	PeerOp, type Disowned, type Ping, type Pong, type Report,
+} from './messages.js';
+import type {NewsReader} from './news-reader.js';
+import type {OwnerLog, OwnerState} from './owner-log.js';
+import {planStewards, type DeskNeed} from './steward-plan.js';
+
+/** Between two messages to an instance when nothing changes, in milliseconds. */
+const pingEveryMs = 600;
+
+/** Between two messages to an instance that does not answer, in milliseconds. */
+const lostPingEveryMs = 1000;
+
+/** Longest wait for the answer to a message, in milliseconds. */
+const pingTimeoutMs = 900;
+
+/** Silence after which an instance is in charge of nothing, in milliseconds. */
+const lostAfterMs = 1100;
+
+/** Between two looks at the store whether somebody else leads, in milliseconds. */
+const confirmEveryMs = 1000;
+
+/** Time for which a leader that can't reach the store goes on renewing what was granted, in milliseconds. */
+export const graceMs = 12_000;
+
+/** Store contact older than this means that nothing moves, in milliseconds. */
+const movableMs = 2500;
+
+/** Silence towards grants after which an owner loses its keys although the store still lists it, in milliseconds. */
+const silentOwnerMs = 1200;
+
+/** Share of a failure domain's targets that must answer for a silent one to count as lost: else the domain is cut off. */
+const domainShare = 0.5;
+
+/** Part of its usual capacity that a cold target has. */
+const coldCapacity = 0.3;
+
+/** Settings of a leader. */
+export type LeaderOptions = {
+	readonly self: NodeInfo;
+	readonly term: number;
+	readonly view: View;
+	readonly net: PeerNet;
+	readonly ownerLog: OwnerLog;
+	readonly reader: NewsReader;
+	readonly control: TargetControl;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	readonly timing: HoldTiming;
+	/** Measurements of this instance itself. */
+	readonly report: () => Report;
+	/** Whether this instance is about to stop. */
+	readonly isLeaving: () => boolean;
+	/** Called when another instance leads. */
+	readonly onSuperseded: () => void;
+};
+
+type NodeState = {
+	isInFlight: boolean;
+	incarnation: string;
+	ackedSeq: number;
+	repliedAt: number;
+	nextAt: number;
+	isLeaving: boolean;
+};
+
+/** One term of leadership. */
+export class Leader {
+	private readonly nodes = new Map<string, NodeState>();
+	private readonly keepers = new Map<string, KeyKeeper>();
+	private readonly loads = new Map<string, KeyLoad>();
+	private readonly slowness = new Map<string, number>();
+	/** Address of each target seen in this term, also after it went. */
+	private readonly addrs = new Map<string, TargetInfo>();
+	private readonly clockWatch: ClockWatch;
+	private inheritedEnd: number;
+	private confirmedAt: number;
+	private isConfirming = false;
+	private mustConfirm = false;
+	private isStopped = false;
+
+	constructor(private readonly options: LeaderOptions, private readonly former: OwnerState) {
+		const now = options.clock.now();
+		this.clockWatch = new ClockWatch(options.clock);
+		this.confirmedAt = now;
+		this.inheritedEnd = former.leader === undefined ? Number.NEGATIVE_INFINITY : lapseOf(now + graceMs, options.timing);
+	}
+
+	/** Time since the store was last reached, in milliseconds. */
+	get storeAgeMs(): number {
+		const {clock, reader} = this.options;
+		return clock.now() - Math.max(this.confirmedAt, reader.lastReadAt);
+	}
+
+	/** Adds an instance that showed itself. */
+	addNode(node: NodeInfo): void {
+		const {view, self} = this.options;
+		if (node.name === self.name) {
+			return;
+		}
+
+		const known = view.store.get<NodeInfo>(`node/${node.name}`);
+		if (known?.incarnation !== node.incarnation) {
+			view.store.set(`node/${node.name}`, node);
+			this.nodes.delete(node.name);
+			this.changed();
+		}
+	}
+
+	/** Does what is due. */
+	tick(): void {
+		if (this.isStopped) {
+			return;
+		}
+
+		const {clock, view} = this.options;
+		const now = clock.now();
+		if (this.clockWatch.hasJumped()) {
+			this.options.telemetry.info('leader', 'A clock jumped; asking the store who leads.', {});
+			this.mustConfirm = true;
+		}
+
+		void this.confirm(now);
+		this.takeReport(this.options.report());
+		for (const target of view.targets.values()) {
+			this.addrs.set(target.id, target);
+		}
+
+		const before = view.store.last;
+		this.assignStewards(now);
+		if (!this.mustConfirm && now - this.confirmedAt < graceMs) {
+			this.tickKeepers(now);
+		}
+
+		this.publishKeys();
+		if (view.store.last !== before) {
+			view.changed();
+		}
+
+		this.pingAll(now);
+	}
+
+	/** Writes and tells what changed, at once. */
+	changed(): void {
+		if (!this.isStopped) {
+			this.publishKeys();
+			this.options.view.changed();
+			this.pingAll(this.options.clock.now());
+		}
+	}
+
+	/** Takes note that an owner does not hold a key. */
+	disowned({service, owner, key}: Disowned): void {
+		this.keepers.get(service)?.disowned(owner, key);
+	}
+
+	/** Instances that answered a moment ago, this one first. */
+	live(): NodeInfo[] {
+		const {view, self, clock} = this.options;
+		const now = clock.now();
+		const others = view.nodes().filter(node => {
+			const state = this.nodes.get(node.name);
+			return state !== undefined && now - state.repliedAt < lostAfterMs && !state.isLeaving;
+		});
+		return [...(this.options.isLeaving() ? [] : [self]), ...others.filter(node => node.name !== self.name)];
+	}
+
+	/** Ends the term. */
+	stop(): void {
+		this.isStopped = true;
+	}
+
+	private async confirm(now: number): Promise<void> {
+		if (this.isConfirming || (now - this.confirmedAt < confirmEveryMs && !this.mustConfirm)) {
+			return;
+		}
+
+		this.isConfirming = true;
+		try {
+			if (await this.options.ownerLog.isUnchanged()) {
+				this.confirmed(now);
+			} else {
+				await this.reload();
+			}
+		} catch (err) {
+			this.options.telemetry.warn('leader', 'The store could not be asked who leads.', {err, ageMs: Math.round(this.options.clock.now() - this.confirmedAt)});
+		} finally {
+			this.isConfirming = false;
+		}
+	}
+
+	private confirmed(at: number): void {
+		this.confirmedAt = Math.max(this.confirmedAt, at);
+		this.mustConfirm = false;
+	}
+
+	/** Reads leader and owners again, after a write in doubt. */
+	private async reload(): Promise<void> {
+		const {ownerLog, clock, term, onSuperseded} = this.options;
+		const at = clock.now();
+		const state = await ownerLog.read();
+		if (this.isStopped) {
+			return;
+		}
+
+		if (state.leader?.term !== term) {
+			onSuperseded();
+			return;
+		}
+
+		this.confirmed(at);
+		for (const [service, keeper] of this.keepers) {
+			keeper.reload(state.maps.get(service) ?? KeyMap.empty());
+		}
+	}
+
+	private takeReport(report: Report): void {
+		const now = this.options.clock.now();
+		for (const [service, pairs] of Object.entries(report.keys)) {
+			const load = this.loads.get(service) ?? new KeyLoad();
+			this.loads.set(service, load);
+			for (let i = 0; i + 1 < pairs.length; i += 2) {
+				load.add(pairs[i], pairs[i + 1], now);
+			}
+		}
+
+		for (const [target, factor] of report.slowness) {
+			this.slowness.set(target, factor);
+		}
+	}
+
+	private assignStewards(now: number): void {
+		const {view} = this.options;
+		const needs = new Map<string, DeskNeed>();
+		for (const target of view.targets.values()) {
+			const isSharded = view.allServices.get(target.service)?.isSharded ?? false;
+			const desk = isSharded ? targetDesk(target.id) : sharedDesk(target.service, target.domain);
+			needs.set(desk, {desk, domain: target.domain});
+		}
+
+		const plan = planStewards([...needs.values()], this.live(), desk => view.steward(desk));
+		this.tellCold(plan, now);
+		view.replace('steward/', new Map([...plan].map(([desk, name]) => [`steward/${desk}`, name])));
+	}
+
+	/** A new steward must learn how long its targets are cold from now on. */
+	private tellCold(plan: ReadonlyMap<string, string>, now: number): void {
+		const {view, reader} = this.options;
+		for (const target of view.targets.values()) {
+			const desks = [targetDesk(target.id), sharedDesk(target.service, target.domain)];
+			const isNew = desks.some(desk => plan.get(desk) !== view.steward(desk));
+			if (isNew) {
+				view.store.set(`target/${target.id}`, {...target, coldLeftMs: Math.round(reader.coldLeft(target.id, now))});
+			}
+		}
+	}
+
+	private tickKeepers(now: number): void {
+		const {view} = this.options;
+		for (const service of view.allServices.values()) {
+			if (service.isSharded) {
+				const keeper = this.keepers.get(service.name) ?? this.addKeeper(service);
+				keeper.tick({
+					owners: this.owners(service.name, keeper, now),
+					rates: this.rates(service.name, now),
+					mayMove: now - this.confirmedAt < movableMs && this.storeAgeMs < movableMs,
+				});
+			}
+		}
+	}
+
+	private rates(service: string, now: number): KeyRates {
+		return this.loads.get(service)?.rates(now) ?? [];
+	}
+
+	private owners(service: string, keeper: KeyKeeper, now: number): Owner[] {
+		const {view, reader} = this.options;
+		const usable = view.usable(service);
+		const answering = new Map<string, {count: number; silent: number}>();
+		for (const target of usable) {
+			const row = answering.get(target.domain) ?? {count: 0, silent: 0};
+			row.count += 1;
+			row.silent += keeper.silentFor(target.id) > silentOwnerMs ? 1 : 0;
+			answering.set(target.domain, row);
+		}
+
+		const isLost = (target: TargetInfo) => {
+			const {count, silent} = answering.get(target.domain)!;
+			return keeper.silentFor(target.id) > silentOwnerMs && silent <= count * domainShare;
+		};
+
+		return usable.filter(target => !isLost(target)).map(target => {
+			const usual = target.slots / (this.slowness.get(target.id) ?? 1);
+			return {id: target.id, capacity: reader.coldLeft(target.id, now) > 0 ? usual * coldCapacity : usual};
+		});
+	}
+
+	private addKeeper(service: Service): KeyKeeper {
+		const {control, clock, timing, telemetry, ownerLog, view} = this.options;
+		const known = this.former.maps.get(service.name);
+		const keeper = new KeyKeeper({
+			service: service.name,
+			control,
+			clock,
+			timing,
+			telemetry,
+			write: async change => {
+				const at = clock.now();
+				const map = await ownerLog.write(service.name, change);
+				this.confirmed(at);
+				return map;
+			},
+			onChange: () => {
+				this.changed();
+			},
+			onDoubt: () => {
+				this.mustConfirm = true;
+				void this.resolveDoubt();
+			},
+			addrOf: owner => this.addrs.get(owner)?.addr,
+			hasEnded: owner => this.hasEnded(owner, view),
+			inheritedEnd: () => this.inheritedEnd,
+		}, known ?? KeyMap.empty(), known !== undefined);
+		this.keepers.set(service.name, keeper);
+		if (known !== undefined) {
+			keeper.takeOver();
+		}
+
+		return keeper;
+	}
+
+	private async resolveDoubt(): Promise<void> {
+		while (!this.isStopped) {
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await this.reload();
+				return;
+			} catch (err) {
+				this.options.telemetry.warn('leader', 'The owners could not be read again.', {err});
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise(resolve => {
+					setTimeout(resolve, confirmEveryMs / 2);
+				});
+			}
+		}
+	}
+
+	/** A process life has ended when a later one has its name or its address. */
+	private hasEnded(owner: string, view: View): boolean {
+		const former = this.addrs.get(owner);
+		if (former === undefined || former.bornAt === 0) {
+			return false;
+		}
+
+		for (const target of view.targets.values()) {
+			const isSuccessor = target.name === former.name || target.addr === former.addr;
+			if (isSuccessor && target.bornAt > former.bornAt) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	private publishKeys(): void {
+		const {view} = this.options;
+		for (const [service, keeper] of this.keepers) {
+			view.replace(`keys/${service}/`, keeper.ranges());
+		}
+	}
+
+	private pingAll(now: number): void {
+		const {view, self} = this.options;
+		for (const node of view.nodes()) {
+			if (node.name === self.name) {
+				continue;
+			}
+
+			const state = this.nodeState(node, now);
+			const isBehind = state.ackedSeq !== view.store.last;
+			const isLost = now - state.repliedAt > lostAfterMs;
+			if (!state.isInFlight && (now >= state.nextAt || (isBehind && !isLost))) {
+				void this.ping(node, state);
+			}
+		}
+	}
+
+	private nodeState(node: NodeInfo, now: number): NodeState {
+		const known = this.nodes.get(node.name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		// A new instance counts as live until it fails to answer.
+		const state: NodeState = {
+			isInFlight: false, incarnation: node.incarnation, ackedSeq: -1, repliedAt: now, nextAt: now, isLeaving: false,
+		};
+		this.nodes.set(node.name, state);
+		return state;
+	}
+
+	private async ping(node: NodeInfo, state: NodeState): Promise<void> {
+		const {net, view, self, term, clock} = this.options;
+		const delta = view.store.since(state.ackedSeq);
+		const ping: Ping = {
+			term, leader: self, storeAgeMs: Math.round(this.storeAgeMs), base: state.ackedSeq, delta,
+		};
+		state.isInFlight = true;
+		try {
+			const pong = await net.call(node.addr, PeerOp.Ping, ping, AbortSignal.timeout(pingTimeoutMs)) as Pong;
+			if (!this.isStopped) {
+				this.takePong(node, state, pong);
+			}
+		} catch (err) {
+			if (clock.now() - state.repliedAt < lostAfterMs) {
+				this.options.telemetry.info('leader', 'An instance does not answer.', {instance: node.name, err});
+			}
+
+			state.ackedSeq = -1;
+			state.nextAt = clock.now() + lostPingEveryMs;
+		} finally {
+			state.isInFlight = false;
+		}
+	}
+
+	private takePong(node: NodeInfo, state: NodeState, pong: Pong): void {
+		const {clock, term, onSuperseded, timing, telemetry} = this.options;
+		const now = clock.now();
+		if (pong.term > term) {
+			onSuperseded();
+			return;
+		}
+
+		if (now - state.repliedAt > lostAfterMs) {
+			telemetry.info('leader', 'An instance answers again.', {instance: node.name});
+		}
+
+		state.repliedAt = now;
+		state.ackedSeq = pong.seq;
+		state.nextAt = now + (pong.seq < 0 ? 0 : pingEveryMs);
+		state.isLeaving = pong.report.isLeaving;
+		this.takeReport(pong.report);
+		const {leader} = this.former;
+		if (leader?.name === node.name) {
+			// The former leader follows us, or its process has ended: it grants nothing more.
+			this.inheritedEnd = Math.min(this.inheritedEnd, lapseOf(now, timing));
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/keeper/steward-plan.ts
@@ -0,0 +1,48 @@
+/**
+ * Decides which instance is in charge of which desk. Few changes, an even
+ * number for each instance, and inside the failure domain of the targets.
+ */
+import type {NodeInfo} from '../view/index.js';
+
+/** A desk that needs an instance. */
+export type DeskNeed = {
+	readonly desk: string;
+	readonly domain: string;
+};
+
+/** Assigns each desk to a live instance; nobody when there is none. */
+export function planStewards(
+	needs: readonly DeskNeed[],
+	live: readonly NodeInfo[],
+	current: (desk: string) => string | undefined,
+): Map<string, string> {
+	const count = new Map<string, number>(live.map(node => [node.name, 0]));
+	const plan = new Map<string, string>();
+	const open: DeskNeed[] = [];
+	for (const need of needs) {
+		const name = current(need.desk);
+		const candidates = candidatesFor(need, live);
+		if (name !== undefined && candidates.some(node => node.name === name)) {
+			plan.set(need.desk, name);
+			count.set(name, count.get(name)! + 1);
+		} else {
+			open.push(need);
+		}
+	}
+
+	for (const need of open) {
+		const candidates = candidatesFor(need, live);
+		if (candidates.length > 0) {
+			const {name} = candidates.reduce((a, b) => count.get(b.name)! < count.get(a.name)! ? b : a);
+			plan.set(need.desk, name);
+			count.set(name, count.get(name)! + 1);
+		}
+	}
+
+	return plan;
+}
+
+function candidatesFor(need: DeskNeed, live: readonly NodeInfo[]): readonly NodeInfo[] {
+	const near = live.filter(node => node.domain === need.domain);
+	return near.length > 0 ? near : live;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/index.ts
@@ -0,0 +1,2 @@
+export * from './peer-link.js';
+export * from './peer-net.js';
--- /dev/null
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -0,0 +1,118 @@
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
+import type {Clock} from '@bluebellyard/core';
+import {LinkError, PeerLink, type CallHandler} from './peer-link.js';
+
+/** Time to open a connection to another instance, in milliseconds: a lost packet is sent again after about 200 ms in fast networks and 1 s in slow ones. */
+const connectTimeoutMs = 400;
+
+/** Time after a failed connection in which no new one is tried, in milliseconds. */
+const retryConnectMs = 200;
+
+type Outgoing = {
+	readonly link: Promise<PeerLink>;
+	failedAt: number | undefined;
+};
+
+/** Connections between the instances. */
+export class PeerNet {
+	private readonly outgoing = new Map<string, Outgoing>();
+	private readonly incoming = new Set<PeerLink>();
+	private readonly server: Server;
+
+	constructor(private readonly handler: CallHandler, private readonly clock: Clock) {
+		this.server = createServer(socket => {
+			this.accept(socket);
+		});
+	}
+
+	/** Listens for other instances. */
+	async start(host: string, port: number): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(port, host, () => {
+				const addr = this.server.address();
+				resolve(typeof addr === 'object' && addr !== null ? addr.port : port);
+			});
+		});
+	}
+
+	/** Calls an operation of the instance at an address; fails with a `LinkError`. */
+	async call(addr: string, op: string, body: unknown, signal?: AbortSignal): Promise<unknown> {
+		const link = await this.link(addr);
+		return link.call(op, body, signal);
+	}
+
+	/** Whether a connection to the address failed a moment ago. */
+	isUnreachable(addr: string): boolean {
+		const failedAt = this.outgoing.get(addr)?.failedAt;
+		return failedAt !== undefined && this.clock.now() - failedAt < retryConnectMs;
+	}
+
+	/** Closes everything. */
+	close(): void {
+		this.server.close();
+		for (const {link} of this.outgoing.values()) {
+			link.then(open => {
+				open.close();
+			}, () => undefined);
+		}
+
+		for (const link of this.incoming) {
+			link.close();
+		}
+	}
+
+	private accept(socket: Socket): void {
+		const link: PeerLink = new PeerLink(socket, this.handler, this.clock, () => {
+			this.incoming.delete(link);
+		});
+		this.incoming.add(link);
+	}
+
+	private async link(addr: string): Promise<PeerLink> {
+		const known = this.outgoing.get(addr);
+		if (known !== undefined && (known.failedAt === undefined || this.isUnreachable(addr))) {
+			return known.link;
+		}
+
+		const entry: Outgoing = {
+			link: this.open(addr, () => {
+				if (this.outgoing.get(addr) === entry) {
+					this.outgoing.delete(addr);
+				}
+			}),
+			failedAt: undefined,
+		};
+		this.outgoing.set(addr, entry);
+		entry.link.catch(() => {
+			entry.failedAt = this.clock.now();
+		});
+		return entry.link;
+	}
+
+	private async open(addr: string, onDown: () => void): Promise<PeerLink> {
+		const colon = addr.lastIndexOf(':');
+		const socket = connect({host: addr.slice(0, colon), port: Number(addr.slice(colon + 1))});
+		return new Promise((resolve, reject) => {
+			const fail = (reason: string) => {
+				clearTimeout(timer);
+				socket.destroy();
+				reject(new LinkError(reason, false));
+			};
+
+			const timer = setTimeout(() => {
+				fail('connection timed out');
+			}, connectTimeoutMs);
+			socket.once('error', err => {
+				fail(err.message);
+			});
+			socket.once('connect', () => {
+				clearTimeout(timer);
+				socket.removeAllListeners('error');
+				resolve(new PeerLink(socket, this.handler, this.clock, onDown));
+			});
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/ports/target-control.ts
@@ -0,0 +1,29 @@
+import type {KeyRange} from '@bluebellyard/core';
+
+/** Gives keys to a target, or renews them. */
+export type GrantOrder = KeyRange & {
+	readonly fence: number;
+	readonly holdMs: number;
+	/** What the last holder handed over with the keys. */
+	readonly handover?: string;
+};
+
+/** A target's answer to a grant. */
+export enum GrantReply {
+	Accepted = 'accepted',
+	/** It has seen a higher fencing token on one of the keys. */
+	Fenced = 'fenced',
+	/** It refused for another reason. */
+	Refused = 'refused',
+}
+
+/** Orders to targets about the keys that they hold. Both methods fail when there is no answer in time; the order may be carried out later. */
+export abstract class TargetControl {
+	abstract grant(addr: string, order: GrantOrder, timeoutMs: number): Promise<GrantReply>;
+
+	/** Takes keys back; resolves to what is to be handed to the next holder once running work has ended. */
+	abstract release(addr: string, range: KeyRange & {readonly fence: number}, timeoutMs: number): Promise<string | undefined>;
+
+	/** Closes the connections to a target that is gone. */
+	abstract forget(addr: string): void;
+}
--- /dev/null
+++ b/packages/gateway/src/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './settings.js';
--- /dev/null
+++ b/packages/gateway/src/telemetry/index.ts
@@ -0,0 +1,3 @@
+export * from './bounded-writer.js';
+export * from './metrics.js';
+export * from './telemetry.js';
--- /dev/null
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -0,0 +1,88 @@
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** Bounds of the latency buckets, in seconds: from a fast answer to the longest deadline. */
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/** Counters, gauges and histograms of one instance. */
+export class Metrics {
+	readonly registry = new Registry();
+
+	readonly requests = new Counter({
+		name: 'bluebellyard_requests_total',
+		help: 'Requests of callers by result: a status class, a refusal or failure kind.',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
+	readonly retries = new Counter({
+		name: 'bluebellyard_retries_total',
+		help: 'Requests sent once more, by the failure before.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly moves = new Counter({
+		name: 'bluebellyard_key_moves_total',
+		help: 'Ranges of keys that changed their owner.',
+		registers: [this.registry],
+	});
+
+	readonly storeCalls = new Counter({
+		name: 'bluebellyard_store_calls_total',
+		help: 'Calls to the platform\'s store by kind and outcome.',
+		labelNames: ['call', 'outcome'],
+		registers: [this.registry],
+	});
+
+	readonly logLinesDropped = new Gauge({
+		name: 'bluebellyard_log_lines_dropped',
+		help: 'Log lines lost because standard output was not read, or by the rate limit.',
+		registers: [this.registry],
+	});
+
+	readonly latency = new Histogram({
+		name: 'bluebellyard_request_seconds',
+		help: 'Time from the arrival of a request to its answer.',
+		labelNames: ['route'],
+		buckets: latencyBuckets,
+		registers: [this.registry],
+	});
+
+	readonly wait = new Histogram({
+		name: 'bluebellyard_queue_seconds',
+		help: 'Time that a request waited for a slot at the instance in charge.',
+		buckets: latencyBuckets,
+		registers: [this.registry],
+	});
+
+	readonly queued = new Gauge({
+		name: 'bluebellyard_queued',
+		help: 'Requests that wait for a slot at this instance.',
+		registers: [this.registry],
+	});
+
+	readonly inFlight = new Gauge({
+		name: 'bluebellyard_in_flight',
+		help: 'Requests at targets, sent by this instance.',
+		registers: [this.registry],
+	});
+
+	readonly viewAge = new Gauge({
+		name: 'bluebellyard_view_age_seconds',
+		help: 'Time since the leader was last heard.',
+		registers: [this.registry],
+	});
+
+	readonly leads = new Gauge({
+		name: 'bluebellyard_leads',
+		help: '1 on the instance that leads, else 0.',
+		registers: [this.registry],
+	});
+
+	/** All metrics as text. */
+	async text(): Promise<string> {
+		return this.registry.metrics();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/view/index.ts
@@ -0,0 +1,2 @@
+export * from './delta-store.js';
+export * from './view.js';
