Grants name their process; a store-less leader is replaced; unframed answers

Grants and releases carry the expected id now; a lease computed wrongly was ruled out by the log (same fence, same address).

--- a/packages/gateway/src/desk/desk.ts
+++ b/packages/gateway/src/desk/desk.ts
@@ -223,10 +223,12 @@
 	}
 
 	private toResult(order: Order, target: string, outcome: TargetOutcome, waitMs: number): OrderResult {
-		const {ending, status, headers, body, isNotRun, reason} = outcome;
+		const {ending, status, headers, body, isFramed, isNotRun, reason} = outcome;
 		if (ending === LaneEnding.Answered) {
 			return {
-				kind: 'answer', answer: {status, headers, body}, target, waitMs,
+				kind: 'answer', answer: {
+					status, headers, body, isFramed,
+				}, target, waitMs,
 			};
 		}
 
--- a/packages/gateway/src/desk/target-client.ts
+++ b/packages/gateway/src/desk/target-client.ts
@@ -2,25 +2,14 @@
  * Sends single requests to targets and judges their answers.
  */
 import {Buffer} from 'node:buffer';
-import {Client, Pool, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {LaneEnding} from '@bluebellyard/core';
 import type {HeaderList, TargetHeaders, Wire} from '../ports/index.js';
-
-/** Time to open a connection to a target, in milliseconds; a first packet that was lost is not waited for. */
-const connectTimeoutMs = 350;
-
-/** How long an idle connection is kept when the target does not say, in milliseconds. */
-const keepAliveMs = 4000;
-
-/** Longest time for which an idle connection is kept, in milliseconds: targets may forget it earlier than they say. */
-const maxKeepAliveMs = 8000;
+import {TrackedClient, type ConnectionState} from './tracked-client.js';
 
 /** Largest answer, in bytes. */
 const maxAnswerBytes = 64 * 1024 * 1024;
 
-/** Largest head of an answer, in bytes. */
-const maxHeadBytes = 65_536;
-
 /** One request for a target. */
 export type TargetRequest = {
 	readonly addr: string;
@@ -48,6 +37,7 @@
 	readonly status: number;
 	readonly headers: HeaderList;
 	readonly body: Buffer;
+	readonly isFramed: boolean;
 	readonly meta: TargetHeaders | undefined;
 	readonly reason: string;
 };
@@ -60,11 +50,10 @@
 
 /** Connections to all targets. */
 export class TargetClient {
-	private readonly pools = new Map<string, Pool>();
+	private readonly idle = new Map<string, TrackedClient[]>();
 	private opened = 0;
 
-	constructor(private readonly wire: Wire) {
-}
+	constructor(private readonly wire: Wire) {}
 
 	/** Connections opened so far. */
 	get connectionsOpened(): number {
@@ -73,64 +62,47 @@
 
 	/** Sends a request and waits for its whole answer; never rejects. */
 	async send(req: TargetRequest): Promise<TargetOutcome> {
-		const dispatcher = req.isOnce ? this.single(req.addr) : this.pool(req.addr, req.connections);
-		const exchange = new Exchange(req, this.wire);
-		dispatcher.dispatch({
-			method: req.method,
+		const client = this.take(req);
+		const exchange = new Exchange(req, this.wire, client.connection);
+		client.dispatch({
+			method: req.method as Dispatcher.HttpMethod,
 			path: req.path,
 			headers: this.wire.toTarget(req.headers, {requestId: req.requestId, timeLeftMs: req.timeLeftMs, target: req.target}),
 			body: req.body.length === 0 ? null : req.body,
 		}, exchange);
 		const outcome = await exchange.result;
-		if (dispatcher instanceof Client) {
-			dispatcher.close().catch(() => undefined);
-		}
-
+		this.giveBack(req, client, outcome);
 		return outcome;
 	}
 
-	/** Closes the connections to an address. */
-	forget(addr: string): void {
-		const pool = this.pools.get(addr);
-		this.pools.delete(addr);
-		pool?.close().catch(() => undefined);
-	}
-
 	/** Closes everything at once. */
 	async close(): Promise<void> {
-		await Promise.all([...this.pools.values()].map(async pool => pool.destroy()));
+		const clients = [...this.idle.values()].flat();
+		this.idle.clear();
+		await Promise.all(clients.map(async client => client.destroy()));
 	}
 
-	private pool(addr: string, connections: number): Pool {
-		const known = this.pools.get(addr);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const pool = new Pool(`http://${addr}`, {...clientOptions, connections});
-		pool.on('connect', () => {
+	/** A connection that was used a moment ago, or a new one. */
+	private take(req: TargetRequest): TrackedClient {
+		const known = req.isOnce ? undefined : this.idle.get(req.addr)?.pop();
+		return known ?? new TrackedClient(`http://${req.addr}`, () => {
 			this.opened += 1;
 		});
-		this.pools.set(addr, pool);
-		return pool;
 	}
 
-	private single(addr: string): Client {
-		this.opened += 1;
-		return new Client(`http://${addr}`, clientOptions);
+	private giveBack(req: TargetRequest, client: TrackedClient, {ending}: TargetOutcome): void {
+		const idle = this.idle.get(req.addr) ?? [];
+		const isUsable = ending === LaneEnding.Answered || ending === LaneEnding.Full || ending === LaneEnding.NotRun;
+		if (!isUsable || idle.length >= req.connections) {
+			client.destroy().catch(() => undefined);
+			return;
+		}
+
+		idle.push(client);
+		this.idle.set(req.addr, idle);
 	}
 }
 
-const clientOptions = {
-	connect: {timeout: connectTimeoutMs},
-	pipelining: 1,
-	headersTimeout: 0,
-	bodyTimeout: 0,
-	keepAliveTimeout: keepAliveMs,
-	keepAliveMaxTimeout: maxKeepAliveMs,
-	maxHeaderSize: maxHeadBytes,
-};
-
 /** One request under way. */
 class Exchange implements Dispatcher.DispatchHandler {
 	readonly result: Promise<TargetOutcome>;
@@ -146,7 +118,7 @@
 	private readonly timer: NodeJS.Timeout;
 	private readonly onAbort: () => void;
 
-	constructor(private readonly req: TargetRequest, private readonly wire: Wire) {
+	constructor(private readonly req: TargetRequest, private readonly wire: Wire, private readonly connection: ConnectionState) {
 		let resolve: (outcome: TargetOutcome) => void = () => undefined;
 		this.result = new Promise(done => {
 			resolve = done;
@@ -193,6 +165,11 @@
 	}
 
 	onResponseEnd(): void {
+		if (!this.isFramed() && this.connection.hasFailed) {
+			this.finish(this.empty(LaneEnding.Broken, 'the connection was reset in the middle of an answer'));
+			return;
+		}
+
 		this.finish(this.judge());
 	}
 
@@ -201,10 +178,14 @@
 		this.finish({...this.empty(ending, err.message), isNotRun: !this.isWritten});
 	}
 
+	private isFramed(): boolean {
+		return this.headers.some(([name]) => name === 'content-length' || name === 'transfer-encoding');
+	}
+
 	private judge(): TargetOutcome {
 		const {meta, status, headers} = this;
 		const whole = {
-			status, headers, body: this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks), meta,
+			status, headers, body: this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks), isFramed: this.isFramed(), meta,
 		};
 		if (meta?.isNotRun === true || status === misdirected) {
 			const ending = status === misdirected ? LaneEnding.NotRun : LaneEnding.Full;
@@ -234,12 +215,17 @@
 	private fail(ending: LaneEnding, reason: string): void {
 		const isNotRun = !this.isWritten;
 		this.finish({...this.empty(ending, reason), isNotRun});
+		if (this.isWritten) {
+			// A reset drops what is still on its way, and tells the target to stop.
+			this.connection.socket?.resetAndDestroy();
+		}
+
 		this.controller?.abort(new Error(reason));
 	}
 
 	private empty(ending: LaneEnding, reason: string): TargetOutcome {
 		return {
-			ending, isNotRun: false, status: 0, headers: [], body: Buffer.alloc(0), meta: this.meta, reason,
+			ending, isNotRun: false, status: 0, headers: [], body: Buffer.alloc(0), isFramed: true, meta: this.meta, reason,
 		};
 	}
 
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -196,12 +196,20 @@
 			return;
 		}
 
-		const {status, headers, body} = result.answer;
+		const {status, headers, body, isFramed} = result.answer;
 		for (const [name, value] of this.options.wire.toCaller(headers)) {
 			res.appendHeader(name, value);
 		}
 
-		res.writeHead(status, {'content-length': body.length});
+		if (isFramed) {
+			res.setHeader('content-length', body.length);
+		} else {
+			// A length of ours would vouch for an answer that may have been cut.
+			res.setHeader('connection', 'close');
+			res.removeHeader('transfer-encoding');
+		}
+
+		res.writeHead(status);
 		res.end(body);
 	}
 
--- a/packages/gateway/src/keeper/coordinator.ts
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -26,7 +26,13 @@
 const spreadMs = 400;
 
 /** Age of the leader's store contact above which an instance that reaches the store takes over, in milliseconds. */
-const staleLeaderMs = 2000;
+const staleLeaderMs = 1000;
+
+/** Longest time that the store may take for an instance that takes over because the leader does not reach it, in milliseconds: else it is slow for all. */
+const goodStoreMs = 400;
+
+/** Time after a change of the leader in which nobody takes over because of the store, in milliseconds. */
+const settledMs = 2500;
 
 /** Pause between two tries to take the lead, in milliseconds. */
 const retryMs = 800;
@@ -69,6 +75,7 @@
 	private leaderNode: NodeInfo | undefined;
 	private heardAt: number;
 	private leaderStoreAge = 0;
+	private followingSince = Number.NEGATIVE_INFINITY;
 	private appliedSeq = -1;
 	private isElecting = false;
 	private nextTryAt: number;
@@ -182,7 +189,7 @@
 
 		const now = this.options.clock.now();
 		const isSilent = now - this.heardAt > silenceMs || this.term === 0;
-		const isStale = this.leaderStoreAge > staleLeaderMs;
+		const isStale = this.leaderStoreAge > staleLeaderMs && now - this.followingSince > settledMs;
 		if (!this.isLeaving && (isSilent || isStale) && now >= this.nextTryAt) {
 			void this.elect(false);
 		}
@@ -229,8 +236,10 @@
 			if (ping.term > this.term || this.leaderNode?.name !== ping.leader.name) {
 				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, term: ping.term});
 				this.appliedSeq = -1;
+				this.followingSince = clock.now();
 			}
 
+			const wasFresh = this.leaderStoreAge <= staleLeaderMs;
 			this.term = ping.term;
 			this.leaderNode = ping.leader;
 			if (this.leader !== undefined) {
@@ -240,6 +249,10 @@
 			this.reader.stop();
 			this.heardAt = clock.now();
 			this.leaderStoreAge = ping.storeAgeMs;
+			if (wasFresh && ping.storeAgeMs > staleLeaderMs) {
+				this.nextTryAt = clock.now() + (this.spread() / 2);
+			}
+
 			if (ping.delta.isFull || ping.base === this.appliedSeq) {
 				this.appliedSeq = ping.delta.seq;
 				if (ping.delta.isFull || ping.delta.set.length > 0 || ping.delta.gone.length > 0) {
@@ -274,8 +287,10 @@
 		this.isElecting = true;
 		this.nextTryAt = clock.now() + retryMs + this.spread();
 		try {
+			const askedAt = clock.now();
 			const state = await this.ownerLog.read();
-			const mayLead = isNamed || await this.isLeadFree(state);
+			const isSlow = clock.now() - askedAt > goodStoreMs && this.heardAgeMs < silenceMs;
+			const mayLead = isNamed || (!isSlow && await this.isLeadFree(state));
 			if (mayLead) {
 				const term = Math.max(this.term, state.leader?.term ?? 0) + 1;
 				await this.ownerLog.lead({term, name: this.options.self.name, incarnation: this.options.self.incarnation}, state);
--- a/packages/gateway/src/keeper/key-keeper.ts
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -11,7 +11,7 @@
 	ErrorKind, lapseOf, planKeys, type FormerOwner, type HoldTiming, type Holding, type KeyMap, type KeyRange, type KeyRates, type Owner, type Clock,
 } from '@bluebellyard/core';
 import {
-	GrantReply, StaleAppendError, type TargetControl,
+	GrantReply, StaleAppendError, type TargetControl, type TargetRef,
 } from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {OwnedRange} from '../view/index.js';
@@ -50,8 +50,8 @@
 	readonly onChange: () => void;
 	/** Called after a write whose outcome is not known, or that was out of date. */
 	readonly onDoubt: () => void;
-	/** Address of a target, also of one that is gone. */
-	readonly addrOf: (owner: string) => string | undefined;
+	/** Where a target is or was. */
+	readonly targetOf: (owner: string) => TargetRef | undefined;
 	/** Whether the process is known to have ended. */
 	readonly hasEnded: (owner: string) => boolean;
 	/** Time at which the grants of former leaders have surely lapsed. */
@@ -325,16 +325,16 @@
 
 	private async release(range: KeyRange, former: FormerOwner, leaving: Leaving): Promise<void> {
 		const {
-			control, addrOf, clock, telemetry, service, onChange,
+			control, targetOf, clock, telemetry, service, onChange,
 		} = this.options;
-		const addr = addrOf(former.owner);
-		if (addr === undefined) {
+		const target = targetOf(former.owner);
+		if (target === undefined) {
 			return;
 		}
 
 		leaving.isInFlight = true;
 		try {
-			leaving.handover = await control.release(addr, {from: range.from, to: range.to, fence: former.fence}, releaseTimeoutMs);
+			leaving.handover = await control.release(target, {from: range.from, to: range.to, fence: former.fence}, releaseTimeoutMs);
 			leaving.isReleased = true;
 		} catch (err) {
 			telemetry.warn('keeper', 'A release was not answered.', {
@@ -359,12 +359,12 @@
 
 	private async grant(holding: Holding, grant: Grant): Promise<void> {
 		const {
-			control, addrOf, clock, timing, telemetry, service, onChange,
+			control, targetOf, clock, timing, telemetry, service, onChange,
 		} = this.options;
-		const addr = addrOf(holding.owner);
+		const target = targetOf(holding.owner);
 		const sentAt = clock.now();
 		grant.nextAt = sentAt + retryMs;
-		if (addr === undefined) {
+		if (target === undefined) {
 			return;
 		}
 
@@ -372,7 +372,7 @@
 		const handover = this.handovers.get(grantKey(holding));
 		const wasOpen = grant.isOpen;
 		try {
-			const reply = await control.grant(addr, {
+			const reply = await control.grant(target, {
 				from: holding.from, to: holding.to, fence: holding.fence, holdMs: timing.holdMs, handover,
 			}, timing.transitMs);
 			this.silence.delete(holding.owner);
--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -44,6 +44,9 @@
 /** Silence towards grants after which an owner loses its keys although the store still lists it, in milliseconds. */
 const silentOwnerMs = 1200;
 
+/** Age of the store contact above which instances are told often, in milliseconds, so that one that reaches the store takes over soon. */
+const tellStoreAgeMs = 300;
+
 /** Share of a failure domain's targets that must answer for a silent one to count as lost: else the domain is cut off. */
 const domainShare = 0.5;
 
@@ -76,6 +79,8 @@
 	ackedSeq: number;
 	repliedAt: number;
 	nextAt: number;
+	/** When it was last told anything. */
+	toldAt: number;
 	isLeaving: boolean;
 };
 
@@ -332,7 +337,7 @@
 				this.mustConfirm = true;
 				void this.resolveDoubt();
 			},
-			addrOf: owner => this.addrs.get(owner)?.addr,
+			targetOf: owner => this.addrs.get(owner),
 			hasEnded: owner => this.hasEnded(owner, view),
 			inheritedEnd: () => this.inheritedEnd,
 		}, known ?? KeyMap.empty(), known !== undefined);
@@ -394,6 +399,11 @@
 			const state = this.nodeState(node, now);
 			const isBehind = state.ackedSeq !== view.store.last;
 			const isLost = now - state.repliedAt > lostAfterMs;
+			const isNews = this.storeAgeMs > tellStoreAgeMs && now - state.toldAt > tellStoreAgeMs;
+			if (isNews && !isLost) {
+				state.nextAt = now;
+			}
+
 			if (!state.isInFlight && (now >= state.nextAt || (isBehind && !isLost))) {
 				void this.ping(node, state);
 			}
@@ -408,7 +418,7 @@
 
 		// A new instance counts as live until it fails to answer.
 		const state: NodeState = {
-			isInFlight: false, incarnation: node.incarnation, ackedSeq: -1, repliedAt: now, nextAt: now, isLeaving: false,
+			isInFlight: false, incarnation: node.incarnation, ackedSeq: -1, repliedAt: now, nextAt: now, toldAt: now, isLeaving: false,
 		};
 		this.nodes.set(node.name, state);
 		return state;
@@ -421,6 +431,7 @@
 			term, leader: self, storeAgeMs: Math.round(this.storeAgeMs), base: state.ackedSeq, delta,
 		};
 		state.isInFlight = true;
+		state.toldAt = clock.now();
 		try {
 			const pong = await net.call(node.addr, PeerOp.Ping, ping, AbortSignal.timeout(pingTimeoutMs)) as Pong;
 			if (!this.isStopped) {
--- a/packages/gateway/src/ports/target-control.ts
+++ b/packages/gateway/src/ports/target-control.ts
@@ -8,22 +8,28 @@
 	readonly handover?: string;
 };
 
+/** The process that an order is for. Its address may have passed on to another one. */
+export type TargetRef = {
+	readonly addr: string;
+	/** Name that it answers to. */
+	readonly name: string;
+};
+
 /** A target's answer to a grant. */
 export enum GrantReply {
 	Accepted = 'accepted',
 	/** It has seen a higher fencing token on one of the keys. */
 	Fenced = 'fenced',
+	/** Another process has its address. */
+	Misdirected = 'misdirected',
 	/** It refused for another reason. */
 	Refused = 'refused',
 }
 
 /** Orders to targets about the keys that they hold. Both methods fail when there is no answer in time; the order may be carried out later. */
 export abstract class TargetControl {
-	abstract grant(addr: string, order: GrantOrder, timeoutMs: number): Promise<GrantReply>;
+	abstract grant(target: TargetRef, order: GrantOrder, timeoutMs: number): Promise<GrantReply>;
 
 	/** Takes keys back; resolves to what is to be handed to the next holder once running work has ended. */
-	abstract release(addr: string, range: KeyRange & {readonly fence: number}, timeoutMs: number): Promise<string | undefined>;
-
-	/** Closes the connections to a target that is gone. */
-	abstract forget(addr: string): void;
+	abstract release(target: TargetRef, range: KeyRange & {readonly fence: number}, timeoutMs: number): Promise<string | undefined>;
 }
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -63,4 +63,6 @@
 	readonly status: number;
 	readonly headers: HeaderList;
 	readonly body: Buffer;
+	/** Whether its length was stated. One that only ended with its connection may have been cut. */
+	readonly isFramed: boolean;
 };
