--- a/packages/core/src/admission/lane.ts
+++ b/packages/core/src/admission/lane.ts
@@ -7,8 +7,8 @@
 /** Longest pause, in milliseconds; a target that recovers is found within it. */
 const maxPauseMs = 1500;
 
-/** Pause after a target refused as full, in milliseconds: about the time until a slot is free. */
-const fullPauseMs = 40;
+/** Pause after a target refused as full while more than one request ran there, in milliseconds: part of the time until a slot is free. */
+const fullPauseMs = 20;
 
 /** Weight of one result in the share of failures. */
 const failureWeight = 0.12;
@@ -128,8 +128,11 @@
 			}
 
 			case LaneEnding.Full: {
-				this.pausedUntil = Math.max(this.pausedUntil, now + fullPauseMs);
-				this.failureShare += (1 - this.failureShare) * failureWeight;
+				// A target that refuses single requests at random serves the next one as well as later ones.
+				if (this.running >= this.limit - 1) {
+					this.pausedUntil = Math.max(this.pausedUntil, now + fullPauseMs);
+				}
+
 				break;
 			}
 
--- a/packages/core/src/admission/work-gate.ts
+++ b/packages/core/src/admission/work-gate.ts
@@ -48,13 +48,19 @@
 /** Share by which work may take longer than expected and still meet the objective. */
 const workMargin = 1.25;
 
-/** Expected wait in relation to the time left beyond which a late request is refused at once. */
-const lateShare = 0.7;
+/**
+ * Expected time until the answer, in relation to the time left, beyond which a late request is refused at once.
+ * Requests that can still be in time overtake it, so that the expectation is short.
+ */
+const lateShare = 0.5;
 
 /** Bounds of the time after which a caller is asked to come back, in milliseconds. */
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 2000;
 
+/** Least capacity that a group of targets is taken to have. */
+const minCapacity = 0.1;
+
 /** Longest time between two ticks while something waits, in milliseconds. */
 const maxTickMs = 50;
 
@@ -170,12 +176,11 @@
 	}
 
 	private waitBehind(isAhead: (item: WorkItem) => boolean, now: number): number {
-		let capacity = 0;
+		const capacity = this.capacity();
 		let busy = 0;
 		let slots = 0;
 		let opensAt = Number.POSITIVE_INFINITY;
 		for (const lane of this.lanes.values()) {
-			capacity += lane.limit / lane.slowness.factor;
 			busy += lane.inFlight;
 			slots += lane.limit;
 			opensAt = Math.min(opensAt, lane.nextAt(now));
@@ -248,18 +253,40 @@
 		return {item, lane: lanes.reduce((a, b) => laneCost(b) < laneCost(a) ? b : a)};
 	}
 
+	/** Refuses what became late while it waited and is not expected to be served either, soon enough for another try. */
 	private expire(now: number): WorkRefusal[] {
 		const refusals: WorkRefusal[] = [];
-		for (const item of this.waiting.values()) {
-			// A quarter of the usual work is the least that a fast target may need.
-			if (now + (item.workMs / 4) > item.deadline) {
+		if (this.waiting.size === 0) {
+			return refusals;
+		}
+
+		const capacity = this.capacity();
+		const queue = [...this.waiting.values()].toSorted((a, b) => goesBefore(a, b, now) ? -1 : 1);
+		let ahead = 0;
+		for (const item of queue) {
+			const wait = ahead / Math.max(capacity, minCapacity);
+			const isHopeless = now + (item.workMs / 2) > item.deadline;
+			const isUnlikely = isLate(item, now) && wait + item.workMs > (item.deadline - now) * lateShare;
+			if (isHopeless || isUnlikely) {
 				this.waiting.delete(item.id);
-				refusals.push(refuse(item, ErrorKind.DeadlinePassed, minRetryAfterMs));
+				refusals.push(refuse(item, ErrorKind.DeadlinePassed, wait));
+			} else {
+				ahead += item.workMs;
 			}
 		}
 
 		return refusals;
 	}
+
+	/** Work that all targets do in a millisecond, in milliseconds of usual speed. */
+	private capacity(): number {
+		let capacity = 0;
+		for (const lane of this.lanes.values()) {
+			capacity += lane.limit / lane.slowness.factor;
+		}
+
+		return capacity;
+	}
 }
 
 /** Cheaper lanes are faster at the moment and emptier. */
--- a/packages/core/src/keyspace/key-load.ts
+++ b/packages/core/src/keyspace/key-load.ts
@@ -1,13 +1,13 @@
 import type {KeyRange} from './key-range.js';
 
-/** Time in which an old measurement loses half of its weight, in milliseconds; long enough to see a key a few times. */
-const defaultHalfLifeMs = 2500;
+/** Time in which an old measurement loses half of its weight, in milliseconds: hot keys must be seen within a second or two. */
+const defaultHalfLifeMs = 1200;
 
 /** Weight below which a key is forgotten, in milliseconds of work. */
 const forgottenWork = 0.5;
 
 /** Time between two decays, in milliseconds. */
-const decayEveryMs = 500;
+const decayEveryMs = 200;
 
 /**
  * Work asked for by key, as a decaying sum. Single keys are counted, since
--- a/packages/core/src/keyspace/plan-keys.ts
+++ b/packages/core/src/keyspace/plan-keys.ts
@@ -29,7 +29,7 @@
 const minMovedLoad = 0.15;
 
 /** Moves of one plan for balance; the next plan goes on. */
-const maxBalanceMoves = 6;
+const maxBalanceMoves = 10;
 
 /** Plans the moves that are due now. */
 export function planKeys(map: KeyMap, owners: readonly Owner[], rates: KeyRates): KeyMove[] {
--- a/packages/gateway/src/desk/target-client.ts
+++ b/packages/gateway/src/desk/target-client.ts
@@ -53,7 +53,8 @@
 	private readonly idle = new Map<string, TrackedClient[]>();
 	private opened = 0;
 
-	constructor(private readonly wire: Wire) {}
+	constructor(private readonly wire: Wire) {
+}
 
 	/** Connections opened so far. */
 	get connectionsOpened(): number {
@@ -65,7 +66,7 @@
 		const client = this.take(req);
 		const exchange = new Exchange(req, this.wire, client.connection);
 		client.dispatch({
-			method: req.method as Dispatcher.HttpMethod,
+			method: req.method,
 			path: req.path,
 			headers: this.wire.toTarget(req.headers, {requestId: req.requestId, timeLeftMs: req.timeLeftMs, target: req.target}),
 			body: req.body.length === 0 ? null : req.body,
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -61,8 +61,8 @@
 	readonly net: PeerNet;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
-	/** Budget of this instance for requests that are sent again. */
-	readonly retryBudget: RetryBudgetCfg;
+	/** Budget for requests that are sent again, by the number of instances that share it. */
+	readonly retryBudget: (instances: number) => RetryBudgetCfg;
 	/** A number from 0 to 1. */
 	readonly random: () => number;
 };
@@ -325,7 +325,7 @@
 			return known;
 		}
 
-		const budget = new RetryBudget(this.options.retryBudget);
+		const budget = new RetryBudget(this.options.retryBudget(this.options.view.nodes().length));
 		this.budgets.set(service, budget);
 		return budget;
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,11 +25,11 @@
 /** Time after which a grant without an answer is cut off, in milliseconds. */
 const grantTimeoutMs = 500;
 
-/** Instances among which the extra retries are shared out; more instances than that exceed it only if all retry at once. */
-const retrySharers = 16;
+/** Fewest instances among which the allowed retries are shared out: an instance may not know all others yet. */
+const minSharers = 8;
 
-/** Part of the allowed share of retries that the instances use, so that uneven load does not exceed it. */
-const retryShareUsed = 0.5;
+/** Part of the allowed retries that the instances use, so that uneven load does not exceed them. */
+const retryShareUsed = 0.75;
 
 /** Keys that are reported at once at most. */
 const maxReportedKeys = 4000;
@@ -105,7 +105,7 @@
 			},
 		});
 		this.dispatcher = new Dispatcher({
-			self, view, desks: this.desks, net: this.net, clock, telemetry, random, retryBudget: toBudget(cfg),
+			self, view, desks: this.desks, net: this.net, clock, telemetry, random, retryBudget: instances => toBudget(cfg, instances),
 		});
 		this.callers = new CallerServer({
 			view,
@@ -207,9 +207,10 @@
 	return {holdMs: Math.min(usualHoldMs, cfg.keys['hold-max']), transitMs: grantTimeoutMs};
 }
 
-function toBudget({retries}: GatewaySettings): RetryBudgetCfg {
-	const burst = Math.max(1, Math.floor(retries.extra / retrySharers / 2));
-	return {share: retries.ratio * retryShareUsed, perSecond: burst / (retries.window / 1000), burst};
+function toBudget({retries}: GatewaySettings, instances: number): RetryBudgetCfg {
+	// One half may be used at once, the other one in the course of the window.
+	const extra = retries.extra * retryShareUsed / Math.max(minSharers, instances) / 2;
+	return {share: retries.ratio * retryShareUsed, perSecond: extra / (retries.window / 1000), burst: Math.max(1, extra)};
 }
 
 async function pause(ms: number): Promise<void> {
--- a/packages/gateway/src/keeper/key-keeper.ts
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -26,7 +26,7 @@
 const releaseTimeoutMs = 2500;
 
 /** Time between two plans for balance, in milliseconds: load is measured over seconds. */
-const balanceEveryMs = 700;
+const balanceEveryMs = 500;
 
 /** Time that a confirmed change of formers may wait for another write, in milliseconds. */
 const tidyAfterMs = 400;
--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -84,6 +84,16 @@
 	isLeaving: boolean;
 };
 
+/** Time at which the grants of former leaders have surely lapsed. */
+function inheritedEnd({leader}: OwnerState, {self, timing}: LeaderOptions, now: number): number {
+	if (leader === undefined) {
+		return Number.NEGATIVE_INFINITY;
+	}
+
+	// A former process of this very instance grants nothing more.
+	return lapseOf(leader.name === self.name ? now : now + graceMs, timing);
+}
+
 /** One term of leadership. */
 export class Leader {
 	private readonly nodes = new Map<string, NodeState>();
@@ -103,7 +113,7 @@
 		const now = options.clock.now();
 		this.clockWatch = new ClockWatch(options.clock);
 		this.confirmedAt = now;
-		this.inheritedEnd = former.leader === undefined ? Number.NEGATIVE_INFINITY : lapseOf(now + graceMs, options.timing);
+		this.inheritedEnd = inheritedEnd(former, options, now);
 	}
 
 	/** Time since the store was last reached, in milliseconds. */
