--- a/packages/core/src/admission/work-gate.ts
+++ b/packages/core/src/admission/work-gate.ts
@@ -54,6 +54,9 @@
  */
 const lateShare = 0.5;
 
+/** Part of the time between objective and deadline that is left to a late request when it is refused: enough for its caller to try again. */
+const overtakenShare = 0.6;
+
 /** Bounds of the time after which a caller is asked to come back, in milliseconds. */
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 2000;
@@ -266,7 +269,9 @@
 		for (const item of queue) {
 			const wait = ahead / Math.max(capacity, minCapacity);
 			const isHopeless = now + (item.workMs / 2) > item.deadline;
-			const isUnlikely = isLate(item, now) && wait + item.workMs > (item.deadline - now) * lateShare;
+			const left = item.deadline - now;
+			const isOvertaken = left < (item.deadline - item.objectiveAt) * overtakenShare;
+			const isUnlikely = isLate(item, now) && (isOvertaken || wait + item.workMs > left * lateShare);
 			if (isHopeless || isUnlikely) {
 				this.waiting.delete(item.id);
 				refusals.push(refuse(item, ErrorKind.DeadlinePassed, wait));
--- /dev/null
+++ b/packages/core/src/keyspace/plan-keys.test.ts
@@ -0,0 +1,89 @@
+import test from 'ava';
+import {KeyMap} from './key-map.js';
+import {keyCount, rangeSize} from './key-range.js';
+import {planKeys, type KeyRates, type Owner} from './plan-keys.js';
+
+const owners: Owner[] = ['a', 'b', 'c', 'd'].map(id => ({id, capacity: 4}));
+
+function placed(rates: KeyRates = [], who: readonly Owner[] = owners): KeyMap {
+	return KeyMap.empty().assign(planKeys(KeyMap.empty(), who, rates), 1);
+}
+
+function loads(map: KeyMap, rates: KeyRates): Map<string, number> {
+	const sums = new Map<string, number>();
+	for (const [key, busy] of rates) {
+		const {owner} = map.at(key);
+		sums.set(owner, (sums.get(owner) ?? 0) + busy);
+	}
+
+	return sums;
+}
+
+/** Plans until nothing moves any more, as the leader does. */
+function settle(start: KeyMap, rates: KeyRates, who: readonly Owner[] = owners): {map: KeyMap; moved: number} {
+	let map = start;
+	let moved = 0;
+	for (let fence = 2; fence < 30; fence += 1) {
+		const moves = planKeys(map, who, rates);
+		if (moves.length === 0) {
+			break;
+		}
+
+		moved += moves.reduce((sum, move) => sum + rangeSize(move), 0);
+		map = map.assign(moves, fence);
+	}
+
+	return {map, moved};
+}
+
+test('first keys are shared out evenly', t => {
+	const map = placed();
+	for (const {id} of owners) {
+		const keys = map.of(id).map(holding => rangeSize(holding));
+		t.true(Math.abs(keys.reduce((sum, size) => sum + size, 0) - (keyCount / 4)) < 10);
+	}
+});
+
+test('faster targets get more', t => {
+	const map = placed([], [{id: 'a', capacity: 6}, {id: 'b', capacity: 2}]);
+	t.true(rangeSize(map.of('a')[0]) > 2.5 * rangeSize(map.of('b')[0]));
+});
+
+test('load: a run of hot neighbours is split up, and few keys move', t => {
+	const hot: KeyRates = Array.from({length: 200}, (_, i) => [1000 + i, 0.04] as const);
+	const {map, moved} = settle(placed(), hot);
+	for (const [owner, busy] of loads(map, hot)) {
+		t.true(busy <= 4 * 0.75, `${owner} ${busy}`);
+	}
+
+	t.true(moved < 400, `${moved}`);
+});
+
+test('load: a key too hot for any target stays where it is, and others leave it', t => {
+	const rates: KeyRates = [[5, 4.5], [6, 0.8], [7, 0.8]];
+	const {map} = settle(placed(), rates);
+	t.is(loads(map, rates).get(map.at(5).owner), 4.5);
+});
+
+test('even load moves nothing', t => {
+	const rates: KeyRates = Array.from({length: 64}, (_, i) => [i * 1024, 0.1] as const);
+	t.deepEqual(planKeys(placed(rates), owners, rates), []);
+});
+
+test('keys of a target that left go to the others', t => {
+	const {map} = settle(placed(), [], owners.slice(1));
+	t.deepEqual(map.of('a'), []);
+	t.true(map.holdings.every(holding => holding.owner !== ''));
+});
+
+test('a target that joins gets keys', t => {
+	const map = placed();
+	const joined = [...owners, {id: 'e', capacity: 4}];
+	t.true(settle(map, [], joined).map.of('e').length > 0);
+	const rates: KeyRates = [[10, 0.2], [20, 0.2]];
+	t.true(settle(map, rates, joined).map.of('e').length > 0);
+});
+
+test('without targets nothing is planned', t => {
+	t.deepEqual(planKeys(KeyMap.empty(), [], []), []);
+});
--- a/packages/gateway/src/keeper/key-keeper.ts
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -94,6 +94,8 @@
 	private readonly leaving = new Map<string, Leaving>();
 	private readonly handovers = new Map<string, string>();
 	private isWriting = false;
+	/** Whether owners would still take grants of a former leader. */
+	private mustRefence = false;
 	private tidySince: number | undefined;
 	private balancedAt = Number.NEGATIVE_INFINITY;
 	private ownersSince: number | undefined;
@@ -125,6 +127,7 @@
 	 * leader may still send.
 	 */
 	takeOver(): void {
+		this.mustRefence = true;
 		this.write(fence => this.map.refence(fence));
 	}
 
@@ -132,6 +135,9 @@
 	reload(map: KeyMap): void {
 		this.isWriting = false;
 		this.adopt(map);
+		if (this.mustRefence) {
+			this.takeOver();
+		}
 	}
 
 	/** Takes note that an owner said it does not hold a key that it was granted. */
@@ -150,6 +156,10 @@
 
 	/** Does what is due. */
 	tick(input: KeeperInput): void {
+		if (this.mustRefence) {
+			return;
+		}
+
 		const now = this.options.clock.now();
 		if (input.mayMove && !this.isWriting) {
 			this.plan(input, now);
@@ -210,6 +220,7 @@
 		this.isWriting = true;
 		this.options.write(change).then(map => {
 			this.isWriting = false;
+			this.mustRefence = false;
 			this.adopt(map);
 			this.options.onChange();
 		}, (err: unknown) => {
--- /dev/null
+++ b/packages/gateway/src/mocks/index.ts
@@ -0,0 +1,3 @@
+export * from './fake-control.js';
+export * from './memory-feed.js';
+export * from './memory-log.js';
--- /dev/null
+++ b/packages/gateway/src/mocks/memory-feed.ts
@@ -0,0 +1,46 @@
+import {Feed, type FeedChange} from '../ports/index.js';
+
+/** A feed whose changes the test writes. */
+export class MemoryFeed<T> extends Feed<T> {
+	isDown = false;
+	restarts = 0;
+	private readonly rows = new Map<string, T>();
+	private changed = new Map<string, T>();
+	private gone: string[] = [];
+	private isFull = true;
+
+	/** Writes an entry. */
+	put(key: string, value: T): void {
+		this.rows.set(key, value);
+		this.changed.set(key, value);
+	}
+
+	/** Removes an entry. */
+	drop(key: string): void {
+		this.rows.delete(key);
+		this.changed.delete(key);
+		this.gone.push(key);
+	}
+
+	override restart(): void {
+		this.restarts += 1;
+		this.isFull = true;
+	}
+
+	override async next(waitMs: number): Promise<FeedChange<T>> {
+		await new Promise(resolve => {
+			setTimeout(resolve, Math.min(waitMs, 5));
+		});
+		if (this.isDown) {
+			throw new Error('the store is down');
+		}
+
+		const change = this.isFull
+			? {isFull: true, set: new Map(this.rows), gone: []}
+			: {isFull: false, set: this.changed, gone: this.gone};
+		this.isFull = false;
+		this.changed = new Map();
+		this.gone = [];
+		return change;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/mocks/memory-log.ts
@@ -0,0 +1,69 @@
+import {
+	KeyedLog, StaleAppendError, UnknownAppendError, type KeyedListing,
+} from '../ports/index.js';
+
+/** Ways in which an append can go wrong. */
+export enum AppendFault {
+	/** Nothing is done. */
+	Refused = 'refused',
+	/** It is carried out and its answer lost. */
+	AnswerLost = 'answer-lost',
+}
+
+/** Keyed topics in memory. */
+export class MemoryLog extends KeyedLog {
+	/** Faults of the next appends, in order. */
+	readonly faults: AppendFault[] = [];
+	isDown = false;
+	private readonly topics = new Map<string, {end: number; rows: Map<string, {value: string; offset: number}>}>();
+
+	override async list(topic: string): Promise<KeyedListing> {
+		this.check();
+		const {end, rows} = this.topic(topic);
+		return {end, records: [...rows].map(([key, row]) => ({key, ...row}))};
+	}
+
+	override async end(topic: string): Promise<number> {
+		this.check();
+		return this.topic(topic).end;
+	}
+
+	override async append(topic: string, key: string, value: string, at?: number): Promise<number> {
+		this.check();
+		const fault = this.faults.shift();
+		if (fault === AppendFault.Refused) {
+			throw new Error('refused');
+		}
+
+		const state = this.topic(topic);
+		if (at !== undefined && at !== state.end) {
+			throw new StaleAppendError('stale');
+		}
+
+		const offset = state.end;
+		state.rows.set(key, {value, offset});
+		state.end += 1;
+		if (fault === AppendFault.AnswerLost) {
+			throw new UnknownAppendError('no answer');
+		}
+
+		return offset;
+	}
+
+	private check(): void {
+		if (this.isDown) {
+			throw new Error('the store is down');
+		}
+	}
+
+	private topic(name: string): {end: number; rows: Map<string, {value: string; offset: number}>} {
+		const known = this.topics.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const topic = {end: 0, rows: new Map<string, {value: string; offset: number}>()};
+		this.topics.set(name, topic);
+		return topic;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/settings/settings.test.ts
@@ -0,0 +1,33 @@
+import test from 'ava';
+import {GatewaySettingsError, loadSettings, parseSettings} from './settings.js';
+
+const good = `[instance]
+name=e1
+domain=x
+[listen]
+callers=10.0.0.1:80
+health=10.0.0.1:81
+peers=10.0.0.1:82
+`;
+
+test('defaults fill what is not set', t => {
+	const cfg = parseSettings(good);
+	t.is(cfg.shutdown.grace, 6000);
+	t.is(cfg.keys['hold-max'], 10_000);
+	t.is(cfg.listen.metrics, undefined);
+});
+
+test('seconds become milliseconds', t => {
+	t.is(parseSettings(`${good}[shutdown]\ngrace=2.5\n`).shutdown.grace, 2500);
+});
+
+test('each wrong setting is named', t => {
+	const err = t.throws<GatewaySettingsError>(() => parseSettings('[instance]\nname=e1\n[listen]\ncallers=localhost:80\nhealth=10.0.0.1:99999\n'), {any: true, instanceOf: GatewaySettingsError});
+	for (const name of ['[instance] domain', '[listen] callers', '[listen] health', '[listen] peers']) {
+		t.true(err?.message.includes(name), name);
+	}
+});
+
+test('a file that can not be read is named', t => {
+	t.throws(() => loadSettings('/nowhere/settings.ini'), {any: true, instanceOf: GatewaySettingsError, message: /\/nowhere\/settings\.ini/v});
+});
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -3,7 +3,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {parse} from 'ini';
-import {VError} from 'verror';
+import VError from 'verror';
 import {z} from 'zod';
 
 /** An IP number with a port. */
--- /dev/null
+++ b/packages/gateway/src/telemetry/telemetry.test.ts
@@ -0,0 +1,40 @@
+import {openSync, closeSync} from 'node:fs';
+import test from 'ava';
+import {ManualClock} from '@bluebellyard/core';
+import {configureLogging} from '@bluebellyard/router/logging';
+import {BoundedWriter} from './bounded-writer.js';
+import {Telemetry} from './telemetry.js';
+
+test.serial('a flood of refusals is cut off and counted', t => {
+	const lines: string[] = [];
+	configureLogging({
+		write(line) {
+			lines.push(line);
+		},
+	});
+	const clock = new ManualClock();
+	const telemetry = new Telemetry(clock);
+	for (let i = 0; i < 1000; i += 1) {
+		telemetry.request('Refused.', {id: String(i)});
+	}
+
+	t.true(lines.length < 200);
+	t.is(lines.length + telemetry.suppressedLines, 1000);
+	clock.advance(1000);
+	telemetry.request('Refused.', {id: 'next'});
+	t.true(lines.at(-1)?.includes('next'));
+});
+
+test('lines that wait for their reader are bounded', t => {
+	const fd = openSync('/dev/null', 'w');
+	const writer = new BoundedWriter(fd);
+	for (let i = 0; i < 5000; i += 1) {
+		writer.write('x'.repeat(1000));
+	}
+
+	t.true(writer.dropped > 0);
+	writer.end();
+	setTimeout(() => {
+		closeSync(fd);
+	}, 100).unref();
+});
--- /dev/null
+++ b/packages/gateway/src/view/view.test.ts
@@ -0,0 +1,99 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {Repeat, TargetPhase, type TargetInfo} from '@bluebellyard/core';
+import type {GatewayConfig} from '../ports/index.js';
+import {DeltaStore} from './delta-store.js';
+import {View} from './view.js';
+
+function config(version: number, names: readonly string[]): GatewayConfig {
+	return {
+		version,
+		routes: names.map(name => ({
+			name, host: 'a.example', prefix: `/${name}/`, repeat: Repeat.Idempotent, timeoutMs: 1000, objectiveMs: 100, priority: 1, maxTargets: 1, services: [{service: 's', weight: 1}],
+		})),
+		services: [{
+			name: 's', isSharded: true, maxConnections: 10, coldRate: 1, healthPath: '/health',
+		}],
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	};
+}
+
+const target: TargetInfo = {
+	id: 'i@1', name: 'i', service: 's', addr: '10.0.0.1:1', domain: 'x', slots: 2, phase: TargetPhase.Ready, bornAt: 1, coldLeftMs: 0,
+};
+
+test('a replica that applies deltas equals the original', t => {
+	const change = fc.record({key: fc.constantFrom('a', 'b', 'c', 'd'), value: fc.option(fc.nat(3)), isSent: fc.boolean()});
+	fc.assert(fc.property(fc.array(change, {maxLength: 40}), changes => {
+		const original = new DeltaStore();
+		const replica = new DeltaStore();
+		let acked = -1;
+		for (const {key, value, isSent} of changes) {
+			if (value === null) {
+				original.remove(key);
+			} else {
+				original.set(key, value);
+			}
+
+			if (isSent) {
+				const delta = original.since(acked);
+				replica.apply(delta);
+				acked = delta.seq;
+			}
+		}
+
+		replica.apply(original.since(acked));
+		t.deepEqual(new Map(replica.withPrefix('')), new Map(original.withPrefix('')));
+	}));
+});
+
+test('the same value is no change', t => {
+	const store = new DeltaStore();
+	t.true(store.set('a', {x: 1}));
+	t.false(store.set('a', {x: 1}));
+	t.is(store.last, 1);
+	t.false(store.remove('b'));
+});
+
+test('an older configuration does not replace a later one', t => {
+	const view = new View();
+	t.true(view.setConfig(config(5, ['new'])));
+	t.false(view.setConfig(config(4, ['old'])));
+	const other = new View();
+	other.setConfig(config(4, ['old']));
+	other.store.set('target/i@1', target);
+	view.apply(other.store.since(-1));
+	t.is(view.version, 5);
+	t.is(view.routes.match('a.example', '/new/')?.name, 'new');
+	t.is(view.routes.match('a.example', '/old/'), undefined);
+	t.is(view.targets.size, 1);
+});
+
+test('a later configuration drops its former routes', t => {
+	const view = new View();
+	view.setConfig(config(1, ['a', 'b']));
+	view.setConfig(config(2, ['b']));
+	t.is(view.routes.match('a.example', '/a/'), undefined);
+});
+
+test('targets that leave or lie in an evacuated domain get no work', t => {
+	const view = new View();
+	view.store.set('target/i@1', target);
+	t.is(view.usable('s').length, 1);
+	view.store.set('evacuated/x', true);
+	t.is(view.usable('s').length, 0);
+	view.store.remove('evacuated/x');
+	view.store.set('target/i@1', {...target, phase: TargetPhase.Draining});
+	t.is(view.usable('s').length, 0);
+});
+
+test('the range of a key is found', t => {
+	const view = new View();
+	view.store.set('keys/s/0', {to: 9, owner: 'a', isOpen: true});
+	view.store.set('keys/s/10', {to: 65_535, owner: 'b', isOpen: true});
+	t.is(view.rangeOf('s', 9)?.owner, 'a');
+	t.is(view.rangeOf('s', 10)?.owner, 'b');
+	t.is(view.rangeOf('other', 10), undefined);
+});
