GONE: callers that left while the process lagged; the leader works less

Changes are gathered for 15 ms, parts of the view are rebuilt only when they changed, a caller that closed its side has left, and one turn of the event loop is waited for before a request is sent on.

--- a/packages/gateway/src/desk/desks.ts
+++ b/packages/gateway/src/desk/desks.ts
@@ -18,6 +18,8 @@
 export class Desks {
 	private readonly desks = new Map<string, Desk>();
 	private readonly estimate = new WorkEstimate();
+	/** State of the view that the desks follow. */
+	private seen = '';
 
 	constructor(private readonly options: DesksOptions) {
 		options.view.onChange(() => {
@@ -64,6 +66,13 @@
 	}
 
 	private followView(): void {
+		const {store} = this.options.view;
+		const seen = ['target', 'service', 'evacuated'].map(part => store.lastOf(part)).join('/');
+		if (seen === this.seen) {
+			return;
+		}
+
+		this.seen = seen;
 		const targets = this.targetsByDesk();
 		for (const [id, desk] of this.desks) {
 			const own = targets.get(id);
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -102,11 +102,16 @@
 		const {clock, wire, telemetry} = this.options;
 		const arrivedAt = clock.now();
 		const abort = new AbortController();
-		res.once('close', () => {
+		const leave = () => {
 			if (!res.writableFinished) {
 				abort.abort();
 			}
-		});
+		};
+
+		res.once('close', leave);
+		// A caller that closed its side has left, although the answer could still be written.
+		const {socket} = req;
+		socket.once('end', leave);
 		this.running += 1;
 		const headers = wire.readCaller(req.headers);
 		try {
@@ -117,6 +122,7 @@
 			telemetry.error('front', 'A request failed inside the gateway.', {id: headers.requestId, err});
 			sendFailure(res, failure(ErrorKind.Internal, {isNotRun: false}));
 		} finally {
+			socket.removeListener('end', leave);
 			this.running -= 1;
 		}
 	}
@@ -137,6 +143,12 @@
 			return {route, result: failure(signal.aborted ? ErrorKind.CallerLeft : ErrorKind.BodyTooLarge, {reason: 'body not read'})};
 		}
 
+		// When the process lags behind, callers may have left before their request was read.
+		await nextTurn();
+		if (signal.aborted) {
+			return {route, result: failure(ErrorKind.CallerLeft, {reason: 'the caller left before its request was read'})};
+		}
+
 		const order = this.toOrder(req, {
 			headers, route, body, arrivedAt,
 		});
@@ -238,6 +250,13 @@
 	}
 }
 
+/** Lets the event loop read all that has arrived. */
+async function nextTurn(): Promise<void> {
+	return new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
 function refusedBy({target}: FailedResult): {target: string | undefined} {
 	return {target};
 }
--- a/packages/gateway/src/keeper/key-keeper.test.ts
+++ b/packages/gateway/src/keeper/key-keeper.test.ts
@@ -56,7 +56,7 @@
 	/** Ticks every 100 ms; nobody may hold what another one holds at any time. */
 	async run(ms: number, check: (bench: Bench) => void = () => undefined): Promise<void> {
 		for (let passed = 0; passed < ms; passed += 100) {
-			this.keeper.tick({owners: this.owners, rates: this.rates, mayMove: this.mayMove});
+			this.keeper.tick({owners: this.owners, rates: () => this.rates, mayMove: this.mayMove});
 			// Orders and writes end within the tick.
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
--- a/packages/gateway/src/keeper/key-keeper.ts
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -61,7 +61,8 @@
 /** What a keeper may do and knows at a tick. */
 export type KeeperInput = {
 	readonly owners: readonly Owner[];
-	readonly rates: KeyRates;
+	/** Load by key; asked for only when a plan is due. */
+	readonly rates: () => KeyRates;
 	/** Whether keys may change hands; not while the store is away. */
 	readonly mayMove: boolean;
 };
@@ -94,6 +95,7 @@
 	private readonly leaving = new Map<string, Leaving>();
 	private readonly handovers = new Map<string, string>();
 	private isWriting = false;
+	private changes = 1;
 	/** Whether owners would still take grants of a former leader. */
 	private mustRefence = false;
 	private tidySince: number | undefined;
@@ -110,6 +112,11 @@
 		}
 	}
 
+	/** Grows with each change of `ranges`. */
+	get revision(): number {
+		return this.changes;
+	}
+
 	/** Owners as callers' requests are to be routed. */
 	ranges(): Map<string, OwnedRange> {
 		const {service} = this.options;
@@ -193,7 +200,7 @@
 		}
 
 		this.balancedAt = now;
-		const moves = planKeys(this.map, owners, rates);
+		const moves = planKeys(this.map, owners, rates());
 		if (moves.length === 0) {
 			this.tidy(now);
 			return;
@@ -238,6 +245,7 @@
 		const before = this.grants;
 		const now = this.options.clock.now();
 		this.map = map;
+		this.changes += 1;
 		this.grants = new Map();
 		for (const holding of map.holdings) {
 			if (holding.owner === '') {
@@ -298,6 +306,7 @@
 
 				this.leaving.delete(leavingKey(holding, former));
 				this.map = this.map.clearFormer(holding, former.owner);
+				this.changes += 1;
 				this.tidySince ??= now;
 			} else {
 				isClear = false;
@@ -406,6 +415,7 @@
 		}
 
 		if (grant.isOpen !== wasOpen) {
+			this.changes += 1;
 			onChange();
 		}
 	}
--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -47,6 +47,9 @@
 /** Age of the store contact above which instances are told often, in milliseconds, so that one that reaches the store takes over soon. */
 const tellStoreAgeMs = 300;
 
+/** Time for which changes are gathered before they are told, in milliseconds. */
+const gatherMs = 15;
+
 /** Share of a failure domain's targets that must answer for a silent one to count as lost: else the domain is cut off. */
 const domainShare = 0.5;
 
@@ -108,6 +111,8 @@
 	private isConfirming = false;
 	private mustConfirm = false;
 	private isStopped = false;
+	private flush: NodeJS.Timeout | undefined;
+	private readonly published = new Map<string, number>();
 
 	constructor(private readonly options: LeaderOptions, private readonly former: OwnerState) {
 		const now = options.clock.now();
@@ -170,13 +175,16 @@
 		this.pingAll(now);
 	}
 
-	/** Writes and tells what changed, at once. */
+	/** Tells what changed; what changes within a few milliseconds is told at once. */
 	changed(): void {
-		if (!this.isStopped) {
-			this.publishKeys();
-			this.options.view.changed();
-			this.pingAll(this.options.clock.now());
-		}
+		this.flush ??= setTimeout(() => {
+			this.flush = undefined;
+			if (!this.isStopped) {
+				this.publishKeys();
+				this.options.view.changed();
+				this.pingAll(this.options.clock.now());
+			}
+		}, gatherMs);
 	}
 
 	/** Takes note that an owner does not hold a key. */
@@ -292,7 +300,7 @@
 				const keeper = this.keepers.get(service.name) ?? this.addKeeper(service);
 				keeper.tick({
 					owners: this.owners(service.name, keeper, now),
-					rates: this.rates(service.name, now),
+					rates: () => this.rates(service.name, now),
 					mayMove: now - this.confirmedAt < movableMs && this.storeAgeMs < movableMs,
 				});
 			}
@@ -395,7 +403,10 @@
 	private publishKeys(): void {
 		const {view} = this.options;
 		for (const [service, keeper] of this.keepers) {
-			view.replace(`keys/${service}/`, keeper.ranges());
+			if (this.published.get(service) !== keeper.revision) {
+				this.published.set(service, keeper.revision);
+				view.replace(`keys/${service}/`, keeper.ranges());
+			}
 		}
 	}
 
--- a/packages/gateway/src/view/delta-store.ts
+++ b/packages/gateway/src/view/delta-store.ts
@@ -17,12 +17,19 @@
 	private floor = 0;
 	private readonly rows = new Map<string, {readonly value: unknown; readonly text: string; readonly seq: number}>();
 	private readonly tombstones = new Map<string, number>();
+	/** Sequence number of the last change by the first part of the key. */
+	private readonly partSeqs = new Map<string, number>();
 
 	/** Sequence number of the last change. */
 	get last(): number {
 		return this.seq;
 	}
 
+	/** Sequence number of the last change of a key that begins with `part/`, or is `part`; 0 before the first one. */
+	lastOf(part: string): number {
+		return this.partSeqs.get(part) ?? 0;
+	}
+
 	/** The value of a key. */
 	get<T>(key: string): T | undefined {
 		return this.rows.get(key)?.value as T | undefined;
@@ -44,7 +51,7 @@
 			return false;
 		}
 
-		this.seq += 1;
+		this.advance(key);
 		this.tombstones.delete(key);
 		this.rows.set(key, {value, text, seq: this.seq});
 		return true;
@@ -56,7 +63,7 @@
 			return false;
 		}
 
-		this.seq += 1;
+		this.advance(key);
 		this.tombstones.delete(key);
 		this.tombstones.set(key, this.seq);
 		this.trim();
@@ -95,6 +102,12 @@
 		}
 	}
 
+	private advance(key: string): void {
+		this.seq += 1;
+		const slash = key.indexOf('/');
+		this.partSeqs.set(slash === -1 ? key : key.slice(0, slash), this.seq);
+	}
+
 	private trim(): void {
 		const [oldest] = this.tombstones;
 		if (this.tombstones.size > maxTombstones) {
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -51,7 +51,7 @@
 /** Reads and writes the replicated state by meaning. */
 export class View {
 	readonly store = new DeltaStore();
-	private builtAt = -1;
+	private readonly builtAt = new Map<string, number>();
 	private routeTable = new HostRoutes([]);
 	private services = new Map<string, Service>();
 	private targetRows = new Map<string, TargetInfo>();
@@ -71,25 +71,33 @@
 
 	/** Routes of the configuration in force. */
 	get routes(): HostRoutes {
-		this.build();
+		this.refresh('route', () => {
+			this.routeTable = new HostRoutes([...this.store.withPrefix<HostRoute>('route/')].map(([, route]) => route));
+		});
 		return this.routeTable;
 	}
 
 	/** All targets known, by process life. */
 	get targets(): ReadonlyMap<string, TargetInfo> {
-		this.build();
+		this.refresh('target', () => {
+			this.targetRows = new Map([...this.store.withPrefix<TargetInfo>('target/')].map(([, target]) => [target.id, target]));
+		});
 		return this.targetRows;
 	}
 
 	/** Failure domains taken out of service. */
 	get evacuated(): ReadonlySet<string> {
-		this.build();
+		this.refresh('evacuated', () => {
+			this.evacuatedDomains = new Set([...this.store.withPrefix<true>('evacuated/')].map(([key]) => key.slice('evacuated/'.length)));
+		});
 		return this.evacuatedDomains;
 	}
 
 	/** All services. */
 	get allServices(): ReadonlyMap<string, Service> {
-		this.build();
+		this.refresh('service', () => {
+			this.services = new Map([...this.store.withPrefix<Service>('service/')].map(([, service]) => [service.name, service]));
+		});
 		return this.services;
 	}
 
@@ -100,7 +108,9 @@
 
 	/** The range of a sharded service that has the key. */
 	rangeOf(service: string, key: number): ({from: number} & OwnedRange) | undefined {
-		this.build();
+		this.refresh('keys', () => {
+			this.buildRanges();
+		});
 		return this.ranges.get(service)?.find(range => key >= range.from && key <= range.to);
 	}
 
@@ -181,16 +191,16 @@
 		}
 	}
 
-	private build(): void {
-		if (this.builtAt === this.store.last) {
-			return;
+	/** Runs `rebuild` if something under one of the parts changed since the last time. */
+	private refresh(part: string, rebuild: () => void): void {
+		const seq = this.store.lastOf(part);
+		if (this.builtAt.get(part) !== seq) {
+			this.builtAt.set(part, seq);
+			rebuild();
 		}
+	}
 
-		this.builtAt = this.store.last;
-		this.routeTable = new HostRoutes([...this.store.withPrefix<HostRoute>('route/')].map(([, route]) => route));
-		this.services = new Map([...this.store.withPrefix<Service>('service/')].map(([, service]) => [service.name, service]));
-		this.targetRows = new Map([...this.store.withPrefix<TargetInfo>('target/')].map(([, target]) => [target.id, target]));
-		this.evacuatedDomains = new Set([...this.store.withPrefix<true>('evacuated/')].map(([key]) => key.slice('evacuated/'.length)));
+	private buildRanges(): void {
 		this.ranges = new Map();
 		for (const [key, range] of this.store.withPrefix<OwnedRange>('keys/')) {
 			const [, service, from] = key.split('/');
