--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -111,7 +111,7 @@
 	private isConfirming = false;
 	private mustConfirm = false;
 	private isStopped = false;
-	private flush: NodeJS.Timeout | undefined;
+	private isFlushDue = false;
 	private readonly published = new Map<string, number>();
 
 	constructor(private readonly options: LeaderOptions, private readonly former: OwnerState) {
@@ -177,8 +177,13 @@
 
 	/** Tells what changed; what changes within a few milliseconds is told at once. */
 	changed(): void {
-		this.flush ??= setTimeout(() => {
-			this.flush = undefined;
+		if (this.isFlushDue) {
+			return;
+		}
+
+		this.isFlushDue = true;
+		setTimeout(() => {
+			this.isFlushDue = false;
 			if (!this.isStopped) {
 				this.publishKeys();
 				this.options.view.changed();
