Links between failure domains compress heads with their history; larger instances lead and take more desks

Bodies are random and do not shrink. Change: frames have a head and raw bytes; on links between domains the head is compressed with the last 760 bytes of heads as dictionary. Bodies are compressed only where a sample shrinks. Tests: peers.test.ts (a third of the bytes, any cut of the stream), steward-plan.test.ts.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -8,7 +8,7 @@
 } from '@bluebellyard/core';
 import type {Desks} from '../desk/index.js';
 import {isUnsent, PeerOp} from '../keeper/index.js';
-import type {PeerNet} from '../peers/index.js';
+import type {Message, PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
 	sharedDesk, targetDesk, type NodeInfo, type OwnedRange, type View,
@@ -28,6 +28,9 @@
 /** Longest time that a desk elsewhere may take beyond the deadline, in milliseconds. */
 const hopSlackMs = 120;
 
+/** Body of a message that has none. */
+const noBytes = Buffer.alloc(0);
+
 /** Failures after which another try may help. */
 const retryable = new Set([
 	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable,
@@ -37,14 +40,13 @@
 	return range === undefined ? 'no owners known' : `keys ${range.from}-${range.to}, owner ${range.owner || 'none'}, open ${range.isOpen}`;
 }
 
-/** An order as it travels to another instance; times are durations, for clocks differ. */
+/** An order as it travels to another instance, beside its body; times are durations, for clocks differ. */
 type WireOrder = {
 	readonly desk: string;
 	readonly id: string;
 	readonly m: string;
 	readonly p: string;
 	readonly h: ReadonlyArray<readonly [string, string]>;
-	readonly b: Buffer;
 	readonly rt: string;
 	readonly s: string;
 	readonly k: number | undefined;
@@ -105,15 +107,15 @@
 	}
 
 	/** Runs an order of another instance at a desk here. */
-	async runForPeer(body: unknown, signal: AbortSignal): Promise<OrderResult> {
-		const wire = body as WireOrder;
+	async runForPeer({value, bytes}: Message, signal: AbortSignal): Promise<Message> {
+		const wire = value as WireOrder;
 		const now = this.options.clock.now();
 		const order: Order = {
 			requestId: wire.id,
 			method: wire.m,
 			path: wire.p,
 			headers: wire.h,
-			body: Buffer.from(wire.b),
+			body: bytes,
 			route: wire.rt,
 			service: wire.s,
 			key: wire.k,
@@ -125,7 +127,10 @@
 			deadline: now + wire.left,
 			excluded: wire.x,
 		};
-		return this.options.desks.run(wire.desk, order, signal);
+		const result = await this.options.desks.run(wire.desk, order, signal);
+		return result.kind === 'answer'
+			? {value: {...result, answer: {...result.answer, body: noBytes}}, bytes: result.answer.body}
+			: {value: result, bytes: noBytes};
 	}
 
 	private async mayRepeat(
@@ -286,7 +291,6 @@
 			m: order.method,
 			p: order.path,
 			h: order.headers,
-			b: order.body,
 			rt: order.route,
 			s: order.service,
 			k: order.key,
@@ -299,8 +303,9 @@
 			x: order.excluded,
 		};
 		const guard = AbortSignal.any([signal, AbortSignal.timeout(Math.max(1, Math.ceil(order.deadline - now + hopSlackMs)))]);
-		const result = await this.options.net.call(addr, PeerOp.Work, wire, guard) as AnsweredResult | FailedResult;
-		return result.kind === 'answer' ? {...result, answer: {...result.answer, body: Buffer.from(result.answer.body)}} : result;
+		const reply = await this.options.net.exchange(addr, PeerOp.Work, {value: wire, bytes: order.body}, guard);
+		const result = reply.value as AnsweredResult | FailedResult;
+		return result.kind === 'answer' ? {...result, answer: {...result.answer, body: reply.bytes}} : result;
 	}
 
 	/** Waits for a change of the view. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /**
  * One instance of the gateway: all of its parts, wired together.
  */
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {
 	systemClock, type Clock, type HoldTiming, type HostRoute, type RetryBudgetCfg,
@@ -44,6 +45,9 @@
 /** Between two looks at whether all requests ended, in milliseconds. */
 const stopCheckMs = 50;
 
+/** Body of a message without one. */
+const noBytes = Buffer.alloc(0);
+
 /** Between two updates of gauges, in milliseconds. */
 const gaugeEveryMs = 1000;
 
@@ -82,15 +86,16 @@
 	) {
 		const {view} = this;
 		const {peers} = cfg.listen;
+		const {name, domain} = cfg.instance;
 		this.self = {
-			name: cfg.instance.name, domain: cfg.instance.domain, incarnation: randomUUID(), addr: `${peers.host}:${peers.port}`,
+			name, domain, incarnation: randomUUID(), addr: `${peers.host}:${peers.port}`, cores: cfg.instance['processor-share'] * cfg.instance['processor-speed'],
 		};
 		const {self} = this;
 		const random = () => Math.random();
 		const work: string = PeerOp.Work;
-		this.net = new PeerNet(async (op, body, signal) => op === work
-			? this.dispatcher.runForPeer(body, signal)
-			: this.coordinator.handle(op as PeerOp, body), clock);
+		this.net = new PeerNet(async (op, message, signal) => op === work
+			? this.dispatcher.runForPeer(message, signal)
+			: {value: this.coordinator.handle(op as PeerOp, message.value), bytes: noBytes}, clock, addr => this.isFar(addr));
 		this.client = new TargetClient(ports.wire);
 		this.coordinator = new Coordinator({
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), report: () => this.report(),
@@ -181,6 +186,12 @@
 		await this.client.close();
 	}
 
+	/** Whether an instance is known to be in another failure domain. */
+	private isFar(addr: string): boolean {
+		const node = this.view.nodeAt(addr);
+		return node !== undefined && node.domain !== this.self.domain;
+	}
+
 	private count(service: string, key: number, route: HostRoute): void {
 		const list = this.keys.get(service) ?? [];
 		this.keys.set(service, list);
--- a/packages/gateway/src/keeper/coordinator.ts
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -23,9 +23,15 @@
 /** Silence of the leader after which another one is sought, in milliseconds: two of its messages are lost. */
 const silenceMs = 1400;
 
-/** Largest random addition to waits, in milliseconds, so that few instances try at once. */
+/**
+ * Largest random addition to waits on an instance of `usualCores`, in milliseconds, so that few instances try at once.
+ * Larger ones wait less: leading takes processor time.
+ */
 const spreadMs = 400;
 
+/** Processor time of a usual instance, in cores. */
+const usualCores = 0.5;
+
 /** Age of the leader's store contact above which an instance that reaches the store takes over, in milliseconds. */
 const staleLeaderMs = 1000;
 
@@ -197,7 +203,7 @@
 	}
 
 	private spread(): number {
-		return this.options.random() * spreadMs;
+		return this.options.random() * spreadMs * usualCores / this.options.self.cores;
 	}
 
 	private async announce(): Promise<void> {
--- a/packages/gateway/src/keeper/steward-plan.test.ts
+++ b/packages/gateway/src/keeper/steward-plan.test.ts
@@ -2,9 +2,9 @@
 import type {NodeInfo} from '../view/index.js';
 import {planStewards} from './steward-plan.js';
 
-function node(name: string, domain: string): NodeInfo {
+function node(name: string, domain: string, cores = 0.5): NodeInfo {
 	return {
-		name, domain, incarnation: name, addr: '10.0.0.1:1',
+		name, domain, incarnation: name, addr: '10.0.0.1:1', cores,
 	};
 }
 
@@ -18,6 +18,11 @@
 	t.is([...plan.values()].filter(name => name === 'a2').length, 2);
 });
 
+test('an instance with more processor time gets more desks', t => {
+	const plan = planStewards(needs, [node('small', 'a', 0.25), node('large', 'a', 0.75)], nobody);
+	t.is([...plan.values()].filter(name => name === 'large').length, 3);
+});
+
 test('a live steward keeps its desks', t => {
 	const plan = planStewards(needs, nodes, () => 'a2');
 	t.true([...plan.values()].every(name => name === 'a2'));
--- a/packages/gateway/src/keeper/steward-plan.ts
+++ b/packages/gateway/src/keeper/steward-plan.ts
@@ -1,6 +1,6 @@
 /**
- * Decides which instance is in charge of which desk. Few changes, an even
- * number for each instance, and inside the failure domain of the targets.
+ * Decides which instance is in charge of which desk. Few changes, numbers in
+ * proportion to the processors, and inside the failure domain of the targets.
  */
 import type {NodeInfo} from '../view/index.js';
 
@@ -33,7 +33,8 @@
 	for (const need of open) {
 		const candidates = candidatesFor(need, live);
 		if (candidates.length > 0) {
-			const [{name}] = candidates.toSorted((a, b) => count.get(a.name)! - count.get(b.name)!);
+			const load = ({name, cores}: NodeInfo) => (count.get(name)! + 1) / cores;
+			const [{name}] = candidates.toSorted((a, b) => load(a) - load(b));
 			plan.set(need.desk, name);
 			count.set(name, count.get(name)! + 1);
 		}
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
-import {encodeFrame, FrameReader} from './frames.js';
+import {FrameReader, FrameWriter, type Message} from './frames.js';
 
 /** Kinds of messages on a link. */
 enum FrameKind {
@@ -12,7 +12,7 @@
 	ProbeReply = 5,
 }
 
-type Frame = {
+type FrameHead = {
 	readonly k: FrameKind;
 	/** Number of the call on this link. */
 	readonly n?: number;
@@ -30,6 +30,9 @@
 /** Between two looks at the silence, in milliseconds. */
 const watchEveryMs = 100;
 
+/** Body of a message without one. */
+const noBytes = Buffer.alloc(0);
+
 /** Thrown when a call did not get its reply. */
 export class LinkError extends Error {
 	override readonly name = 'LinkError';
@@ -41,16 +44,17 @@
 }
 
 /** Handles the calls of another instance. `signal` aborts when the caller gave up. */
-export type CallHandler = (op: string, body: unknown, signal: AbortSignal) => Promise<unknown>;
+export type CallHandler = (op: string, message: Message, signal: AbortSignal) => Promise<Message>;
 
 type OpenCall = {
-	readonly resolve: (body: unknown) => void;
+	readonly resolve: (reply: Message) => void;
 	readonly reject: (err: LinkError) => void;
 };
 
 /** Calls over one connection between two instances, in both directions. */
 export class PeerLink {
 	private readonly reader = new FrameReader();
+	private readonly writer = new FrameWriter();
 	private readonly open = new Map<number, OpenCall>();
 	private readonly running = new Map<number, AbortController>();
 	private nextNumber = 1;
@@ -77,8 +81,13 @@
 		});
 	}
 
+	/** Whether messages are compressed. The side that accepted the connection does as the other one does. */
+	set isCompressed(value: boolean) {
+		this.writer.isCompressed = value;
+	}
+
 	/** Calls an operation of the other side. Fails with a `LinkError`. */
-	async call(op: string, body: unknown, signal?: AbortSignal): Promise<unknown> {
+	async call(op: string, {value, bytes}: Message, signal?: AbortSignal): Promise<Message> {
 		if (this.isDown || signal?.aborted === true) {
 			throw new LinkError(this.isDown ? 'connection closed' : 'given up', false);
 		}
@@ -97,9 +106,9 @@
 			};
 
 			this.open.set(number, {
-				resolve(value) {
+				resolve(reply) {
 					signal?.removeEventListener('abort', onAbort);
-					resolve(value);
+					resolve(reply);
 				},
 				reject(err) {
 					signal?.removeEventListener('abort', onAbort);
@@ -108,8 +117,8 @@
 			});
 			signal?.addEventListener('abort', onAbort, {once: true});
 			this.write({
-				k: FrameKind.Call, n: number, op, b: body,
-			});
+				k: FrameKind.Call, n: number, op, b: value,
+			}, bytes);
 			this.startWatch();
 		});
 	}
@@ -128,25 +137,25 @@
 		this.heardAt = this.clock.now();
 		try {
 			for (const message of this.reader.push(chunk)) {
-				this.take(message as Frame);
+				this.take(message.value as FrameHead, message.bytes);
 			}
 		} catch (err) {
 			this.down(`unreadable frame: ${String(err)}`);
 		}
 	}
 
-	private take(frame: Frame): void {
+	private take(frame: FrameHead, bytes: Buffer): void {
 		const number = frame.n ?? 0;
 		switch (frame.k) {
 			case FrameKind.Call: {
-				void this.run(number, frame.op ?? '', frame.b);
+				void this.run(number, frame.op ?? '', {value: frame.b, bytes});
 				break;
 			}
 
 			case FrameKind.Reply: {
 				const call = this.open.get(number);
 				this.open.delete(number);
-				call?.resolve(frame.b);
+				call?.resolve({value: frame.b, bytes});
 				break;
 			}
 
@@ -166,7 +175,7 @@
 		}
 	}
 
-	private async run(number: number, op: string, body: unknown): Promise<void> {
+	private async run(number: number, op: string, message: Message): Promise<void> {
 		const abort = new AbortController();
 		this.running.set(number, abort);
 		// When the process lags behind, the other side may have given up already.
@@ -178,16 +187,17 @@
 				return;
 			}
 
-			const reply = await this.handler(op, body, abort.signal);
-			this.write({k: FrameKind.Reply, n: number, b: reply});
+			const {value, bytes} = await this.handler(op, message, abort.signal);
+			this.writer.isCompressed = this.reader.isCompressed;
+			this.write({k: FrameKind.Reply, n: number, b: value}, bytes);
 		} finally {
 			this.running.delete(number);
 		}
 	}
 
-	private write(frame: Frame): void {
+	private write(head: FrameHead, bytes: Buffer = noBytes): void {
 		if (!this.isDown) {
-			this.socket.write(encodeFrame(frame));
+			this.socket.write(this.writer.encode({value: head, bytes}));
 		}
 	}
 
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -1,8 +1,10 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
 import {listen} from '../net/index.js';
+import type {Message} from './frames.js';
 import {LinkError, PeerLink, type CallHandler} from './peer-link.js';
 
 /** Time to open a connection to another instance, in milliseconds: a lost packet is sent again after about 200 ms in fast networks and 1 s in slow ones. */
@@ -11,6 +13,9 @@
 /** Time after a failed connection in which no new one is tried, in milliseconds. */
 const retryConnectMs = 200;
 
+/** Body of a message without one. */
+const noBytes = Buffer.alloc(0);
+
 type Outgoing = {
 	readonly link: Promise<PeerLink>;
 	failedAt: number | undefined;
@@ -22,7 +27,8 @@
 	private readonly incoming = new Set<PeerLink>();
 	private readonly server: Server;
 
-	constructor(private readonly handler: CallHandler, private readonly clock: Clock) {
+	/** `isFar` tells whether an address is in another failure domain. */
+	constructor(private readonly handler: CallHandler, private readonly clock: Clock, private readonly isFar: (addr: string) => boolean = () => false) {
 		this.server = createServer(socket => {
 			this.accept(socket);
 		});
@@ -34,9 +40,16 @@
 	}
 
 	/** Calls an operation of the instance at an address; fails with a `LinkError`. */
-	async call(addr: string, op: string, body: unknown, signal?: AbortSignal): Promise<unknown> {
+	async call(addr: string, op: string, value: unknown, signal?: AbortSignal): Promise<unknown> {
+		const reply = await this.exchange(addr, op, {value, bytes: noBytes}, signal);
+		return reply.value;
+	}
+
+	/** As `call`, with bytes in both directions. */
+	async exchange(addr: string, op: string, message: Message, signal?: AbortSignal): Promise<Message> {
 		const link = await this.link(addr);
-		return link.call(op, body, signal);
+		link.isCompressed = this.isFar(addr);
+		return link.call(op, message, signal);
 	}
 
 	/** Whether a connection to the address failed a moment ago. */
--- a/packages/gateway/src/peers/peers.test.ts
+++ b/packages/gateway/src/peers/peers.test.ts
@@ -1,34 +1,74 @@
 import {Buffer} from 'node:buffer';
+import {randomBytes} from 'node:crypto';
 import {createServer, type Socket} from 'node:net';
 import test from 'ava';
 import {systemClock} from '@bluebellyard/core';
-import {encodeFrame, FrameReader} from './frames.js';
+import {FrameReader, FrameWriter, type Message} from './frames.js';
 import {LinkError} from './peer-link.js';
 import {PeerNet} from './peer-net.js';
 
-test('frames survive any cut of the stream', t => {
-	const messages = [{a: 1}, {b: Buffer.from('x')}, {c: 'y'.repeat(5000)}];
-	const bytes = Buffer.concat(messages.map(message => encodeFrame(message)));
-	for (const size of [1, 3, 7, bytes.length]) {
-		const reader = new FrameReader();
-		const read: unknown[] = [];
-		for (let at = 0; at < bytes.length; at += size) {
-			read.push(...reader.push(bytes.subarray(at, at + size)));
+for (const isCompressed of [false, true]) {
+	test(`frames survive any cut of the stream${isCompressed ? ', compressed' : ''}`, t => {
+		const messages: Message[] = [
+			{value: {a: 1}, bytes: Buffer.from('x')},
+			{value: 'again', bytes: Buffer.from('text '.repeat(400))},
+			{value: {c: 'y'.repeat(5000)}, bytes: randomBytes(3000)},
+			{value: 'again', bytes: Buffer.alloc(0)},
+		];
+		const writer = new FrameWriter();
+		writer.isCompressed = isCompressed;
+		const bytes = Buffer.concat(messages.map(message => writer.encode(message)));
+		for (const size of [1, 3, 7, bytes.length]) {
+			const reader = new FrameReader();
+			const read: Message[] = [];
+			for (let at = 0; at < bytes.length; at += size) {
+				read.push(...reader.push(bytes.subarray(at, at + size)));
+			}
+
+			t.deepEqual(read, messages);
 		}
+	});
+}
+
+/** A request as an instance passes it on. */
+function head(n: number): Message {
+	const id = randomBytes(8).toString('hex');
+	return {
+		value: {
+			k: 1, n, op: 'work', b: {
+				desk: 'target:i-67024b1103@1771781415237', id, m: 'GET', p: `/6rgrdiph/${id.slice(6)}`, rt: 'r-ethk3xi', s: 'jeye97a', k: n * 37, h: [
+					['Host', 'defi52.example'], ['User-Agent', 'sdk-client/1.9.3'], ['Accept', '*/*'], ['Accept-Encoding', 'identity'], ['Connection', 'close'],
+				],
+			},
+		}, bytes: Buffer.alloc(0),
+	};
+}
 
-		t.is(read.length, 3);
-		t.deepEqual(read[2], messages[2]);
+test('heads between failure domains shrink to a third', t => {
+	const [plain, compressed] = [new FrameWriter(), new FrameWriter()];
+	compressed.isCompressed = true;
+	let [plainBytes, bytes] = [0, 0];
+	for (let n = 0; n < 50; n += 1) {
+		const message = head(n);
+		plainBytes += plain.encode(message).length;
+		bytes += compressed.encode(message).length;
 	}
+
+	t.true(bytes < plainBytes / 3, `${bytes} of ${plainBytes} bytes`);
 });
 
 test('bytes that are no frames are refused', t => {
 	t.throws(() => new FrameReader().push(Buffer.from('GET / HTTP/1.1\r\n\r\n')));
 });
 
+function reply(value: unknown): Message {
+	return {value, bytes: Buffer.alloc(0)};
+}
+
 async function pair(handler: ConstructorParameters<typeof PeerNet>[0]): Promise<{net: PeerNet; addr: string; close: () => void}> {
 	const server = new PeerNet(handler, systemClock);
 	const port = await server.start('127.0.0.1', 0);
-	const net = new PeerNet(async () => undefined, systemClock);
+	const net = new PeerNet(async () => reply(undefined), systemClock);
 	return {
 		net,
 		addr: `127.0.0.1:${port}`,
@@ -40,7 +80,7 @@
 }
 
 test('calls are answered, many at a time', async t => {
-	const {net, addr, close} = await pair(async (op, body) => `${op} ${String(body)}`);
+	const {net, addr, close} = await pair(async (op, {value}) => reply(`${op} ${String(value)}`));
 	const answers = await Promise.all([1, 2, 3].map(async n => net.call(addr, 'echo', n)));
 	t.deepEqual(answers, ['echo 1', 'echo 2', 'echo 3']);
 	close();
@@ -71,6 +111,7 @@
 	let runs = 0;
 	const {net, addr, close} = await pair(async () => {
 		runs += 1;
+		return reply(runs);
 	});
 	await net.call(addr, 'first', 0);
 	const giveUp = new AbortController();
@@ -85,7 +126,7 @@
 });
 
 test('a refused connection proves that nothing was sent', async t => {
-	const net = new PeerNet(async () => undefined, systemClock);
+	const net = new PeerNet(async () => reply(undefined), systemClock);
 	const err = await t.throwsAsync(async () => net.call('127.0.0.1:1', 'x', 0), {instanceOf: LinkError});
 	t.false(err?.isSent);
 	t.true(net.isUnreachable('127.0.0.1:1'));
@@ -103,7 +144,7 @@
 	});
 	const addr = silent.address();
 	const port = typeof addr === 'object' && addr !== null ? addr.port : 0;
-	const net = new PeerNet(async () => undefined, systemClock);
+	const net = new PeerNet(async () => reply(undefined), systemClock);
 	const err = await t.throwsAsync(async () => net.call(`127.0.0.1:${port}`, 'x', 0), {instanceOf: LinkError});
 	t.true(err?.isSent);
 	net.close();
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -41,6 +41,10 @@
 	instance: z.object({
 		name: z.string().min(1),
 		domain: z.string().min(1),
+		/** Part of a core that it may use. */
+		'processor-share': z.coerce.number().positive().default(1),
+		/** How many times as fast as a usual core that part is. */
+		'processor-speed': z.coerce.number().positive().default(1),
 	}),
 	listen: z.object({
 		callers: address,
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -26,6 +26,8 @@
 	readonly domain: string;
 	/** Address for other instances. */
 	readonly addr: string;
+	/** Processor time that it may use, in cores. */
+	readonly cores: number;
 };
 
 type ConfigHead = {
@@ -56,6 +58,8 @@
 	private services = new Map<string, Service>();
 	private targetRows = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
+	private nodeRows: NodeInfo[] = [];
+	private nodesByAddr = new Map<string, NodeInfo>();
 	private ranges = new Map<string, Array<{from: number} & OwnedRange>>();
 	private readonly listeners = new Set<() => void>();
 
@@ -131,9 +135,16 @@
 		return this.store.get<string>(`steward/${desk}`);
 	}
 
-	/** Instances known, by name. */
-	nodes(): NodeInfo[] {
-		return [...this.store.withPrefix<NodeInfo>('node/')].map(([, node]) => node);
+	/** Instances known. */
+	nodes(): readonly NodeInfo[] {
+		this.refreshNodes();
+		return this.nodeRows;
+	}
+
+	/** The instance that listens on an address for other instances. */
+	nodeAt(addr: string): NodeInfo | undefined {
+		this.refreshNodes();
+		return this.nodesByAddr.get(addr);
 	}
 
 	/** Takes a configuration in force, unless a later one is. */
@@ -200,6 +211,13 @@
 		}
 	}
 
+	private refreshNodes(): void {
+		this.refresh('node', () => {
+			this.nodeRows = [...this.store.withPrefix<NodeInfo>('node/')].map(([, node]) => node);
+			this.nodesByAddr = new Map(this.nodeRows.map(node => [node.addr, node]));
+		});
+	}
+
 	private buildRanges(): void {
 		this.ranges = new Map();
 		for (const [key, range] of this.store.withPrefix<OwnedRange>('keys/')) {
