Targets that come late get their part of the keys in one plan

Without load the donor was always the same one, cut in half again and again, down to single keys. Ruled out: processor time (0.055 cores a machine on average, 0.197 at most). Change: one plan serves all newcomers, each with its fair part by load and number of keys, from whoever owns the most; keys are first given out after 900 ms without a new target (4 s at most); plans for balance grow with the number of targets. Tests: plan-keys.test.ts, two new ones.

--- a/packages/core/src/keyspace/plan-keys.test.ts
+++ b/packages/core/src/keyspace/plan-keys.test.ts
@@ -49,6 +49,25 @@
 	t.true(rangeSize(map.of('a')[0]) > 2.5 * rangeSize(map.of('b')[0]));
 });
 
+test('the targets of a start that come late get their fair part at once', t => {
+	const late = Array.from({length: 30}, (_, i) => ({id: `late-${i}`, capacity: 4}));
+	const all = [...owners, ...late];
+	const map = placed().assign(planKeys(placed(), all, []), 2);
+	for (const {id} of all) {
+		const keys = map.of(id).reduce((sum, holding) => sum + rangeSize(holding), 0);
+		t.true(keys > keyCount / all.length / 2 && keys < keyCount / all.length * 2, `${id} ${keys}`);
+	}
+});
+
+test('load: targets that come under load take load over at once', t => {
+	const rates: KeyRates = Array.from({length: 400}, (_, i) => [20_000 + i, 0.03] as const);
+	const all = [...owners, ...Array.from({length: 4}, (_, i) => ({id: `late-${i}`, capacity: 4}))];
+	const map = placed(rates).assign(planKeys(placed(rates), all, rates), 2);
+	for (const [owner, busy] of loads(map, rates)) {
+		t.true(busy <= 12 / all.length * 1.8, `${owner} ${busy}`);
+	}
+});
+
 test('load: a run of hot neighbours is split up, and few keys move', t => {
 	const hot: KeyRates = Array.from({length: 200}, (_, i) => [1000 + i, 0.04] as const);
 	const {map, moved} = settle(placed(), hot);
--- a/packages/core/src/keyspace/plan-keys.ts
+++ b/packages/core/src/keyspace/plan-keys.ts
@@ -28,8 +28,11 @@
 /** Load below which it does not pay to move anything, in slots kept busy. */
 const minMovedLoad = 0.15;
 
-/** Moves of one plan for balance; the next plan goes on. */
-const maxBalanceMoves = 10;
+/** Fewest moves that one plan for balance may have; the next plan goes on. */
+const minBalanceMoves = 10;
+
+/** Moves of one plan for balance, in relation to the number of targets. */
+const balanceMovesPerOwner = 0.25;
 
 /** Plans the moves that are due now. */
 export function planKeys(map: KeyMap, owners: readonly Owner[], rates: KeyRates): KeyMove[] {
@@ -150,24 +153,55 @@
 	return low;
 }
 
-/** Gives each target that owns nothing a part of what the busiest one owns. */
+/**
+ * Gives each target that owns nothing its fair part, from those that own the most. All newcomers are served by
+ * one plan, since the targets of a start, or of a domain that returns, come within seconds.
+ */
 function planNewcomers(map: KeyMap, owners: readonly Owner[], rates: KeyRates): KeyMove[] {
-	const sums = sumUp(map, owners, rates);
-	const newcomer = [...sums.values()].find(row => row.keys === 0);
-	const donor = extreme(sums, row => row.busy / row.owner.capacity);
-	if (newcomer === undefined || donor === newcomer) {
+	const weigh = weigher(rates);
+	const rows = owners.map(owner => ({owner, weight: 0, isNew: map.of(owner.id).length === 0}));
+	const newcomers = rows.filter(row => row.isNew);
+	if (newcomers.length === 0) {
 		return [];
 	}
 
-	const share = newcomer.owner.capacity / (newcomer.owner.capacity + donor.owner.capacity);
-	const piece = bestPiece(map, donor.owner.id, rates, donor.busy * share);
-	if (piece !== undefined) {
-		return [{from: piece.from, to: piece.to, owner: newcomer.owner.id}];
+	const byId = new Map(rows.map(row => [row.owner.id, row]));
+	for (const holding of map.holdings) {
+		byId.get(holding.owner)!.weight += weigh(holding);
+	}
+
+	const capacity = owners.reduce((sum, owner) => sum + owner.capacity, 0);
+	const total = weigh({from: 0, to: keyCount - 1});
+	const moves: KeyMove[] = [];
+	let current = map;
+	for (const newcomer of newcomers) {
+		const [donor] = rows.toSorted((a, b) => (b.weight / b.owner.capacity) - (a.weight / a.owner.capacity));
+		const fair = total * newcomer.owner.capacity / capacity;
+		const half = donor.weight * newcomer.owner.capacity / (newcomer.owner.capacity + donor.owner.capacity);
+		const piece = lastPiece(current.of(donor.owner.id), Math.min(fair, half), weigh);
+		if (piece !== undefined) {
+			const move = {...piece, owner: newcomer.owner.id};
+			const weight = weigh(piece);
+			donor.weight -= weight;
+			newcomer.weight += weight;
+			moves.push(move);
+			current = current.assign([move], 0);
+		}
+	}
+
+	return moves;
+}
+
+/** The end of the heaviest holding, with about the wanted weight; undefined when it has one key only. */
+function lastPiece(holdings: readonly Holding[], wanted: number, weigh: (range: KeyRange) => number): KeyRange | undefined {
+	const [heaviest] = holdings.filter(({from, to}) => to > from).toSorted((a, b) => weigh(b) - weigh(a));
+	if (heaviest === undefined) {
+		return undefined;
 	}
 
-	const widest = map.of(donor.owner.id).toSorted((a, b) => rangeSize(b) - rangeSize(a))[0];
-	const from = widest.to - Math.floor(rangeSize(widest) * share);
-	return from > widest.from ? [{from, to: widest.to, owner: newcomer.owner.id}] : [];
+	const kept = lastWithin(heaviest, weigh(heaviest) - wanted, weigh);
+	const from = Math.min(kept + 1, heaviest.to);
+	return {from, to: heaviest.to};
 }
 
 /** Takes load off targets that have too much, as runs of neighbouring busy keys. */
@@ -177,9 +211,10 @@
 	const busy = [...sums.values()].reduce((sum, row) => sum + row.busy, 0);
 	const mean = busy / capacity;
 	const high = Math.max(highUtilization, mean * highRatio);
+	const most = Math.max(minBalanceMoves, owners.length * balanceMovesPerOwner);
 	const moves: KeyMove[] = [];
 	let current = map;
-	while (moves.length < maxBalanceMoves) {
+	while (moves.length < most) {
 		const donor = extreme(sums, row => row.busy / row.owner.capacity);
 		const taker = extreme(sums, row => -row.busy / row.owner.capacity);
 		if (donor === taker || donor.busy / donor.owner.capacity <= high) {
--- a/packages/gateway/src/keeper/key-keeper.ts
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -29,8 +29,11 @@
 /** Time that a confirmed change of formers may wait for another write, in milliseconds. */
 const tidyAfterMs = 400;
 
-/** Time after the first target of a service was seen until keys are first given out, in milliseconds, so that all targets of a start take part. */
-const settleMs = 700;
+/** Time without a new target after which keys are first given out, in milliseconds, so that all targets of a start take part. */
+const settleMs = 900;
+
+/** Longest time from the first target until keys are first given out, in milliseconds. */
+const maxSettleMs = 4000;
 
 /** Adjoining ranges of one owner under different fencing tokens above which they are joined. */
 const maxRangesPerOwner = 4;
@@ -89,6 +92,8 @@
 	private tidySince: number | undefined;
 	private balancedAt = Number.NEGATIVE_INFINITY;
 	private ownersSince: number | undefined;
+	private ownerCount = 0;
+	private ownersChangedAt = Number.NEGATIVE_INFINITY;
 	/** Since when an owner answers no grant. */
 	private readonly silence = new Map<string, number>();
 
@@ -178,10 +183,15 @@
 		}
 
 		this.ownersSince ??= now;
+		if (owners.length !== this.ownerCount) {
+			this.ownerCount = owners.length;
+			this.ownersChangedAt = now;
+		}
+
 		const usable = new Set(owners.map(owner => owner.id));
 		const isHomeless = this.map.holdings.some(holding => !usable.has(holding.owner));
 		const isFirst = this.map.holdings.every(holding => holding.owner === '');
-		const isSettling = isFirst && now - this.ownersSince < settleMs;
+		const isSettling = isFirst && now - this.ownersChangedAt < settleMs && now - this.ownersSince < maxSettleMs;
 		const isBalanceDue = now - this.balancedAt >= balanceEveryMs;
 		if (isSettling || !(isHomeless || isBalanceDue)) {
 			this.tidy(now);
