FAILBACK: only the instance in charge feeds cold targets

Change: an order that runs at an instance not in charge leaves cold targets alone; the leader plans stewards before it tells of targets. Tests: work-gate.test.ts, dispatcher.test.ts.

--- a/packages/core/src/admission/work-gate.test.ts
+++ b/packages/core/src/admission/work-gate.test.ts
@@ -40,6 +40,16 @@
 	t.deepEqual(starts.map(start => start.item.id), [second.id]);
 });
 
+test('an instance that is not in charge leaves cold targets alone', t => {
+	const gate = gateOf(2, ['cold', 'warm']);
+	gate.lane('cold')?.cold.setCold(1000);
+	const started = [1, 2, 3].flatMap(() => gate.offer(item(0, {isWarmOnly: true}), 0).starts);
+	t.deepEqual(started.map(({lane}) => lane.id), ['warm', 'warm']);
+	gate.removeLane('warm');
+	t.is(gate.offer(item(0, {isWarmOnly: true}), 0).refusals[0].error, ErrorKind.NoTarget);
+	t.is(gate.offer(item(0), 0).starts.length, 1);
+});
+
 test('urgent work goes first, and late work last', t => {
 	const gate = gateOf(1);
 	const {starts: [first]} = gate.offer(item(0), 0);
--- a/packages/core/src/admission/work-gate.ts
+++ b/packages/core/src/admission/work-gate.ts
@@ -23,6 +23,8 @@
 	readonly workMs: number;
 	/** Targets that must not get it. */
 	readonly excluded?: ReadonlySet<string>;
+	/** Whether cold targets must not get it: somebody else counts what they get. */
+	readonly isWarmOnly?: boolean;
 };
 
 /** A request that is to be sent now. */
@@ -213,7 +215,7 @@
 	}
 
 	private refusalFor(item: WorkItem, now: number): WorkRefusal | undefined {
-		const usable = [...this.lanes.values()].filter(lane => item.excluded?.has(lane.id) !== true);
+		const usable = [...this.lanes.values()].filter(lane => mayUse(lane, item, now));
 		if (usable.length === 0) {
 			return refuse(item, ErrorKind.NoTarget, minRetryAfterMs * 4);
 		}
@@ -241,7 +243,7 @@
 
 		let best: WorkItem | undefined;
 		for (const item of this.waiting.values()) {
-			const mayStart = open.some(lane => item.excluded?.has(lane.id) !== true);
+			const mayStart = open.some(lane => mayUse(lane, item, now));
 			if (mayStart && (best === undefined || goesBefore(item, best, now))) {
 				best = item;
 			}
@@ -252,7 +254,7 @@
 		}
 
 		const item = best;
-		const lanes = open.filter(lane => item.excluded?.has(lane.id) !== true);
+		const lanes = open.filter(lane => mayUse(lane, item, now));
 		return {item, lane: lanes.toSorted((a, b) => laneCost(a) - laneCost(b))[0]};
 	}
 
@@ -294,6 +296,10 @@
 	}
 }
 
+function mayUse(lane: Lane, {excluded, isWarmOnly}: WorkItem, now: number): boolean {
+	return excluded?.has(lane.id) !== true && !(isWarmOnly === true && lane.cold.isCold(now));
+}
+
 /** Cheaper lanes are faster at the moment and emptier. */
 function laneCost(lane: Lane): number {
 	return lane.slowness.factor * (1 + (lane.inFlight / Math.max(1, lane.limit)));
--- a/packages/gateway/src/desk/desk.ts
+++ b/packages/gateway/src/desk/desk.ts
@@ -119,6 +119,7 @@
 			deadline: order.deadline,
 			workMs: estimate.of(order.route, order.objectiveMs),
 			excluded: new Set(order.excluded),
+			isWarmOnly: order.isWarmOnly,
 		};
 		return new Promise(resolve => {
 			const onAbort = () => {
--- /dev/null
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -0,0 +1,91 @@
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import {ErrorKind, ManualClock, TargetPhase} from '@bluebellyard/core';
+import {LinkError} from '../peers/index.js';
+import {Telemetry} from '../telemetry/index.js';
+import {sharedDesk, View, type NodeInfo} from '../view/index.js';
+import {Dispatcher} from './dispatcher.js';
+import {failure, type Order} from './order.js';
+
+function node(name: string): NodeInfo {
+	return {
+		name, domain: 'x', incarnation: name, addr: `${name}:1`, cores: 1,
+	};
+}
+
+const order: Order = {
+	requestId: 'r',
+	method: 'GET',
+	path: '/',
+	headers: [],
+	body: Buffer.alloc(0),
+	route: 'route',
+	service: 's',
+	key: undefined,
+	priority: 1,
+	isOnce: true,
+	objectiveMs: 500,
+	arrivedAt: 0,
+	objectiveAt: 500,
+	deadline: 2000,
+	excluded: [],
+	isWarmOnly: false,
+};
+
+/** Runs an order on instance `e1` while `steward` is in charge, and answers what its own desk got. */
+async function runWith(steward: string | undefined, isReachable = true): Promise<Order[]> {
+	const view = new View();
+	for (const name of ['e1', 'e2']) {
+		view.store.set(`node/${name}`, node(name));
+	}
+
+	view.store.set('target/i', {
+		id: 'i', name: 'i', service: 's', addr: '10.0.0.1:1', domain: 'x', slots: 2, phase: TargetPhase.Ready, bornAt: 1, coldLeftMs: 3000,
+	});
+	if (steward !== undefined) {
+		view.store.set(`steward/${sharedDesk('s', 'x')}`, steward);
+	}
+
+	const own: Order[] = [];
+	const clock = new ManualClock();
+	const dispatcher = new Dispatcher({
+		self: node('e1'),
+		view,
+		desks: {
+			async run(_desk, got) {
+				own.push(got);
+				return failure(ErrorKind.NoTarget, {});
+			},
+			expectedWork: () => 100,
+		},
+		net: {
+			async exchange() {
+				throw new LinkError('refused', false);
+			},
+			isUnreachable: () => !isReachable,
+		},
+		clock,
+		telemetry: new Telemetry(clock),
+		retryBudget: () => ({share: 0, perSecond: 0, burst: 0}),
+		random: () => 0,
+	});
+	await dispatcher.run(order, 1, new AbortController().signal);
+	return own;
+}
+
+test('the instance in charge may use cold targets', async t => {
+	const [first] = await runWith('e1');
+	t.false(first.isWarmOnly);
+});
+
+test('others may not while nobody is known to be in charge', async t => {
+	const [first] = await runWith(undefined);
+	t.true(first.isWarmOnly);
+});
+
+test('others may not while the one in charge is not reached', async t => {
+	const [unreachable] = await runWith('e2', false);
+	t.true(unreachable.isWarmOnly);
+	const [refused] = await runWith('e2');
+	t.true(refused.isWarmOnly);
+});
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -63,8 +63,8 @@
 export type DispatcherOptions = {
 	readonly self: NodeInfo;
 	readonly view: View;
-	readonly desks: Desks;
-	readonly net: PeerNet;
+	readonly desks: Pick<Desks, 'run' | 'expectedWork'>;
+	readonly net: Pick<PeerNet, 'exchange' | 'isUnreachable'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	/** Budget for requests that are sent again, by the number of instances that share it. */
@@ -126,6 +126,7 @@
 			objectiveAt: now + wire.late,
 			deadline: now + wire.left,
 			excluded: wire.x,
+			isWarmOnly: this.options.view.steward(wire.desk) !== this.options.self.name,
 		};
 		const result = await this.options.desks.run(wire.desk, order, signal);
 		return result.kind === 'answer'
@@ -260,7 +261,7 @@
 		const name = view.steward(desk);
 		const node = name === undefined ? undefined : view.store.get<NodeInfo>(`node/${name}`);
 		if (node === undefined || node.name === self.name || net.isUnreachable(node.addr)) {
-			return desks.run(desk, order, signal);
+			return desks.run(desk, {...order, isWarmOnly: node?.name !== self.name}, signal);
 		}
 
 		try {
@@ -274,7 +275,7 @@
 				id: order.requestId, instance: node.name, desk, isUnsent: isUnsent(err), err,
 			});
 			if (isUnsent(err)) {
-				return desks.run(desk, order, signal);
+				return desks.run(desk, {...order, isWarmOnly: true}, signal);
 			}
 
 			return failure(ErrorKind.ConnectionLost, {
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -24,6 +24,8 @@
 	readonly deadline: number;
 	/** Targets that must not get it (again). */
 	readonly excluded: readonly string[];
+	/** Whether the instance that runs it is not in charge of the desk, and must leave cold targets alone. */
+	readonly isWarmOnly: boolean;
 };
 
 /** A whole answer of a target. */
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -184,6 +184,7 @@
 			objectiveAt: arrivedAt + route.objectiveMs,
 			deadline: arrivedAt + waitMs,
 			excluded: [],
+			isWarmOnly: false,
 		};
 	}
 
--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -160,6 +160,8 @@
 		setTimeout(() => {
 			this.isFlushDue = false;
 			if (!this.isStopped) {
+				// A target must not be told without its steward: instances would send to it on their own.
+				this.assignStewards(this.options.clock.now());
 				this.publishKeys();
 				this.options.view.changed();
 				this.followers.tell(this.options.clock.now(), this.storeAgeMs);
