Once-only work may use a connection that answered 50 ms ago; plain timers on links; smaller bundle

A profile of a gateway process is flat: 5 % signals that time out, 3 % errors made when connections of once-only work are closed, 4.5 % compression; a start takes 0.38 s, of it 0.1 s bare Node.

--- a/packages/gateway/src/desk/target-client.ts
+++ b/packages/gateway/src/desk/target-client.ts
@@ -3,7 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import {LaneEnding} from '@bluebellyard/core';
+import {LaneEnding, type Clock} from '@bluebellyard/core';
 import type {HeaderList, TargetHeaders, Wire} from '../ports/index.js';
 import {TrackedClient, type ConnectionState} from './tracked-client.js';
 
@@ -21,7 +21,7 @@
 	readonly headers: HeaderList;
 	readonly body: Buffer;
 	readonly timeLeftMs: number;
-	/** Whether it must run at most once; such a request never goes on a connection that idled. */
+	/** Whether it must run at most once; such a request goes on a new connection, or on one that answered a moment ago. */
 	readonly isOnce: boolean;
 	/** Connections that may be kept to this target. */
 	readonly connections: number;
@@ -42,20 +42,32 @@
 	readonly reason: string;
 };
 
+/** Rest of a connection up to which once-only work may go on it, in milliseconds: targets forget none so soon. */
+const provenMs = 50;
+
 /** Status with which targets refuse requests that are meant for another one, or for keys that they do not hold. */
 const misdirected = 421;
 
 /** Status of an answer that promises that a request did not run. */
 const promises = new Set([408, 421, 429, 503]);
 
+type Resting = {
+	readonly client: TrackedClient;
+	/** When its last answer ended. */
+	readonly since: number;
+};
+
 /** Connections to all targets. */
 export class TargetClient {
 	private readonly wire: Wire;
-	private readonly idle = new Map<string, TrackedClient[]>();
+	private readonly clock: Clock;
+	/** Connections at rest by address; the one that answered last comes last. */
+	private readonly idle = new Map<string, Resting[]>();
 	private opened = 0;
 
-	constructor(wire: Wire) {
+	constructor(wire: Wire, clock: Clock) {
 		this.wire = wire;
+		this.clock = clock;
 	}
 
 	/** Connections opened so far. */
@@ -82,13 +94,19 @@
 	async close(): Promise<void> {
 		const clients = [...this.idle.values()].flat();
 		this.idle.clear();
-		await Promise.all(clients.map(async client => client.destroy()));
+		await Promise.all(clients.map(async ({client}) => client.destroy()));
 	}
 
 	/** A connection that was used a moment ago, or a new one. */
 	private take(req: TargetRequest): TrackedClient {
-		const known = req.isOnce ? undefined : this.idle.get(req.addr)?.pop();
-		return known ?? new TrackedClient(`http://${req.addr}`, () => {
+		const resting = this.idle.get(req.addr);
+		const last = resting?.at(-1);
+		if (last !== undefined && (!req.isOnce || this.clock.now() - last.since <= provenMs)) {
+			resting?.pop();
+			return last.client;
+		}
+
+		return new TrackedClient(`http://${req.addr}`, () => {
 			this.opened += 1;
 		});
 	}
@@ -101,7 +119,7 @@
 			return;
 		}
 
-		idle.push(client);
+		idle.push({client, since: this.clock.now()});
 		this.idle.set(req.addr, idle);
 	}
 }
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -303,8 +303,8 @@
 			left: Math.round(order.deadline - now),
 			x: order.excluded,
 		};
-		const guard = AbortSignal.any([signal, AbortSignal.timeout(Math.max(1, Math.ceil(order.deadline - now + hopSlackMs)))]);
-		const reply = await this.options.net.exchange(addr, PeerOp.Work, {value: wire, bytes: order.body}, guard);
+		const timeoutMs = Math.max(1, Math.ceil(order.deadline - now + hopSlackMs));
+		const reply = await this.options.net.exchange(addr, PeerOp.Work, {value: wire, bytes: order.body}, {signal, timeoutMs});
 		const result = reply.value as AnsweredResult | FailedResult;
 		return result.kind === 'answer' ? {...result, answer: {...result.answer, body: reply.bytes}} : result;
 	}
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -111,7 +111,7 @@
 		this.running += 1;
 		const headers = wire.readCaller(req.headers);
 		try {
-			const {result, route} = await this.answer(req, headers, arrivedAt, abort.signal);
+			const {result, route} = await this.answer(req, headers, arrivedAt, abort);
 			this.send(res, req, result);
 			this.note(headers, route, result, clock.now() - arrivedAt);
 		} catch (err) {
@@ -123,8 +123,9 @@
 		}
 	}
 
-	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, signal: AbortSignal): Promise<{result: OrderResult; route?: HostRoute}> {
+	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: AbortController): Promise<{result: OrderResult; route?: HostRoute}> {
 		const {view, dispatcher, clock} = this.options;
+		const {signal} = abort;
 		if (view.version === undefined) {
 			return {result: failure(ErrorKind.NotReady, {retryAfterMs: startingRetryMs, reason: 'no configuration yet'})};
 		}
@@ -148,13 +149,12 @@
 		const order = this.toOrder(req, {
 			headers, route, body, arrivedAt,
 		});
-		const guard = new AbortController();
 		const result = await new Promise<OrderResult>(resolve => {
 			const timer = setTimeout(() => {
 				resolve(failure(ErrorKind.TargetTimeout, {isNotRun: false, reason: 'no result at the deadline'}));
-				guard.abort();
+				abort.abort();
 			}, Math.max(1, order.deadline - clock.now() + finalSlackMs));
-			void dispatcher.run(order, route.maxTargets, AbortSignal.any([signal, guard.signal])).then(outcome => {
+			void dispatcher.run(order, route.maxTargets, signal).then(outcome => {
 				clearTimeout(timer);
 				resolve(outcome);
 			});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,7 +96,7 @@
 		this.net = new PeerNet(async (op, message, signal) => op === work
 			? this.dispatcher.runForPeer(message, signal)
 			: {value: this.coordinator.handle(op as PeerOp, message), bytes: noBytes}, clock, addr => this.isFar(addr));
-		this.client = new TargetClient(ports.wire);
+		this.client = new TargetClient(ports.wire, clock);
 		this.coordinator = new Coordinator({
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), report: () => this.report(),
 		});
--- a/packages/gateway/src/keeper/coordinator.ts
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -227,7 +227,7 @@
 		}
 
 		await Promise.allSettled([...this.others.values()].map(async node =>
-			net.call(node.addr, PeerOp.Hello, self, AbortSignal.timeout(askTimeoutMs))));
+			net.call(node.addr, PeerOp.Hello, self, {timeoutMs: askTimeoutMs})));
 	}
 
 	private meet(node: NodeInfo): void {
@@ -354,7 +354,7 @@
 	private async ask(nodes: readonly NodeInfo[]): Promise<AskReply[]> {
 		const {net} = this.options;
 		const results = await Promise.allSettled(nodes.map(async node =>
-			await net.call(node.addr, PeerOp.Ask, undefined, AbortSignal.timeout(askTimeoutMs)) as AskReply));
+			await net.call(node.addr, PeerOp.Ask, undefined, {timeoutMs: askTimeoutMs}) as AskReply));
 		return results.flatMap(result => result.status === 'fulfilled' ? [result.value] : []);
 	}
 
--- a/packages/gateway/src/keeper/follower-sync.ts
+++ b/packages/gateway/src/keeper/follower-sync.ts
@@ -137,7 +137,7 @@
 		follower.isInFlight = true;
 		follower.toldAt = clock.now();
 		try {
-			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, AbortSignal.timeout(pingTimeoutMs));
+			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, {timeoutMs: pingTimeoutMs});
 			const pong = reply.value as Pong;
 			if (pong.term === term) {
 				this.answered(node, follower, pong);
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -47,6 +47,14 @@
 /** Handles the calls of another instance. `signal` aborts when the caller gave up. */
 export type CallHandler = (op: string, message: Message, signal: AbortSignal) => Promise<Message>;
 
+/** When a call is given up. Plain timers, since signals that time out cost more than the rest of a call. */
+export type CallOptions = {
+	/** Aborts when nobody wants the reply any more. */
+	readonly signal?: AbortSignal;
+	/** Longest wait for the reply, in milliseconds. */
+	readonly timeoutMs?: number;
+};
+
 type OpenCall = {
 	readonly resolve: (reply: Message) => void;
 	readonly reject: (err: LinkError) => void;
@@ -88,7 +96,7 @@
 	}
 
 	/** Calls an operation of the other side. Fails with a `LinkError`. */
-	async call(op: string, {value, bytes}: Message, signal?: AbortSignal): Promise<Message> {
+	async call(op: string, {value, bytes}: Message, {signal, timeoutMs}: CallOptions = {}): Promise<Message> {
 		if (this.isDown || signal?.aborted === true) {
 			throw new LinkError(this.isDown ? 'connection closed' : 'given up', false);
 		}
@@ -101,18 +109,25 @@
 		return new Promise((resolve, reject) => {
 			const onAbort = () => {
 				if (this.open.delete(number)) {
+					release();
 					this.write({k: FrameKind.Cancel, n: number});
 					reject(new LinkError('given up', true));
 				}
 			};
 
+			const timer = timeoutMs === undefined ? undefined : setTimeout(onAbort, timeoutMs);
+			const release = () => {
+				clearTimeout(timer);
+				signal?.removeEventListener('abort', onAbort);
+			};
+
 			this.open.set(number, {
 				resolve(reply) {
-					signal?.removeEventListener('abort', onAbort);
+					release();
 					resolve(reply);
 				},
 				reject(err) {
-					signal?.removeEventListener('abort', onAbort);
+					release();
 					reject(err);
 				},
 			});
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -5,7 +5,9 @@
 import type {Clock} from '@bluebellyard/core';
 import {listen} from '../net/index.js';
 import type {Message} from './frames.js';
-import {LinkError, PeerLink, type CallHandler} from './peer-link.js';
+import {
+	LinkError, PeerLink, type CallHandler, type CallOptions,
+} from './peer-link.js';
 
 /** Time to open a connection to another instance, in milliseconds: a lost packet is sent again after about 200 ms in fast networks and 1 s in slow ones. */
 const connectTimeoutMs = 400;
@@ -40,16 +42,16 @@
 	}
 
 	/** Calls an operation of the instance at an address; fails with a `LinkError`. */
-	async call(addr: string, op: string, value: unknown, signal?: AbortSignal): Promise<unknown> {
-		const reply = await this.exchange(addr, op, {value, bytes: noBytes}, signal);
+	async call(addr: string, op: string, value: unknown, options: CallOptions = {}): Promise<unknown> {
+		const reply = await this.exchange(addr, op, {value, bytes: noBytes}, options);
 		return reply.value;
 	}
 
 	/** As `call`, with bytes in both directions. */
-	async exchange(addr: string, op: string, message: Message, signal?: AbortSignal): Promise<Message> {
+	async exchange(addr: string, op: string, message: Message, options: CallOptions = {}): Promise<Message> {
 		const link = await this.link(addr);
 		link.isCompressed = this.isFar(addr);
-		return link.call(op, message, signal);
+		return link.call(op, message, options);
 	}
 
 	/** Whether a connection to the address failed a moment ago. */
--- a/packages/gateway/src/peers/peers.test.ts
+++ b/packages/gateway/src/peers/peers.test.ts
@@ -94,7 +94,7 @@
 		(t.context as (signal: AbortSignal) => void)(signal);
 	}));
 	const giveUp = new AbortController();
-	const call = net.call(addr, 'wait', 0, giveUp.signal);
+	const call = net.call(addr, 'wait', 0, {signal: giveUp.signal});
 	const signal = await work;
 	const isCancelled = new Promise<void>(resolve => {
 		signal.addEventListener('abort', () => {
@@ -115,7 +115,7 @@
 	});
 	await net.call(addr, 'first', 0);
 	const giveUp = new AbortController();
-	const call = net.call(addr, 'second', 0, giveUp.signal);
+	const call = net.call(addr, 'second', 0, {signal: giveUp.signal});
 	queueMicrotask(() => {
 		giveUp.abort();
 	});
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,6 +13,9 @@
 	target: 'node20',
 	format: 'esm',
 	sourcemap: 'linked',
+	// Less to parse at a start, on a part of a core; names stay readable.
+	minifyWhitespace: true,
+	minifySyntax: true,
 	alias: {
 		'@bluebellyard/router/logging': './packages/router/src/logging/index.ts',
 		...Object.fromEntries(workspace.map(name => [`@bluebellyard/${name}`, `./packages/${name}/src/index.ts`])),
