A new leader tells what changed since the last one, not everything

Ruled out: the time to notice (1 s) and to be elected (4 ms). Change: states of the view are named by term and sequence number. A new leader knows the state from which it began; instances with the same state get the changes since, others tell what they have before anything large is sent. Tests: follower-sync.test.ts.

--- a/packages/gateway/src/keeper/coordinator.ts
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -13,7 +13,7 @@
 import {Directory} from './directory.js';
 import {Leader} from './leader.js';
 import {
-	PeerOp, unpackDelta, type AskReply, type Disowned, type Ping, type Pong, type Report,
+	isSameState, PeerOp, unpackDelta, type AskReply, type Disowned, type Ping, type Pong, type Report, type ViewState,
 } from './messages.js';
 import {NewsReader} from './news-reader.js';
 import {OwnerLog, type OwnerState} from './owner-log.js';
@@ -84,7 +84,8 @@
 	private heardAt: number;
 	private leaderStoreAge = 0;
 	private followingSince = Number.NEGATIVE_INFINITY;
-	private appliedSeq = -1;
+	/** State of the view; undefined when it is none that a leader ever told. */
+	private has: ViewState | undefined;
 	private isElecting = false;
 	private nextTryAt: number;
 	private isLeaving = false;
@@ -241,7 +242,6 @@
 		if (ping.term >= this.term) {
 			if (ping.term > this.term || this.leaderNode?.name !== ping.leader.name) {
 				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, term: ping.term});
-				this.appliedSeq = -1;
 				this.followingSince = clock.now();
 			}
 
@@ -260,18 +260,16 @@
 			}
 
 			const delta = unpackDelta(changes);
-			if (delta?.isFull === true || ping.base === this.appliedSeq) {
-				this.appliedSeq = ping.seq;
+			if (delta?.isFull === true || isSameState(ping.base, this.has)) {
+				this.has = {term: ping.term, seq: ping.seq};
 				if (delta !== undefined) {
 					view.apply(delta);
 				}
-			} else {
-				this.appliedSeq = -1;
 			}
 		}
 
 		return {
-			term: this.term, incarnation: self.incarnation, seq: this.appliedSeq, report: {...report(), isLeaving: this.isLeaving},
+			term: this.term, incarnation: self.incarnation, has: this.has, report: {...report(), isLeaving: this.isLeaving},
 		};
 	}
 
@@ -331,7 +329,7 @@
 		const isAlone = asked.length > 0 && answers.length === 0;
 		if (hasLeader || (isAlone && this.heardAgeMs < aloneMs && this.term > 0)) {
 			telemetry.info('follower', 'Cut off from the leader; reading the store here.', {answers: answers.length, term: this.term});
-			this.appliedSeq = -1;
+			this.has = undefined;
 			this.reader.start(false);
 			return false;
 		}
@@ -369,6 +367,7 @@
 			term,
 			ownerLog: this.ownerLog,
 			reader: this.reader,
+			lineage: this.has === undefined ? undefined : {state: this.has, seq: view.store.last},
 			isLeaving: () => this.isLeaving,
 			onSuperseded: () => {
 				this.stepDown('the store names another leader');
@@ -391,10 +390,13 @@
 
 	private stepDown(reason: string): void {
 		this.options.telemetry.info('leader', 'Not leading any more.', {reason, term: this.term});
-		this.leader?.stop();
+		if (this.leader !== undefined) {
+			this.has = {term: this.leader.term, seq: this.options.view.store.last};
+			this.leader.stop();
+		}
+
 		this.leader = undefined;
 		this.reader.stop();
-		this.appliedSeq = -1;
 		this.heardAt = this.options.clock.now();
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/keeper/follower-sync.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import {ManualClock} from '@bluebellyard/core';
+import type {Message} from '../peers/index.js';
+import {Telemetry} from '../telemetry/index.js';
+import {View, type NodeInfo} from '../view/index.js';
+import {FollowerSync, type Lineage} from './follower-sync.js';
+import {
+	isSameState, unpackDelta, type Ping, type Pong, type ViewState,
+} from './messages.js';
+
+function node(name: string): NodeInfo {
+	return {
+		name, domain: 'x', incarnation: name, addr: `${name}:1`, cores: 1,
+	};
+}
+
+/** A leader of term 2 with one follower that has a state; answers the keys that the follower was sent. */
+async function tell(has: ViewState | undefined, lineageOf: (view: View) => Lineage | undefined): Promise<string[][]> {
+	const view = new View();
+	const clock = new ManualClock(10_000);
+	for (let i = 0; i < 100; i += 1) {
+		view.store.set(`target/${i}`, {i});
+	}
+
+	const lineage = lineageOf(view);
+	view.store.set('node/follower', node('follower'));
+	const sent: string[][] = [];
+	let state = has;
+	const sync = new FollowerSync({
+		self: node('leader'),
+		term: 2,
+		view,
+		net: {
+			async exchange(_addr: string, _op: string, {value, bytes}: Message): Promise<Message> {
+				const ping = value as Ping;
+				const delta = unpackDelta(bytes);
+				sent.push(delta?.set.map(([key]) => key) ?? []);
+				if (delta?.isFull === true || isSameState(ping.base, state)) {
+					state = {term: ping.term, seq: ping.seq};
+				}
+
+				const pong: Pong = {
+					term: 2, incarnation: 'follower', has: state, report: {keys: {}, slowness: [], isLeaving: false},
+				};
+				return {value: pong, bytes};
+			},
+		},
+		clock,
+		telemetry: new Telemetry(clock),
+		lineage,
+		isLeaving: () => false,
+		onPong() {
+			// Reports do not matter here.
+		},
+	});
+	for (let i = 0; i < 3; i += 1) {
+		sync.tell(clock.now(), 0);
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		clock.advance(100);
+	}
+
+	if (!isSameState(state, {term: 2, seq: view.store.last})) {
+		throw new Error('the follower is behind');
+	}
+
+	return sent;
+}
+
+test('an instance with the state of the former leader gets what changed since', async t => {
+	const state = {term: 1, seq: 77};
+	const sent = await tell(state, view => ({state, seq: view.store.last}));
+	t.deepEqual(sent, [['node/follower']]);
+});
+
+test('an instance with another state gets everything once', async t => {
+	const sent = await tell({term: 1, seq: 70}, view => ({state: {term: 1, seq: 77}, seq: view.store.last}));
+	t.deepEqual(sent.map(keys => keys.length), [1, 101]);
+});
+
+test('an instance that has nothing is asked first', async t => {
+	const sent = await tell(undefined, () => undefined);
+	t.deepEqual(sent.map(keys => keys.length), [0, 101]);
+});
--- a/packages/gateway/src/keeper/follower-sync.ts
+++ b/packages/gateway/src/keeper/follower-sync.ts
@@ -1,13 +1,13 @@
 /**
  * Tells all instances what changed in the view, and knows which of them live.
  */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
 import type {PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo, View} from '../view/index.js';
 import {
-	packDelta, PeerOp, type Ping, type Pong,
+	isSameState, packDelta, PeerOp, type Ping, type Pong, type ViewState,
 } from './messages.js';
 
 /** Between two messages to an instance when nothing changes, in milliseconds. */
@@ -31,24 +31,38 @@
  */
 const tellPacePerNodeMs = 2.5;
 
+/** What a message carries when nothing is known of what its receiver has. */
+const noBytes = Buffer.alloc(0);
+
 /** Settings of a sync. */
 export type FollowerSyncOptions = {
 	readonly self: NodeInfo;
 	readonly term: number;
 	readonly view: View;
-	readonly net: PeerNet;
+	readonly net: Pick<PeerNet, 'exchange'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	/** State of this instance's view when its term began, and its own sequence number then: who has it too lacks little. */
+	readonly lineage: Lineage | undefined;
 	/** Whether this instance is about to stop. */
 	readonly isLeaving: () => boolean;
 	/** Called with each answer. */
 	readonly onPong: (node: NodeInfo, pong: Pong) => void;
 };
 
+/** The state of a former leader from which a term began. */
+export type Lineage = {
+	readonly state: ViewState;
+	/** Sequence number of the same state at this instance. */
+	readonly seq: number;
+};
+
 type Follower = {
 	isInFlight: boolean;
-	/** Sequence number up to which it has the view; -1 when not known. */
-	ackedSeq: number;
+	/** State that it said it has, or is thought to have. */
+	has: ViewState | undefined;
+	/** Whether it said that it has nothing to build on. */
+	lacksAll: boolean;
 	repliedAt: number;
 	nextAt: number;
 	/** When it was last told anything. */
@@ -94,7 +108,7 @@
 
 	/** Sends what is due: changes at once, a sign of life now and then. */
 	tell(now: number, storeAgeMs: number): void {
-		const {view, self} = this.options;
+		const {view, self, term} = this.options;
 		const nodes = view.nodes();
 		const paceMs = nodes.length * tellPacePerNodeMs;
 		for (const node of nodes) {
@@ -103,7 +117,7 @@
 			}
 
 			const follower = this.follower(node, now);
-			const isBehind = follower.ackedSeq !== view.store.last;
+			const isBehind = !isSameState(follower.has, {term, seq: view.store.last});
 			const isLost = now - follower.repliedAt > lostAfterMs;
 			const isNews = storeAgeMs > tellStoreAgeMs && now - follower.toldAt > tellStoreAgeMs;
 			const isPaced = now - follower.toldAt < paceMs;
@@ -122,7 +136,7 @@
 
 		// A new instance counts as live until it fails to answer.
 		const follower: Follower = {
-			isInFlight: false, ackedSeq: -1, repliedAt: now, nextAt: now, toldAt: Number.NEGATIVE_INFINITY, isLeaving: false,
+			isInFlight: false, has: this.options.lineage?.state, lacksAll: false, repliedAt: now, nextAt: now, toldAt: Number.NEGATIVE_INFINITY, isLeaving: false,
 		};
 		this.followers.set(node.name, follower);
 		return follower;
@@ -130,10 +144,11 @@
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
 		const {net, view, self, term, clock, telemetry, onPong} = this.options;
+		const since = this.seqOf(follower.has);
 		const ping: Ping = {
-			term, leader: self, storeAgeMs: Math.round(storeAgeMs), base: follower.ackedSeq, seq: view.store.last,
+			term, leader: self, storeAgeMs: Math.round(storeAgeMs), base: since === undefined ? undefined : follower.has, seq: view.store.last,
 		};
-		const bytes = this.changesSince(follower.ackedSeq);
+		const bytes = since === undefined && !follower.lacksAll ? noBytes : this.changesSince(since ?? -1);
 		follower.isInFlight = true;
 		follower.toldAt = clock.now();
 		try {
@@ -149,13 +164,22 @@
 				telemetry.info('leader', 'An instance does not answer.', {instance: node.name, err});
 			}
 
-			follower.ackedSeq = -1;
 			follower.nextAt = clock.now() + lostPingEveryMs;
 		} finally {
 			follower.isInFlight = false;
 		}
 	}
 
+	/** Sequence number here of a state that an instance has; undefined when nothing can be built on it. */
+	private seqOf(state: ViewState | undefined): number | undefined {
+		const {term, lineage} = this.options;
+		if (state?.term === term) {
+			return state.seq;
+		}
+
+		return isSameState(state, lineage?.state) ? lineage?.seq : undefined;
+	}
+
 	private changesSince(seq: number): Buffer {
 		const {store} = this.options.view;
 		if (this.packedSeq !== store.last) {
@@ -175,8 +199,9 @@
 		}
 
 		follower.repliedAt = now;
-		follower.ackedSeq = pong.seq;
-		follower.nextAt = now + (pong.seq < 0 ? 0 : pingEveryMs);
+		follower.has = pong.has;
+		follower.lacksAll = this.seqOf(pong.has) === undefined;
+		follower.nextAt = now + (follower.lacksAll ? 0 : pingEveryMs);
 		follower.isLeaving = pong.report.isLeaving;
 	}
 }
--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -13,7 +13,7 @@
 	sharedDesk, targetDesk, type NodeInfo, type View,
 } from '../view/index.js';
 import {ClockWatch} from './clock-watch.js';
-import {FollowerSync} from './follower-sync.js';
+import {FollowerSync, type Lineage} from './follower-sync.js';
 import {KeyKeeper} from './key-keeper.js';
 import type {Disowned, Pong, Report} from './messages.js';
 import type {NewsReader} from './news-reader.js';
@@ -53,6 +53,8 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly timing: HoldTiming;
+	/** Where the view of this instance comes from. */
+	readonly lineage: Lineage | undefined;
 	/** Measurements of this instance itself. */
 	readonly report: () => Report;
 	/** Whether this instance is about to stop. */
@@ -111,6 +113,11 @@
 		}
 	}
 
+	/** The term that this is. */
+	get term(): number {
+		return this.options.term;
+	}
+
 	/** Time since the store was last reached, in milliseconds. */
 	get storeAgeMs(): number {
 		const {clock, reader} = this.options;
--- a/packages/gateway/src/keeper/messages.ts
+++ b/packages/gateway/src/keeper/messages.ts
@@ -22,15 +22,22 @@
 	Work = 'work',
 }
 
+/** A state of the view: that of one leader after one of its changes. */
+export type ViewState = {
+	readonly term: number;
+	/** Sequence number at that leader. */
+	readonly seq: number;
+};
+
 /** What the leader sends, beside the changes of the view. */
 export type Ping = {
 	readonly term: number;
 	readonly leader: NodeInfo;
 	/** Time since the leader last read the store, in milliseconds. */
 	readonly storeAgeMs: number;
-	/** Sequence number that the delta is based on. */
-	readonly base: number;
-	/** Sequence number after the delta. */
+	/** State that the changes are based on; undefined when they are everything, or when there are none. */
+	readonly base: ViewState | undefined;
+	/** Sequence number after the changes. */
 	readonly seq: number;
 };
 
@@ -47,8 +54,8 @@
 export type Pong = {
 	readonly term: number;
 	readonly incarnation: string;
-	/** Sequence number up to which it has the leader's view; -1 to get everything. */
-	readonly seq: number;
+	/** State of its view; undefined when it is none that a leader ever told. */
+	readonly has: ViewState | undefined;
 	readonly report: Report;
 };
 
@@ -85,3 +92,8 @@
 export function unpackDelta(bytes: Buffer): Delta | undefined {
 	return bytes.length === 0 ? undefined : packr.unpack(inflateRawSync(bytes, {maxOutputLength: maxDeltaBytes})) as Delta;
 }
+
+/** Whether two states are the same. */
+export function isSameState(a: ViewState | undefined, b: ViewState | undefined): boolean {
+	return a !== undefined && b !== undefined && a.term === b.term && a.seq === b.seq;
+}
