Refusals of a moment ago speak for the like; an address to advertise to other instances

Change: for 100 ms after a desk elsewhere refused for want of time, requests of the same route with no more time left are refused where they arrived.

--- a/packages/core/src/admission/attempt-age.test.ts
+++ b/packages/core/src/admission/attempt-age.test.ts
@@ -37,7 +37,7 @@
 function playOverload(knowsAge: boolean): {inTime: number; served: number} {
 	let seed = 11;
 	const random = () => {
-		seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+		seed = ((seed * 1_103_515_245) + 12_345) % 2_147_483_648;
 		return seed / 2_147_483_648;
 	};
 
--- a/packages/core/src/keyspace/plan-keys.test.ts
+++ b/packages/core/src/keyspace/plan-keys.test.ts
@@ -88,7 +88,7 @@
 	const many = Array.from({length: 20}, (_, i) => ({id: `t${i}`, capacity: 4}));
 	let seed = 7;
 	const random = () => {
-		seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+		seed = ((seed * 1_103_515_245) + 12_345) % 2_147_483_648;
 		return seed / 2_147_483_648;
 	};
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -18,6 +18,7 @@
 import {
 	failure, type AnsweredResult, type FailedResult, type Order, type OrderResult,
 } from './order.js';
+import {RecentRefusals} from './recent-refusals.js';
 
 /** Times that one request may be offered to desks, for whatever reason. */
 const maxOffers = 5;
@@ -77,6 +78,7 @@
 export class Dispatcher {
 	private readonly waits = new DeskWaits();
 	private readonly closed = new ClosedRanges();
+	private readonly refusals = new RecentRefusals();
 	private readonly budgets = new Map<string, RetryBudget>();
 	private readonly parked = new Set<() => void>();
 
@@ -257,15 +259,29 @@
 
 	/** Sends an order to the instance in charge of a desk. */
 	private async send(desk: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
-		const {view, self, net, desks, telemetry} = this.options;
+		const {
+			view, self, net, desks, telemetry, clock,
+		} = this.options;
 		const name = view.steward(desk);
 		const node = name === undefined ? undefined : view.store.get<NodeInfo>(`node/${name}`);
 		if (node === undefined || node.name === self.name || net.isUnreachable(node.addr)) {
 			return desks.run(desk, {...order, isWarmOnly: node?.name !== self.name}, signal);
 		}
 
+		const now = clock.now();
+		const left = {objectiveMs: order.objectiveAt - now, deadlineMs: order.deadline - now};
+		const retryAfterMs = this.refusals.retryAfter(desk, order.route, left, now);
+		if (retryAfterMs !== undefined) {
+			return failure(ErrorKind.DeadlineTooClose, {retryAfterMs, reason: `${node.name} refused the like a moment ago`});
+		}
+
 		try {
-			return await this.hop(node.addr, desk, order, signal);
+			const result = await this.hop(node.addr, desk, order, signal);
+			if (result.kind === 'failure' && result.error === ErrorKind.DeadlineTooClose) {
+				this.refusals.note(desk, order.route, left, {now: clock.now(), retryAfterMs: result.retryAfterMs});
+			}
+
+			return result;
 		} catch (err) {
 			if (signal.aborted) {
 				return failure(ErrorKind.CallerGone, {isNotRun: false, reason: 'the caller left'});
--- a/packages/gateway/src/front/caller-server.test.ts
+++ b/packages/gateway/src/front/caller-server.test.ts
@@ -1,7 +1,9 @@
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 import test from 'ava';
-import {ErrorKind, ManualClock, Repeat, systemClock} from '@bluebellyard/core';
+import {
+	ErrorKind, ManualClock, Repeat, systemClock,
+} from '@bluebellyard/core';
 import {failure, type Dispatcher, type Order} from '../dispatch/index.js';
 import {
 	Wire, type CallerHeaders, type HeaderList, type TargetHeaders,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -85,7 +85,7 @@
 		private readonly clock: Clock = systemClock,
 	) {
 		const {view} = this;
-		const {peers} = cfg.listen;
+		const peers = cfg.listen['peers-advertised'] ?? cfg.listen.peers;
 		const {name, domain} = cfg.instance;
 		this.self = {
 			name, domain, incarnation: randomUUID(), addr: `${peers.host}:${peers.port}`, cores: cfg.instance['processor-share'] * cfg.instance['processor-speed'],
--- a/packages/gateway/src/keeper/messages.ts
+++ b/packages/gateway/src/keeper/messages.ts
@@ -95,5 +95,5 @@
 
 /** Whether two states are the same. */
 export function isSameState(a: ViewState | undefined, b: ViewState | undefined): boolean {
-	return a !== undefined && b !== undefined && a.term === b.term && a.seq === b.seq;
+	return a !== undefined && a.term === b?.term && a.seq === b.seq;
 }
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -90,9 +90,9 @@
 		});
 	}
 
-	/** Whether messages are compressed. The side that accepted the connection does as the other one does. */
-	set isCompressed(value: boolean) {
-		this.writer.isCompressed = value;
+	/** Compresses messages or not. The side that accepted the connection does as the other one does. */
+	compress(isOn: boolean): void {
+		this.writer.isCompressed = isOn;
 	}
 
 	/** Calls an operation of the other side. Fails with a `LinkError`. */
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -50,6 +50,8 @@
 		callers: address,
 		health: address,
 		peers: address,
+		/** Where other instances reach `peers`, when that is another address. */
+		'peers-advertised': address.optional(),
 		metrics: address.optional(),
 	}),
 	keys: z.object({
