Recovery: departures wait for former leaders only as long as these may grant; larger instances lead

A departure begun under a former leader kept the time that was thought of when it began, 18.7 s, although that leader answered 12 s before. Cause 2, found by reading: only the last former leader was waited for. One that was cut off two terms ago may still grant within its grace of 12 s. Change: the wait for former leaders is looked up each time; the leader's record names all of them whose grants may count, until they have lapsed; larger instances have a head start of 300 ms and are handed the lead by small ones. Keeper split: neighbours, usable owners, grants, former leaders.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -7,8 +7,8 @@
 	ErrorKind, RetryBudget, type Clock, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import type {Desks} from '../desk/index.js';
-import {isUnsent, PeerOp} from '../keeper/index.js';
-import type {Message, PeerNet} from '../peers/index.js';
+import {PeerOp} from '../keeper/index.js';
+import {isUnsent, type Message, type PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
 	sharedDesk, targetDesk, type NodeInfo, type OwnedRange, type View,
--- a/packages/gateway/src/keeper/coordinator.ts
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -4,19 +4,21 @@
 import type {Buffer} from 'node:buffer';
 import type {Clock, HoldTiming} from '@bluebellyard/core';
 import {pause} from '../net/index.js';
-import {LinkError, type Message, type PeerNet} from '../peers/index.js';
+import type {Message} from '../peers/index.js';
 import {
 	StaleAppendError, type KeyedLog, type OperatorFeed, type TargetControl, type TargetFeed,
 } from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import type {NodeInfo, View} from '../view/index.js';
+import type {NodeInfo} from '../view/index.js';
 import {Directory} from './directory.js';
+import {headStartMs} from './head-start.js';
 import {Leader} from './leader.js';
 import {
 	isSameState, PeerOp, unpackDelta, type AskReply, type Disowned, type Ping, type Pong, type Report, type ViewState,
 } from './messages.js';
+import {Neighbours, type NeighboursOptions} from './neighbours.js';
 import {NewsReader} from './news-reader.js';
-import {OwnerLog, type OwnerState} from './owner-log.js';
+import {OwnerLog, type LeaderRecord, type OwnerState} from './owner-log.js';
 
 /** Between two ticks, in milliseconds. */
 const tickMs = 100;
@@ -24,14 +26,14 @@
 /** Silence of the leader after which another one is sought, in milliseconds: two of its messages are lost. */
 const silenceMs = 1400;
 
-/**
- * Largest random addition to waits on an instance of `usualCores`, in milliseconds, so that few instances try at once.
- * Larger ones wait less: leading takes processor time.
- */
+/** Largest random addition to waits, in milliseconds, so that few instances try at once. */
 const spreadMs = 400;
 
-/** Processor time of a usual instance, in cores. */
-const usualCores = 0.5;
+/** Time for which an instance leads before it looks for a larger one, in milliseconds: a deployment that starts shows itself by then. */
+const settledLeadMs = 4000;
+
+/** Ratio of processor time from which an instance is so much larger that it should lead. */
+const muchLarger = 2;
 
 /** Age of the leader's store contact above which an instance that reaches the store takes over, in milliseconds. */
 const staleLeaderMs = 1000;
@@ -45,20 +47,11 @@
 /** Pause between two tries to take the lead, in milliseconds. */
 const retryMs = 800;
 
-/** Longest wait for answers of other instances, in milliseconds. */
-const askTimeoutMs = 350;
-
-/** Instances that are asked before an election. */
-const askedInstances = 6;
-
 /** Silence after which an instance that reaches no other one takes the lead, in milliseconds: it may be the last one. */
 const aloneMs = 4000;
 
 /** Settings of a coordinator. */
-export type CoordinatorOptions = {
-	readonly self: NodeInfo;
-	readonly view: View;
-	readonly net: PeerNet;
+export type CoordinatorOptions = NeighboursOptions & {
 	readonly log: KeyedLog;
 	readonly operators: OperatorFeed;
 	readonly targets: TargetFeed;
@@ -68,8 +61,6 @@
 	readonly timing: HoldTiming;
 	/** Measurements since the last call. */
 	readonly report: () => Report;
-	/** A number from 0 to 1. */
-	readonly random: () => number;
 };
 
 /** Membership and lead of one instance. */
@@ -77,8 +68,9 @@
 	private readonly directory: Directory;
 	private readonly ownerLog: OwnerLog;
 	private readonly reader: NewsReader;
-	private readonly others = new Map<string, NodeInfo>();
+	private readonly neighbours: Neighbours;
 	private leader: Leader | undefined;
+	private leadingSince = Number.NEGATIVE_INFINITY;
 	private term = 0;
 	private leaderNode: NodeInfo | undefined;
 	private heardAt: number;
@@ -98,6 +90,7 @@
 		this.directory = new Directory(log);
 		this.ownerLog = new OwnerLog(log);
 		this.reader = new NewsReader(options);
+		this.neighbours = new Neighbours(options);
 		this.heardAt = clock.now();
 		this.nextTryAt = clock.now() + this.spread();
 	}
@@ -112,11 +105,6 @@
 		return this.isLeader ? 0 : this.options.clock.now() - this.heardAt;
 	}
 
-	/** Term of the leader as known here. */
-	get currentTerm(): number {
-		return this.term;
-	}
-
 	/** Starts to follow and to tick. */
 	start(): void {
 		void this.announce();
@@ -128,12 +116,10 @@
 	/** Gives charges and the lead away; the instance goes on answering. */
 	leave(): void {
 		this.isLeaving = true;
-		const successor = this.leader?.followers.live().find(node => node.name !== this.options.self.name);
+		const others = this.leader?.followers.live().filter(node => node.name !== this.options.self.name) ?? [];
+		const successor = others.toSorted((a, b) => b.cores - a.cores).at(0);
 		if (successor !== undefined) {
-			this.options.telemetry.info('leader', 'Handing the lead over.', {to: successor.name, term: this.term});
-			this.options.net.call(successor.addr, PeerOp.Succeed, this.term).catch((err: unknown) => {
-				this.options.telemetry.warn('leader', 'The successor does not answer.', {to: successor.name, err});
-			});
+			this.handOver(successor);
 		}
 	}
 
@@ -168,7 +154,7 @@
 
 			case PeerOp.Hello: {
 				const node = body as NodeInfo;
-				this.others.set(node.name, node);
+				this.neighbours.meet(node);
 				this.leader?.addNode(node);
 				return this.isLeader;
 			}
@@ -191,12 +177,13 @@
 	}
 
 	private tick(): void {
+		const now = this.options.clock.now();
 		if (this.leader !== undefined) {
 			this.leader.tick();
+			this.yieldToLarger(now);
 			return;
 		}
 
-		const now = this.options.clock.now();
 		const isSilent = now - this.heardAt > silenceMs || this.term === 0;
 		const isStale = this.leaderStoreAge > staleLeaderMs && now - this.followingSince > settledMs;
 		if (!this.isLeaving && (isSilent || isStale) && now >= this.nextTryAt) {
@@ -204,19 +191,41 @@
 		}
 	}
 
+	private handOver(successor: NodeInfo): void {
+		const {net, telemetry} = this.options;
+		telemetry.info('leader', 'Handing the lead over.', {to: successor.name, cores: successor.cores, term: this.term});
+		net.call(successor.addr, PeerOp.Succeed, this.term).catch((err: unknown) => {
+			telemetry.warn('leader', 'The successor does not answer.', {to: successor.name, err});
+		});
+	}
+
+	/** Leading takes processor time that a small instance lacks for its own requests. */
+	private yieldToLarger(now: number): void {
+		const {self} = this.options;
+		if (this.isLeaving || now - this.leadingSince < settledLeadMs) {
+			return;
+		}
+
+		const larger = this.leader?.followers.live().find(node => node.cores >= self.cores * muchLarger);
+		if (larger !== undefined) {
+			this.leadingSince = now;
+			this.handOver(larger);
+		}
+	}
+
 	private spread(): number {
-		return this.options.random() * spreadMs * usualCores / this.options.self.cores;
+		return headStartMs(this.options.self, this.neighbours.all()) + (this.options.random() * spreadMs);
 	}
 
 	private async announce(): Promise<void> {
-		const {self, net, telemetry} = this.options;
+		const {self, telemetry} = this.options;
 		while (!this.isAnnounced) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
 				await this.directory.announce(self);
 				// eslint-disable-next-line no-await-in-loop
 				for (const node of await this.directory.list()) {
-					this.meet(node);
+					this.neighbours.meet(node);
 				}
 
 				this.isAnnounced = true;
@@ -227,14 +236,7 @@
 			}
 		}
 
-		await Promise.allSettled([...this.others.values()].map(async node =>
-			net.call(node.addr, PeerOp.Hello, self, {timeoutMs: askTimeoutMs})));
-	}
-
-	private meet(node: NodeInfo): void {
-		if (node.name !== this.options.self.name) {
-			this.others.set(node.name, node);
-		}
+		await this.neighbours.greet();
 	}
 
 	private takePing(ping: Ping, changes: Buffer): Pong {
@@ -298,8 +300,9 @@
 			const mayLead = isNamed || (!isSlow && await this.isLeadFree(state));
 			if (mayLead) {
 				const term = Math.max(this.term, state.leader?.term ?? 0) + 1;
-				await this.ownerLog.lead({term, name: this.options.self.name, incarnation: this.options.self.incarnation}, state);
-				await this.lead(term, state);
+				const record = this.leaderRecord(term, state);
+				await this.ownerLog.lead(record, state);
+				await this.lead(record, state);
 			}
 		} catch (err) {
 			if (!(err instanceof StaleAppendError)) {
@@ -312,6 +315,15 @@
 		}
 	}
 
+	/** The record of this instance as leader, with those that led before and may still think so. */
+	private leaderRecord(term: number, {leader}: OwnerState): LeaderRecord {
+		const {name, incarnation} = this.options.self;
+		const formers = leader === undefined ? [] : [...new Set([...leader.formers, leader.name])];
+		return {
+			term, name, incarnation, formers: formers.filter(former => former !== name),
+		};
+	}
+
 	private async isLeadFree(state: OwnerState): Promise<boolean> {
 		const {clock, telemetry} = this.options;
 		if ((state.leader?.term ?? 0) > this.term && this.term > 0) {
@@ -322,8 +334,8 @@
 			return false;
 		}
 
-		const asked = this.instancesToAsk(state.leader?.name);
-		const answers = await this.ask(asked);
+		const asked = this.neighbours.toAsk(state.leader?.name);
+		const answers = await this.neighbours.ask(asked);
 		const hasLeader = answers.some(answer => answer.storeAgeMs < staleLeaderMs
 			&& (answer.isLeader || answer.heardAgeMs < silenceMs) && answer.term > 0);
 		const isAlone = asked.length > 0 && answers.length === 0;
@@ -337,34 +349,18 @@
 		return true;
 	}
 
-	private instancesToAsk(leader: string | undefined): NodeInfo[] {
-		const {view, self, random} = this.options;
-		for (const node of view.nodes()) {
-			this.meet(node);
-		}
-
-		const all = [...this.others.values()].filter(node => node.name !== self.name);
-		const first = all.filter(node => node.name === leader);
-		const rest = all.filter(node => node.name !== leader).map(node => ({node, rank: random()})).toSorted((a, b) => a.rank - b.rank);
-		return [...first, ...rest.map(({node}) => node)].slice(0, askedInstances);
-	}
-
-	private async ask(nodes: readonly NodeInfo[]): Promise<AskReply[]> {
-		const {net} = this.options;
-		const results = await Promise.allSettled(nodes.map(async node =>
-			await net.call(node.addr, PeerOp.Ask, undefined, {timeoutMs: askTimeoutMs}) as AskReply));
-		return results.flatMap(result => result.status === 'fulfilled' ? [result.value] : []);
-	}
-
-	private async lead(term: number, state: OwnerState): Promise<void> {
+	private async lead(record: LeaderRecord, state: OwnerState): Promise<void> {
 		const {self, view, clock, telemetry} = this.options;
+		const {term} = record;
 		telemetry.info('leader', 'Leading.', {term, former: state.leader?.name, services: state.maps.size});
 		const wasAway = clock.now() - this.storeFailedAt < silenceMs || this.leaderStoreAge > staleLeaderMs;
 		this.term = term;
+		this.leadingSince = clock.now();
 		this.leaderNode = self;
 		const leader = new Leader({
 			...this.options,
 			term,
+			record,
 			ownerLog: this.ownerLog,
 			reader: this.reader,
 			lineage: this.has === undefined ? undefined : {state: this.has, seq: view.store.last},
@@ -377,13 +373,13 @@
 		this.reader.stop();
 		this.reader.start(wasAway);
 		view.store.set(`node/${self.name}`, self);
-		for (const node of this.others.values()) {
+		for (const node of this.neighbours.all()) {
 			leader.addNode(node);
 		}
 
 		leader.tick();
 		for (const node of await this.directory.list()) {
-			this.meet(node);
+			this.neighbours.meet(node);
 			leader.addNode(node);
 		}
 	}
@@ -400,8 +396,3 @@
 		this.heardAt = this.options.clock.now();
 	}
 }
-
-/** Whether an error of a call to another instance proves that the call did not arrive. */
-export function isUnsent(err: unknown): boolean {
-	return err instanceof LinkError && !err.isSent;
-}
--- a/packages/gateway/src/keeper/departures.ts
+++ b/packages/gateway/src/keeper/departures.ts
@@ -43,9 +43,11 @@
 type Departure = {
 	readonly range: KeyRange;
 	readonly former: string;
-	/** From then on the former owner holds nothing, released or not. */
+	/** Whether it accepted a grant of this leader, so that those of former leaders are void. */
+	readonly isFenced: boolean;
+	/** From then on the former owner holds nothing by a grant of this leader, released or not. */
 	readonly lapsesAt: number;
-	/** From then on an answered release is enough. */
+	/** From then on an answered release is enough, as far as grants of this leader go. */
 	readonly releaseCountsAt: number;
 	isInFlight: boolean;
 	isReleased: boolean;
@@ -69,13 +71,13 @@
 			return;
 		}
 
-		const {timing, inheritedEnd} = this.options;
-		const inherited = isFenced ? Number.NEGATIVE_INFINITY : inheritedEnd();
+		const {timing} = this.options;
 		this.rows.set(key, this.underWay(range, former.owner) ?? {
 			range,
 			former: former.owner,
-			lapsesAt: Math.max(inherited, lapseOf(now, timing)),
-			releaseCountsAt: Math.max(inherited, lapseOf(pendingSince, timing)),
+			isFenced,
+			lapsesAt: lapseOf(now, timing),
+			releaseCountsAt: lapseOf(pendingSince, timing),
 			isInFlight: false,
 			isReleased: false,
 			nextAt: now,
@@ -102,7 +104,9 @@
 		// A former leader began it; its grants count until they have surely lapsed.
 		this.begin(range, former, {now, isFenced: false, pendingSince: Number.NEGATIVE_INFINITY});
 		const row = this.rows.get(keyOf(range, former))!;
-		if (now >= row.lapsesAt || (row.isReleased && now >= row.releaseCountsAt)) {
+		// Former leaders may turn out to have ended sooner than was thought when the departure began.
+		const inheritedEnd = row.isFenced ? Number.NEGATIVE_INFINITY : this.options.inheritedEnd();
+		if (now >= inheritedEnd && (now >= row.lapsesAt || (row.isReleased && now >= row.releaseCountsAt))) {
 			return true;
 		}
 
@@ -133,6 +137,7 @@
 		return {
 			range,
 			former,
+			isFenced: parts.every(row => row.isFenced),
 			lapsesAt: Math.max(...parts.map(row => row.lapsesAt)),
 			releaseCountsAt: Math.max(...parts.map(row => row.releaseCountsAt)),
 			isInFlight: false,
--- /dev/null
+++ b/packages/gateway/src/keeper/former-leaders.ts
@@ -0,0 +1,41 @@
+import {lapseOf, type HoldTiming} from '@bluebellyard/core';
+
+/** Time for which a leader that can't reach the store goes on renewing what was granted, in milliseconds. */
+export const graceMs = 12_000;
+
+/** How a term began. */
+export type TermStart = {
+	readonly now: number;
+	/** Whether somebody led before, be it a former process of this very instance. */
+	readonly hadLeader: boolean;
+};
+
+/**
+ * Leaders before the present one whose grants may not have lapsed yet. One that was cut off may grant until its
+ * grace ends, also when others led after it.
+ */
+export class FormerLeaders {
+	private readonly ends: Map<string, number>;
+	private readonly ownEnd: number;
+	private readonly timing: HoldTiming;
+
+	constructor(names: readonly string[], timing: HoldTiming, {now, hadLeader}: TermStart) {
+		this.timing = timing;
+		this.ends = new Map(names.map(name => [name, lapseOf(now + graceMs, timing)]));
+		// A former process of this instance grants nothing more, but its last grants may just have been sent.
+		this.ownEnd = hadLeader ? lapseOf(now, timing) : Number.NEGATIVE_INFINITY;
+	}
+
+	/** Monotonic time at which all of their grants have surely lapsed. */
+	get end(): number {
+		return Math.max(this.ownEnd, ...this.ends.values());
+	}
+
+	/** Takes note that an instance follows the present leader, or has a new process: it grants nothing from now on. */
+	follows(name: string, now: number): void {
+		const end = this.ends.get(name);
+		if (end !== undefined) {
+			this.ends.set(name, Math.min(end, lapseOf(now, this.timing)));
+		}
+	}
+}
--- a/packages/gateway/src/keeper/key-keeper.test.ts
+++ b/packages/gateway/src/keeper/key-keeper.test.ts
@@ -306,6 +306,16 @@
 	t.deepEqual(bench.control.holders(5), ['b']);
 });
 
+test('what a former leader moved is free sooner when that leader turns out to have ended', async t => {
+	const map = KeyMap.empty().assign([{...allKeys, owner: 'a'}], 1).assign([{...allKeys, owner: 'b'}], 2);
+	const bench = new Bench({map, isTakenOver: true, inheritedEnd: 120_000});
+	bench.owners = [owners[1]];
+	await bench.run(500);
+	bench.inheritedEnd = 102_000;
+	await bench.run(3000);
+	t.is(bench.openOwner(5), 'b');
+});
+
 test('load: hot neighbours are moved apart while they are served', async t => {
 	const bench = new Bench();
 	await bench.run(1500);
--- a/packages/gateway/src/keeper/key-keeper.ts
+++ b/packages/gateway/src/keeper/key-keeper.ts
@@ -16,6 +16,9 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {OwnedRange} from '../view/index.js';
 import {Departures} from './departures.js';
+import {
+	grantKey, newGrant, pendingSince, type Grant,
+} from './grant.js';
 
 /** Part of the hold after which a grant is renewed: three more tries, and a change of the leader, fit before it lapses. */
 const renewShare = 1 / 2;
@@ -68,18 +71,6 @@
 	readonly mayMove: boolean;
 };
 
-type Grant = {
-	isInFlight: boolean;
-	/** When the last accepted grant was sent. */
-	acceptedSentAt: number;
-	/** When the last grant without an answer was sent. */
-	unansweredSentAt: number;
-	nextAt: number;
-	isOpen: boolean;
-	/** Whether the owner accepted it from this leader, so that grants of former leaders are void. */
-	isFenced: boolean;
-};
-
 /** Owner of the keys of one service on behalf of all instances. */
 export class KeyKeeper {
 	private grants = new Map<string, Grant>();
@@ -378,30 +369,6 @@
 	}
 }
 
-/** When the oldest grant that may still be under way without an answer was sent; long ago when there is none. */
-function pendingSince(grant: Grant | undefined, now: number): number {
-	if (grant === undefined) {
-		return Number.NEGATIVE_INFINITY;
-	}
-
-	return grant.isInFlight ? now : grant.unansweredSentAt;
-}
-
 function covering(map: KeyMap, range: KeyRange): Holding[] {
 	return map.holdings.filter(holding => holding.from <= range.to && range.from <= holding.to);
 }
-
-function newGrant(isOpen: boolean): Grant {
-	return {
-		isInFlight: false,
-		acceptedSentAt: Number.NEGATIVE_INFINITY,
-		unansweredSentAt: Number.NEGATIVE_INFINITY,
-		nextAt: Number.NEGATIVE_INFINITY,
-		isOpen,
-		isFenced: false,
-	};
-}
-
-function grantKey({from, to, owner, fence}: Holding): string {
-	return `${from}-${to}/${fence}@${owner}`;
-}
--- a/packages/gateway/src/keeper/leader.ts
+++ b/packages/gateway/src/keeper/leader.ts
@@ -3,7 +3,7 @@
  * tells all instances.
  */
 import {
-	KeyLoad, KeyMap, lapseOf, type Clock, type HoldTiming, type KeyRates, type Owner, type Service, type TargetInfo,
+	KeyLoad, KeyMap, type Clock, type HoldTiming, type KeyRates, type Owner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import {pause} from '../net/index.js';
 import type {PeerNet} from '../peers/index.js';
@@ -14,37 +14,29 @@
 } from '../view/index.js';
 import {ClockWatch} from './clock-watch.js';
 import {FollowerSync, type Lineage} from './follower-sync.js';
+import {FormerLeaders, graceMs} from './former-leaders.js';
 import {KeyKeeper} from './key-keeper.js';
 import type {Disowned, Pong, Report} from './messages.js';
 import type {NewsReader} from './news-reader.js';
-import type {OwnerLog, OwnerState} from './owner-log.js';
+import type {LeaderRecord, OwnerLog, OwnerState} from './owner-log.js';
 import {planStewards, type DeskNeed} from './steward-plan.js';
+import {usableOwners} from './usable-owners.js';
 
 /** Between two looks at the store whether somebody else leads, in milliseconds. */
 const confirmEveryMs = 1000;
 
-/** Time for which a leader that can't reach the store goes on renewing what was granted, in milliseconds. */
-export const graceMs = 12_000;
-
 /** Store contact older than this means that nothing moves, in milliseconds. */
 const movableMs = 2500;
 
-/** Silence towards grants after which an owner loses its keys although the store still lists it, in milliseconds. */
-const silentOwnerMs = 1200;
-
 /** Time for which changes are gathered before they are told, in milliseconds. */
 const gatherMs = 15;
 
-/** Share of a failure domain's targets that must answer for a silent one to count as lost: else the domain is cut off. */
-const domainShare = 0.5;
-
-/** Part of its usual capacity that a cold target has. */
-const coldCapacity = 0.3;
-
 /** Settings of a leader. */
 export type LeaderOptions = {
 	readonly self: NodeInfo;
 	readonly term: number;
+	/** What the store says of this term. */
+	readonly record: LeaderRecord;
 	readonly view: View;
 	readonly net: PeerNet;
 	readonly ownerLog: OwnerLog;
@@ -63,16 +55,6 @@
 	readonly onSuperseded: () => void;
 };
 
-/** Time at which the grants of former leaders have surely lapsed. */
-function inheritedEnd({leader}: OwnerState, {self, timing}: LeaderOptions, now: number): number {
-	if (leader === undefined) {
-		return Number.NEGATIVE_INFINITY;
-	}
-
-	// A former process of this very instance grants nothing more.
-	return lapseOf(leader.name === self.name ? now : now + graceMs, timing);
-}
-
 /** One term of leadership. */
 export class Leader {
 	/** Instances that are told of changes. */
@@ -83,7 +65,8 @@
 	/** Address of each target seen in this term, also after it went. */
 	private readonly addrs = new Map<string, TargetInfo>();
 	private readonly clockWatch: ClockWatch;
-	private inheritedEnd: number;
+	private readonly formerLeaders: FormerLeaders;
+	private isClearing = false;
 	private confirmedAt: number;
 	private isConfirming = false;
 	private mustConfirm = false;
@@ -97,7 +80,8 @@
 		const now = options.clock.now();
 		this.clockWatch = new ClockWatch(options.clock);
 		this.confirmedAt = now;
-		this.inheritedEnd = inheritedEnd(former, options, now);
+		const hadLeader = former.leader !== undefined;
+		this.formerLeaders = new FormerLeaders(options.record.formers, options.timing, {now, hadLeader});
 		this.followers = new FollowerSync({
 			...options,
 			onPong: (node, pong) => {
@@ -138,6 +122,7 @@
 		}
 
 		void this.confirm(now);
+		void this.clearFormerLeaders(now);
 		this.takeReport(this.options.report());
 		for (const target of view.targets.values()) {
 			this.addrs.set(target.id, target);
@@ -299,23 +284,10 @@
 
 	private owners(service: string, keeper: KeyKeeper, now: number): Owner[] {
 		const {view, reader} = this.options;
-		const usable = view.usable(service);
-		const answering = new Map<string, {count: number; silent: number}>();
-		for (const target of usable) {
-			const row = answering.get(target.domain) ?? {count: 0, silent: 0};
-			row.count += 1;
-			row.silent += keeper.silentFor(target.id) > silentOwnerMs ? 1 : 0;
-			answering.set(target.domain, row);
-		}
-
-		const isLost = (target: TargetInfo) => {
-			const {count, silent} = answering.get(target.domain)!;
-			return keeper.silentFor(target.id) > silentOwnerMs && silent <= count * domainShare;
-		};
-
-		return usable.filter(target => !isLost(target)).map(target => {
-			const usual = target.slots / (this.slowness.get(target.id) ?? 1);
-			return {id: target.id, capacity: reader.coldLeft(target.id, now) > 0 ? usual * coldCapacity : usual};
+		return usableOwners(view.usable(service), {
+			silentMs: target => keeper.silentFor(target),
+			slowness: target => this.slowness.get(target) ?? 1,
+			coldLeftMs: target => reader.coldLeft(target, now),
 		});
 	}
 
@@ -343,7 +315,7 @@
 			},
 			targetOf: owner => this.addrs.get(owner),
 			hasEnded: owner => this.hasEnded(owner, view),
-			inheritedEnd: () => this.inheritedEnd,
+			inheritedEnd: () => this.formerLeaders.end,
 		}, known ?? KeyMap.empty(), known !== undefined);
 		this.keepers.set(service.name, keeper);
 		if (known !== undefined) {
@@ -395,7 +367,7 @@
 	}
 
 	private takePong(node: NodeInfo, pong: Pong): void {
-		const {clock, term, onSuperseded, timing} = this.options;
+		const {clock, term, onSuperseded} = this.options;
 		if (this.isStopped) {
 			return;
 		}
@@ -406,10 +378,23 @@
 		}
 
 		this.takeReport(pong.report);
-		const {leader} = this.former;
-		if (leader?.name === node.name) {
-			// The former leader follows us, or its process has ended: it grants nothing more.
-			this.inheritedEnd = Math.min(this.inheritedEnd, lapseOf(clock.now(), timing));
+		this.formerLeaders.follows(node.name, clock.now());
+	}
+
+	/** Tells later leaders that they need not wait for those before this one. */
+	private async clearFormerLeaders(now: number): Promise<void> {
+		const {record, ownerLog, telemetry} = this.options;
+		if (this.isClearing || record.formers.length === 0 || now < this.formerLeaders.end) {
+			return;
+		}
+
+		this.isClearing = true;
+		try {
+			await ownerLog.renewLead({...record, formers: []});
+		} catch (err) {
+			telemetry.warn('leader', 'The store could not be told that former leaders are out.', {err});
+			this.mustConfirm = true;
+			void this.resolveDoubt();
 		}
 	}
 }
--- a/packages/gateway/src/keeper/owner-log.ts
+++ b/packages/gateway/src/keeper/owner-log.ts
@@ -19,6 +19,8 @@
 	readonly term: number;
 	readonly name: string;
 	readonly incarnation: string;
+	/** Names of earlier leaders whose grants may not have lapsed yet. */
+	readonly formers: readonly string[];
 };
 
 /** What the topic says. */
@@ -28,7 +30,9 @@
 	readonly maps: ReadonlyMap<string, KeyMap>;
 };
 
-const leaderSchema = z.object({term: z.number().int(), name: z.string(), incarnation: z.string()});
+const leaderSchema = z.object({
+	term: z.number().int(), name: z.string(), incarnation: z.string(), formers: z.array(z.string()).default([]),
+});
 
 /** A holding as `[from, to, owner, fence, [[former owner, its fence], ...]]`. */
 const holdingSchema = z.tuple([
@@ -78,6 +82,14 @@
 		});
 	}
 
+	/** Writes the record of this leader anew. */
+	async renewLead(record: LeaderRecord): Promise<void> {
+		await this.inTurn(async () => {
+			const offset = await this.log.append(topic, leaderKey, JSON.stringify(record), this.known);
+			this.known = offset + 1;
+		});
+	}
+
 	/**
 	 * Writes the owners of a service. `change` gets the fencing token that the
 	 * record will have, and answers the new map. Resolves to that map.
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -256,3 +256,8 @@
 		this.onDown();
 	}
 }
+
+/** Whether an error of a call to another instance proves that the call did not arrive. */
+export function isUnsent(err: unknown): boolean {
+	return err instanceof LinkError && !err.isSent;
+}
