--- a/packages/core/src/admission/attempt-age.test.ts
+++ b/packages/core/src/admission/attempt-age.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {seededRandom} from '../random/index.js';
 import {AttemptAge} from './attempt-age.js';
 import {LaneEnding} from './lane.js';
 import {WorkGate, type WorkItem} from './work-gate.js';
@@ -35,11 +36,7 @@
 
 /** Offers 1.4 times what one target can do, at random; who is refused comes back twice. Answers how many were answered in time. */
 function playOverload(knowsAge: boolean): {inTime: number; served: number} {
-	let seed = 11;
-	const random = () => {
-		seed = ((seed * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return seed / 2_147_483_648;
-	};
+	const random = seededRandom(11);
 
 	const gate = new WorkGate();
 	gate.setLane({id: 'a', slots: 2, coldRate: 5});
--- a/packages/core/src/keyspace/plan-keys.test.ts
+++ b/packages/core/src/keyspace/plan-keys.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {seededRandom} from '../random/index.js';
 import {KeyMap} from './key-map.js';
 import {keyCount, rangeSize} from './key-range.js';
 import {planKeys, type KeyRates, type Owner} from './plan-keys.js';
@@ -86,11 +87,7 @@
 
 test('load: noise of the measurement moves few keys', t => {
 	const many = Array.from({length: 20}, (_, i) => ({id: `t${i}`, capacity: 4}));
-	let seed = 7;
-	const random = () => {
-		seed = ((seed * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return seed / 2_147_483_648;
-	};
+	const random = seededRandom(7);
 
 	let map = placed([], many);
 	let moves = 0;
--- /dev/null
+++ b/packages/core/src/random/index.ts
@@ -0,0 +1,1 @@
+export * from './seeded-random.js';
