--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -2,13 +2,14 @@
  * Brings a caller's request to a target: finds the desk in charge, here or on
  * another instance, and decides whether a request that failed is sent again.
  */
-import {Buffer} from 'node:buffer';
 import {
 	ErrorKind, RetryBudget, type Clock, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import type {Desks} from '../desk/index.js';
 import {PeerOp} from '../keeper/index.js';
-import {isUnsent, type Message, type PeerNet} from '../peers/index.js';
+import {
+	isUnsent, noBytes, type Message, type PeerNet,
+} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
 	sharedDesk, targetDesk, type NodeInfo, type OwnedRange, type View,
@@ -29,9 +30,6 @@
 /** Longest time that a desk elsewhere may take beyond the deadline, in milliseconds. */
 const hopSlackMs = 120;
 
-/** Body of a message that has none. */
-const noBytes = Buffer.alloc(0);
-
 /** Failures after which another try may help. */
 const retryable = new Set([
 	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,6 @@
 /**
  * One instance of the gateway: all of its parts, wired together.
  */
-import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {
 	systemClock, type Clock, type HoldTiming, type HostRoute, type RetryBudgetCfg,
@@ -13,7 +12,7 @@
 	Coordinator, PeerOp, type Report,
 } from './keeper/index.js';
 import {pause} from './net/index.js';
-import {PeerNet} from './peers/index.js';
+import {noBytes, PeerNet} from './peers/index.js';
 import type {
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
@@ -45,9 +44,6 @@
 /** Between two looks at whether all requests ended, in milliseconds. */
 const stopCheckMs = 50;
 
-/** Body of a message without one. */
-const noBytes = Buffer.alloc(0);
-
 /** Between two updates of gauges, in milliseconds. */
 const gaugeEveryMs = 1000;
 
--- a/packages/gateway/src/keeper/coordinator.ts
+++ b/packages/gateway/src/keeper/coordinator.ts
@@ -77,7 +77,7 @@
 	private leaderStoreAge = 0;
 	private followingSince = Number.NEGATIVE_INFINITY;
 	/** State of the view; undefined when it is none that a leader ever told. */
-	private has: ViewState | undefined;
+	private viewState: ViewState | undefined;
 	private isElecting = false;
 	private nextTryAt: number;
 	private isLeaving = false;
@@ -262,8 +262,8 @@
 			}
 
 			const delta = unpackDelta(changes);
-			if (delta?.isFull === true || isSameState(ping.base, this.has)) {
-				this.has = {term: ping.term, seq: ping.seq};
+			if (delta?.isFull === true || isSameState(ping.base, this.viewState)) {
+				this.viewState = {term: ping.term, seq: ping.seq};
 				if (delta !== undefined) {
 					view.apply(delta);
 				}
@@ -271,7 +271,7 @@
 		}
 
 		return {
-			term: this.term, incarnation: self.incarnation, has: this.has, report: {...report(), isLeaving: this.isLeaving},
+			term: this.term, incarnation: self.incarnation, viewState: this.viewState, report: {...report(), isLeaving: this.isLeaving},
 		};
 	}
 
@@ -341,7 +341,7 @@
 		const isAlone = asked.length > 0 && answers.length === 0;
 		if (hasLeader || (isAlone && this.heardAgeMs < aloneMs && this.term > 0)) {
 			telemetry.info('follower', 'Cut off from the leader; reading the store here.', {answers: answers.length, term: this.term});
-			this.has = undefined;
+			this.viewState = undefined;
 			this.reader.start(false);
 			return false;
 		}
@@ -363,7 +363,7 @@
 			record,
 			ownerLog: this.ownerLog,
 			reader: this.reader,
-			lineage: this.has === undefined ? undefined : {state: this.has, seq: view.store.last},
+			lineage: this.viewState === undefined ? undefined : {state: this.viewState, seq: view.store.last},
 			isLeaving: () => this.isLeaving,
 			onSuperseded: () => {
 				this.stepDown('the store names another leader');
@@ -387,7 +387,7 @@
 	private stepDown(reason: string): void {
 		this.options.telemetry.info('leader', 'Not leading any more.', {reason, term: this.term});
 		if (this.leader !== undefined) {
-			this.has = {term: this.leader.term, seq: this.options.view.store.last};
+			this.viewState = {term: this.leader.term, seq: this.options.view.store.last};
 			this.leader.stop();
 		}
 
--- a/packages/gateway/src/keeper/follower-sync.test.ts
+++ b/packages/gateway/src/keeper/follower-sync.test.ts
@@ -40,7 +40,7 @@
 				}
 
 				const pong: Pong = {
-					term: 2, incarnation: 'follower', has: state, report: {keys: {}, slowness: [], isLeaving: false},
+					term: 2, incarnation: 'follower', viewState: state, report: {keys: {}, slowness: [], isLeaving: false},
 				};
 				return {value: pong, bytes};
 			},
--- a/packages/gateway/src/keeper/follower-sync.ts
+++ b/packages/gateway/src/keeper/follower-sync.ts
@@ -1,9 +1,9 @@
 /**
  * Tells all instances what changed in the view, and knows which of them live.
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
-import type {PeerNet} from '../peers/index.js';
+import {noBytes, type PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo, View} from '../view/index.js';
 import {
@@ -31,9 +31,6 @@
  */
 const tellPacePerNodeMs = 2.5;
 
-/** What a message carries when nothing is known of what its receiver has. */
-const noBytes = Buffer.alloc(0);
-
 /** Settings of a sync. */
 export type FollowerSyncOptions = {
 	readonly self: NodeInfo;
@@ -60,7 +57,7 @@
 type Follower = {
 	isInFlight: boolean;
 	/** State that it said it has, or is thought to have. */
-	has: ViewState | undefined;
+	viewState: ViewState | undefined;
 	/** Whether it said that it has nothing to build on. */
 	lacksAll: boolean;
 	repliedAt: number;
@@ -117,7 +114,7 @@
 			}
 
 			const follower = this.follower(node, now);
-			const isBehind = !isSameState(follower.has, {term, seq: view.store.last});
+			const isBehind = !isSameState(follower.viewState, {term, seq: view.store.last});
 			const isLost = now - follower.repliedAt > lostAfterMs;
 			const isNews = storeAgeMs > tellStoreAgeMs && now - follower.toldAt > tellStoreAgeMs;
 			const isPaced = now - follower.toldAt < paceMs;
@@ -136,7 +133,7 @@
 
 		// A new instance counts as live until it fails to answer.
 		const follower: Follower = {
-			isInFlight: false, has: this.options.lineage?.state, lacksAll: false, repliedAt: now, nextAt: now, toldAt: Number.NEGATIVE_INFINITY, isLeaving: false,
+			isInFlight: false, viewState: this.options.lineage?.state, lacksAll: false, repliedAt: now, nextAt: now, toldAt: Number.NEGATIVE_INFINITY, isLeaving: false,
 		};
 		this.followers.set(node.name, follower);
 		return follower;
@@ -144,9 +141,9 @@
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
 		const {net, view, self, term, clock, telemetry, onPong} = this.options;
-		const since = this.seqOf(follower.has);
+		const since = this.seqOf(follower.viewState);
 		const ping: Ping = {
-			term, leader: self, storeAgeMs: Math.round(storeAgeMs), base: since === undefined ? undefined : follower.has, seq: view.store.last,
+			term, leader: self, storeAgeMs: Math.round(storeAgeMs), base: since === undefined ? undefined : follower.viewState, seq: view.store.last,
 		};
 		const bytes = since === undefined && !follower.lacksAll ? noBytes : this.changesSince(since ?? -1);
 		follower.isInFlight = true;
@@ -199,8 +196,8 @@
 		}
 
 		follower.repliedAt = now;
-		follower.has = pong.has;
-		follower.lacksAll = this.seqOf(pong.has) === undefined;
+		follower.viewState = pong.viewState;
+		follower.lacksAll = this.seqOf(pong.viewState) === undefined;
 		follower.nextAt = now + (follower.lacksAll ? 0 : pingEveryMs);
 		follower.isLeaving = pong.report.isLeaving;
 	}
--- a/packages/gateway/src/keeper/messages.ts
+++ b/packages/gateway/src/keeper/messages.ts
@@ -1,9 +1,10 @@
 /**
  * Messages between instances about the lead and the view.
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
+import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
 
 /** Operations that an instance answers. */
@@ -55,7 +56,7 @@
 	readonly term: number;
 	readonly incarnation: string;
 	/** State of its view; undefined when it is none that a leader ever told. */
-	readonly has: ViewState | undefined;
+	readonly viewState: ViewState | undefined;
 	readonly report: Report;
 };
 
@@ -80,7 +81,6 @@
 const maxDeltaBytes = 64 * 1024 * 1024;
 
 const packr = new Packr({useRecords: false, moreTypes: false});
-const noBytes = Buffer.alloc(0);
 
 /** Changes as bytes, the same for all followers at one sequence number; empty when nothing changed. */
 export function packDelta(delta: Delta): Buffer {
--- a/packages/gateway/src/peers/frames.ts
+++ b/packages/gateway/src/peers/frames.ts
@@ -16,6 +16,9 @@
 	readonly bytes: Buffer;
 };
 
+/** Bytes of a message that has none beside its value. */
+export const noBytes = Buffer.alloc(0);
+
 /** Bytes before a frame: flags, length of the head, length of the bytes. */
 const prefixBytes = 9;
 
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -1,8 +1,10 @@
 import type {Socket} from 'node:net';
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
 import {readArrived} from '../net/index.js';
-import {FrameReader, FrameWriter, type Message} from './frames.js';
+import {
+	FrameReader, FrameWriter, noBytes, type Message,
+} from './frames.js';
 
 /** Kinds of messages on a link. */
 enum FrameKind {
@@ -31,9 +33,6 @@
 /** Between two looks at the silence, in milliseconds. */
 const watchEveryMs = 100;
 
-/** Body of a message without one. */
-const noBytes = Buffer.alloc(0);
-
 /** Thrown when a call did not get its reply. */
 export class LinkError extends Error {
 	override readonly name = 'LinkError';
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -1,10 +1,9 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
-import {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
 import {listen} from '../net/index.js';
-import type {Message} from './frames.js';
+import {noBytes, type Message} from './frames.js';
 import {
 	LinkError, PeerLink, type CallHandler, type CallOptions,
 } from './peer-link.js';
@@ -15,9 +14,6 @@
 /** Time after a failed connection in which no new one is tried, in milliseconds. */
 const retryConnectMs = 200;
 
-/** Body of a message without one. */
-const noBytes = Buffer.alloc(0);
-
 type Outgoing = {
 	readonly link: Promise<PeerLink>;
 	failedAt: number | undefined;
