--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -354,7 +354,9 @@
 	private async startTerm(record: LeaderRecord, state: OwnerState): Promise<void> {
 		const {self, view, clock, telemetry} = this.options;
 		const {term} = record;
-		telemetry.info('leader', 'This instance became leader.', {term, former: state.leader?.name, services: state.maps.size});
+		telemetry.info('leader', 'This instance became leader.', {
+			term, former: state.leader?.name, formerTerm: state.leader?.term, services: state.maps.size, end: state.end, era: state.era,
+		});
 		const wasStoreUnreachable = clock.now() - this.storeFailedAt < leaderTimeoutMs || this.leaderStoreAgeMs > maxLeaderStoreAgeMs;
 		this.term = term;
 		this.leadingSince = clock.now();
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -191,6 +191,11 @@
 	}
 
 	private recordConfirmation(at: number): void {
+		if (this.mustConfirm) {
+			const {clock, telemetry, term} = this.options;
+			telemetry.info('leader', 'The store confirmed that this instance leads.', {term, askedMsAgo: Math.round(clock.now() - at)});
+		}
+
 		this.confirmedAt = Math.max(this.confirmedAt, at);
 		this.mustConfirm = false;
 	}
--- a/packages/gateway/src/cluster/owner-log.ts
+++ b/packages/gateway/src/cluster/owner-log.ts
@@ -5,7 +5,7 @@
  */
 import {z} from 'zod';
 import {OwnershipMap, type RangeOwnership} from '@bluebellyard/core';
-import type {KeyedLog, KeyedListing} from '../ports/index.js';
+import type {KeyedLog, KeyedListing, TopicEnd} from '../ports/index.js';
 
 /** Topic that holds the leader and the owners. */
 const topic = 'keyed.bluebellyard-owners';
@@ -24,9 +24,7 @@
 };
 
 /** Content of the topic. */
-export type OwnerState = {
-	/** Offset of the next record. */
-	readonly end: number;
+export type OwnerState = TopicEnd & {
 	readonly leader: LeaderRecord | undefined;
 	readonly maps: ReadonlyMap<string, OwnershipMap>;
 };
@@ -72,13 +70,16 @@
 
 	/** Returns whether the topic still ends where the last read or write left it. */
 	async isUnchanged(): Promise<boolean> {
-		return this.serialize(async () => (await this.log.end(topic, this.knownEnd)) === this.knownEnd);
+		return this.serialize(async () => {
+			const {end} = await this.log.end(topic, this.knownEnd);
+			return end === this.knownEnd;
+		});
 	}
 
 	/** Writes a new leader; fails with `StaleAppendError` if the topic changed since `state` was read. */
 	async claimLead(record: LeaderRecord, state: OwnerState): Promise<void> {
 		await this.serialize(async () => {
-			const offset = await this.log.append(topic, leaderKey, JSON.stringify(record), state.end);
+			const {offset} = await this.log.append(topic, leaderKey, JSON.stringify(record), state.end);
 			this.knownEnd = offset + 1;
 		});
 	}
@@ -86,7 +87,7 @@
 	/** Replaces the record of this leader. */
 	async updateLeader(record: LeaderRecord): Promise<void> {
 		await this.serialize(async () => {
-			const offset = await this.log.append(topic, leaderKey, JSON.stringify(record), this.knownEnd);
+			const {offset} = await this.log.append(topic, leaderKey, JSON.stringify(record), this.knownEnd);
 			this.knownEnd = offset + 1;
 		});
 	}
@@ -98,7 +99,7 @@
 	async write(service: string, change: (fence: number) => OwnershipMap): Promise<OwnershipMap> {
 		return this.serialize(async () => {
 			const map = change(this.knownEnd);
-			const offset = await this.log.append(topic, mapKeyPrefix + service, encode(map), this.knownEnd);
+			const {offset} = await this.log.append(topic, mapKeyPrefix + service, encode(map), this.knownEnd);
 			this.knownEnd = offset + 1;
 			return map;
 		});
@@ -117,7 +118,7 @@
 	return JSON.stringify(rows);
 }
 
-function decode({records, end}: KeyedListing): OwnerState {
+function decode({records, end, era}: KeyedListing): OwnerState {
 	const maps = new Map<string, OwnershipMap>();
 	let leader: LeaderRecord | undefined;
 	for (const {key, value} of records) {
@@ -129,7 +130,9 @@
 		}
 	}
 
-	return {end, leader, maps};
+	return {
+		era, end, leader, maps,
+	};
 }
 
 function toRangeOwnership([from, to, owner, fence, formers]: z.infer<typeof rangeSchema>): RangeOwnership {
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -362,6 +362,7 @@
 
 	/** Assigns the range again under a higher fencing token if the owner has seen a higher one than that of the grant. */
 	private handleRefusal(range: RangeOwnership, reply: GrantReply): void {
+		this.options.telemetry.metrics.refusedGrants.inc({reply});
 		this.options.telemetry.warn('keeper', 'The target refused a grant.', {
 			service: this.options.service, owner: range.owner, from: range.from, to: range.to, fence: range.fence, reply, error: ErrorKind.TargetFenced,
 		});
--- a/packages/gateway/src/cluster/revocations.ts
+++ b/packages/gateway/src/cluster/revocations.ts
@@ -40,6 +40,9 @@
 	readonly pendingSince: number;
 };
 
+/** Why a former owner certainly holds a range no longer. */
+type RevocationReason = 'released' | 'lease-expired' | 'process-ended';
+
 type Revocation = {
 	readonly range: KeyRange;
 	readonly former: string;
@@ -100,6 +103,7 @@
 	/** Returns whether a former owner certainly holds nothing of a range any more; otherwise sends a release if one is due. */
 	tryComplete(range: RangeOwnership, former: FormerOwner, now: number): boolean {
 		if (this.options.hasEnded(former.owner)) {
+			this.recordCompletion(range, former, 'process-ended');
 			return true;
 		}
 
@@ -109,6 +113,7 @@
 		// The former leaders may turn out to have ended earlier than was known when the revocation started.
 		const formerLeadersEnd = revocation.isFenced ? Number.NEGATIVE_INFINITY : this.options.inheritedLeaseEnd();
 		if (now >= formerLeadersEnd && (now >= revocation.expiresAt || (revocation.isReleased && now >= revocation.releaseValidAt))) {
+			this.recordCompletion(range, former, revocation.isReleased ? 'released' : 'lease-expired');
 			return true;
 		}
 
@@ -152,6 +157,14 @@
 		};
 	}
 
+	private recordCompletion({from, to, owner, fence}: RangeOwnership, former: FormerOwner, reason: RevocationReason): void {
+		const {telemetry, service} = this.options;
+		telemetry.metrics.revocations.inc({reason});
+		telemetry.trace('keeper', 'A former owner no longer holds a range.', {
+			service, from, to, former: former.owner, formerFence: former.fence, owner, fence, reason,
+		});
+	}
+
 	private async sendRelease(range: KeyRange, former: FormerOwner, revocation: Revocation): Promise<void> {
 		const {
 			control, findTarget, clock, telemetry, service, onChange,
--- a/packages/gateway/src/mocks/memory-feed.ts
+++ b/packages/gateway/src/mocks/memory-feed.ts
@@ -3,6 +3,7 @@
 /** Feed whose changes are written by the test. */
 export class MemoryFeed<T> extends Feed<T> {
 	isDown = false;
+	era = 0;
 	restarts = 0;
 	private readonly rows = new Map<string, T>();
 	private changed = new Map<string, T>();
@@ -35,8 +36,12 @@
 		}
 
 		const change = this.isFull
-			? {isFull: true, set: new Map(this.rows), gone: []}
-			: {isFull: false, set: this.changed, gone: this.gone};
+			? {
+				era: this.era, isFull: true, set: new Map(this.rows), gone: [],
+			}
+			: {
+				era: this.era, isFull: false, set: this.changed, gone: this.gone,
+			};
 		this.isFull = false;
 		this.changed = new Map();
 		this.gone = [];
--- a/packages/gateway/src/mocks/memory-log.ts
+++ b/packages/gateway/src/mocks/memory-log.ts
@@ -1,5 +1,5 @@
 import {
-	KeyedLog, StaleAppendError, UnknownAppendError, type KeyedListing,
+	KeyedLog, StaleAppendError, UnknownAppendError, type AppendedRecord, type KeyedListing, type TopicEnd,
 } from '../ports/index.js';
 
 /** Fault of an append. */
@@ -15,20 +15,21 @@
 	/** Faults of the next appends, in order. */
 	readonly faults: AppendFault[] = [];
 	isDown = false;
+	era = 0;
 	private readonly topics = new Map<string, {end: number; rows: Map<string, {value: string; offset: number}>}>();
 
 	override async list(topic: string): Promise<KeyedListing> {
 		this.check();
 		const {end, rows} = this.topic(topic);
-		return {end, records: [...rows].map(([key, row]) => ({key, ...row}))};
+		return {era: this.era, end, records: [...rows].map(([key, row]) => ({key, ...row}))};
 	}
 
-	override async end(topic: string): Promise<number> {
+	override async end(topic: string): Promise<TopicEnd> {
 		this.check();
-		return this.topic(topic).end;
+		return {era: this.era, end: this.topic(topic).end};
 	}
 
-	override async append(topic: string, key: string, value: string, at?: number): Promise<number> {
+	override async append(topic: string, key: string, value: string, at?: number): Promise<AppendedRecord> {
 		this.check();
 		const fault = this.faults.shift();
 		if (fault === AppendFault.Refused) {
@@ -47,7 +48,7 @@
 			throw new UnknownAppendError('no answer');
 		}
 
-		return offset;
+		return {era: this.era, offset};
 	}
 
 	private check(): void {
--- a/packages/gateway/src/ports/feed.ts
+++ b/packages/gateway/src/ports/feed.ts
@@ -4,6 +4,8 @@
 
 /** Changes since the previous call. */
 export type FeedChange<T> = {
+	/** Era of the store, as in `TopicEnd`. */
+	readonly era: number;
 	/** Whether `set` holds all entries rather than the changed ones. */
 	readonly isFull: boolean;
 	readonly set: ReadonlyMap<string, T>;
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -36,6 +36,26 @@
 		registers: [this.registry],
 	});
 
+	readonly storeEra = new Gauge({
+		name: 'bluebellyard_store_era',
+		help: 'Number of the history of the platform\'s store; rises when the store returns from an older copy.',
+		registers: [this.registry],
+	});
+
+	readonly revocations = new Counter({
+		name: 'bluebellyard_revocations_total',
+		help: 'Ranges that a former owner certainly holds no longer, by reason: released, lease-expired or process-ended.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly refusedGrants = new Counter({
+		name: 'bluebellyard_refused_grants_total',
+		help: 'Grants that targets refused, by reply.',
+		labelNames: ['reply'],
+		registers: [this.registry],
+	});
+
 	readonly logLinesDropped = new Gauge({
 		name: 'bluebellyard_log_lines_dropped',
 		help: 'Log lines lost because standard output was not read, or by the rate limit.',
--- a/packages/gateway/src/telemetry/telemetry.ts
+++ b/packages/gateway/src/telemetry/telemetry.ts
@@ -34,6 +34,13 @@
 		this.logger(part).info(msg, fields);
 	}
 
+	/** Logs a step of a change that affects many ranges or targets at once. Rate-limited. */
+	trace(part: string, msg: string, fields: LogFields = {}): void {
+		if (this.mayWrite()) {
+			this.logger(part).info(msg, fields);
+		}
+	}
+
 	/** Logs a failure that the instance handled. Rate-limited. */
 	warn(part: string, msg: string, fields: LogFields = {}): void {
 		if (this.mayWrite()) {
