Ownership harness as a mock; fake targets that restart and carry out grants late

FakeTargetControl gets restart, carryOut and hasDelayed; failDelayed returns the grants that it rejects. Result: the 20 tests of ownership-manager.test.ts pass as before.

--- a/packages/gateway/src/cluster/ownership-manager.test.ts
+++ b/packages/gateway/src/cluster/ownership-manager.test.ts
@@ -1,97 +1,15 @@
 import test from 'ava';
 import {
-	allKeys, keyCount, OwnershipMap, leaseExpiry, ManualClock, type KeyRates, type EligibleOwner,
+	allKeys, keyCount, OwnershipMap, leaseExpiry,
 } from '@bluebellyard/core';
 import {
-	FakeTargetControl, MemoryLog, ControlFault, AppendFault,
+	ControlFault, AppendFault, createHolderCheck, harnessOwners as owners, harnessTiming as timing, OwnershipHarness as Harness,
 } from '../mocks/index.js';
-import {Telemetry} from '../telemetry/index.js';
-import {OwnershipManager} from './ownership-manager.js';
-import {OwnerLog} from './owner-log.js';
 
-const timing = {leaseMs: 6000, transitMs: 500};
 /** Interval in which each grant is renewed once. */
 const renewalMs = timing.leaseMs / 2;
-const owners: EligibleOwner[] = [{id: 'a', capacity: 4}, {id: 'b', capacity: 4}];
-
-type Options = {
-	readonly map?: OwnershipMap;
-	readonly isInherited?: boolean;
-	readonly inheritedLeaseEnd?: number;
-};
-
-class Harness {
-	readonly clock = new ManualClock(100_000);
-	readonly control = new FakeTargetControl(this.clock);
-	readonly store = new MemoryLog();
-	readonly log = new OwnerLog(this.store);
-	readonly ended = new Set<string>();
-	readonly manager: OwnershipManager;
-	owners: readonly EligibleOwner[] = owners;
-	rates: KeyRates = [];
-	mayMove = true;
-	inheritedLeaseEnd: number;
-
-	constructor({map = OwnershipMap.empty(), isInherited = false, inheritedLeaseEnd = Number.NEGATIVE_INFINITY}: Options = {}) {
-		this.inheritedLeaseEnd = inheritedLeaseEnd;
-		this.manager = new OwnershipManager({
-			service: 's',
-			control: this.control,
-			clock: this.clock,
-			timing,
-			telemetry: new Telemetry(this.clock),
-			write: async change => this.log.write('s', change),
-			onChange() {
-				// The test calls `tick` itself.
-			},
-			onUncertainWrite: () => {
-				void this.log.read().then(state => {
-					this.manager.reload(state.maps.get('s') ?? OwnershipMap.empty());
-				});
-			},
-			findTarget: owner => ({addr: owner, name: owner}),
-			hasEnded: owner => this.ended.has(owner),
-			inheritedLeaseEnd: () => this.inheritedLeaseEnd,
-		}, map, isInherited);
-	}
-
-	/** Ticks every 100 ms of the manual clock and calls `check` after each tick. */
-	async run(ms: number, check: (harness: Harness) => void = () => undefined): Promise<void> {
-		for (let passed = 0; passed < ms; passed += 100) {
-			this.manager.tick({owners: this.owners, rates: () => this.rates, mayMove: this.mayMove});
-			// Calls to targets and writes complete within the tick.
-			// eslint-disable-next-line no-await-in-loop
-			await new Promise(resolve => {
-				setImmediate(resolve);
-			});
-			check(this);
-			this.clock.advance(100);
-		}
-	}
-
-	openOwner(key: number): string {
-		for (const [name, range] of this.manager.ranges()) {
-			const from = Number(name.split('/')[2]);
-			if (key >= from && key <= range.to) {
-				return range.isOpen ? range.owner : '';
-			}
-		}
-
-		return '';
-	}
-}
-
 const keys = [0, 5, 1000, 32_767, 32_768, 40_000, 65_535];
 
-/** Returns a check that no key has more than one holder. */
-function createHolderCheck(t: {true: (value: boolean, message?: string) => unknown}): (harness: Harness) => void {
-	return harness => {
-		for (const key of keys) {
-			t.true(harness.control.ownersOfKey(key).length <= 1, `key ${key}: ${harness.control.ownersOfKey(key).join(' ')}`);
-		}
-	};
-}
-
 test('all keys are granted once the targets of a starting deployment are known', async t => {
 	const harness = new Harness();
 	await harness.run(1500, createHolderCheck(t));
--- a/packages/gateway/src/mocks/fake-target-control.ts
+++ b/packages/gateway/src/mocks/fake-target-control.ts
@@ -6,6 +6,14 @@
 /** Key range granted to a fake target, until a monotonic time in milliseconds. */
 type GrantedRange = KeyRange & {readonly fence: number; readonly until: number};
 
+/** Grant that has arrived at a target and is not carried out yet. */
+export type DelayedGrant = {
+	readonly target: TargetRef;
+	readonly request: GrantRequest;
+	readonly arrivedAt: number;
+	readonly reject: (err: Error) => void;
+};
+
 /** Fault of one target when it handles requests. */
 export enum ControlFault {
 	/** The request is neither carried out nor answered. */
@@ -20,7 +28,7 @@
 	readonly requests: string[] = [];
 	/** Targets whose grants are neither carried out nor answered until `failDelayed`. */
 	readonly delayedTargets = new Set<string>();
-	private readonly delayed: Array<(err: Error) => void> = [];
+	private readonly delayed: DelayedGrant[] = [];
 	private readonly granted = new Map<string, GrantedRange[]>();
 	private readonly seen = new Map<string, GrantedRange[]>();
 	private readonly clock: Clock;
@@ -30,12 +38,33 @@
 		this.clock = clock;
 	}
 
-	/** Rejects the delayed grants. */
-	failDelayed(): void {
+	/** Whether grants are delayed at present. */
+	get hasDelayed(): boolean {
+		return this.delayed.length > 0;
+	}
+
+	/** Rejects the delayed grants, so that the leader has no answer to them, and returns them. */
+	failDelayed(): DelayedGrant[] {
 		this.delayedTargets.clear();
-		for (const reject of this.delayed.splice(0)) {
+		const delayed = this.delayed.splice(0);
+		for (const {reject} of delayed) {
 			reject(new Error('no answer'));
 		}
+
+		return delayed;
+	}
+
+	/** Lets the processes that now run under the targets' names carry out delayed grants. Their leases count from the arrival of the calls. */
+	carryOut(delayed: readonly DelayedGrant[]): void {
+		for (const {target, request, arrivedAt} of delayed) {
+			this.apply(target, request, arrivedAt);
+		}
+	}
+
+	/** Replaces the process of a target by one that holds nothing and knows no fencing token. */
+	restart(name: string): void {
+		this.seen.delete(name);
+		this.granted.delete(name);
 	}
 
 	/** Returns the targets that own a key now. */
@@ -48,7 +77,9 @@
 		this.requests.push(`grant ${target.name} ${request.from}-${request.to} ${request.fence}${request.handover === undefined ? '' : ` ${request.handover}`}`);
 		if (this.delayedTargets.has(target.name)) {
 			return new Promise((_resolve, reject) => {
-				this.delayed.push(reject);
+				this.delayed.push({
+					target, request, arrivedAt: this.clock.now(), reject,
+				});
 			});
 		}
 
@@ -57,21 +88,12 @@
 			throw new Error('no answer');
 		}
 
-		const seen = this.seen.get(target.name) ?? [];
-		if (seen.some(range => range.from <= request.to && request.from <= range.to && range.fence > request.fence)) {
-			return GrantReply.Fenced;
-		}
-
-		const granted = {
-			from: request.from, to: request.to, fence: request.fence, until: this.clock.now() + request.leaseMs,
-		};
-		this.seen.set(target.name, [...seen, granted]);
-		this.granted.set(target.name, [...without(this.granted.get(target.name) ?? [], request), granted]);
-		if (fault === ControlFault.AnswerLost) {
+		const reply = this.apply(target, request, this.clock.now());
+		if (reply === GrantReply.Accepted && fault === ControlFault.AnswerLost) {
 			throw new Error('no answer');
 		}
 
-		return GrantReply.Accepted;
+		return reply;
 	}
 
 	override async release(target: TargetRef, range: KeyRange & {readonly fence: number}): Promise<string | undefined> {
@@ -88,6 +110,20 @@
 
 		return `state of ${target.name}`;
 	}
+
+	private apply(target: TargetRef, request: GrantRequest, arrivedAt: number): GrantReply {
+		const seen = this.seen.get(target.name) ?? [];
+		if (seen.some(range => range.from <= request.to && request.from <= range.to && range.fence > request.fence)) {
+			return GrantReply.Fenced;
+		}
+
+		const granted = {
+			from: request.from, to: request.to, fence: request.fence, until: arrivedAt + request.leaseMs,
+		};
+		this.seen.set(target.name, [...seen, granted]);
+		this.granted.set(target.name, [...without(this.granted.get(target.name) ?? [], request), granted]);
+		return GrantReply.Accepted;
+	}
 }
 
 function without(granted: readonly GrantedRange[], range: KeyRange): GrantedRange[] {
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -1,3 +1,4 @@
 export * from './fake-target-control.js';
 export * from './memory-feed.js';
 export * from './memory-log.js';
+export * from './ownership-harness.js';
