--- a/packages/gateway/src/mocks/memory-log.ts
+++ b/packages/gateway/src/mocks/memory-log.ts
@@ -10,23 +10,25 @@
 	AnswerLost = 'answer-lost',
 }
 
+type StoredRecord = {readonly key: string; readonly value: string; readonly offset: number};
+
 /** Keyed topics kept in memory. */
 export class MemoryLog extends KeyedLog {
 	/** Faults of the next appends, in order. */
 	readonly faults: AppendFault[] = [];
 	isDown = false;
 	era = 0;
-	private readonly topics = new Map<string, {end: number; rows: Map<string, {value: string; offset: number}>}>();
+	private readonly topics = new Map<string, StoredRecord[]>();
 
 	override async list(topic: string): Promise<KeyedListing> {
 		this.check();
-		const {end, rows} = this.topic(topic);
-		return {era: this.era, end, records: [...rows].map(([key, row]) => ({key, ...row}))};
+		const rows = this.topic(topic);
+		return {era: this.era, end: rows.length, records: [...new Map(rows.map(row => [row.key, row])).values()]};
 	}
 
 	override async end(topic: string): Promise<TopicEnd> {
 		this.check();
-		return {era: this.era, end: this.topic(topic).end};
+		return {era: this.era, end: this.topic(topic).length};
 	}
 
 	override async append(topic: string, key: string, value: string, at?: number): Promise<AppendedRecord> {
@@ -36,14 +38,13 @@
 			throw new Error('refused');
 		}
 
-		const state = this.topic(topic);
-		if (at !== undefined && at !== state.end) {
+		const rows = this.topic(topic);
+		const offset = rows.length;
+		if (at !== undefined && at !== offset) {
 			throw new StaleAppendError('the topic ends at another offset');
 		}
 
-		const offset = state.end;
-		state.rows.set(key, {value, offset});
-		state.end += 1;
+		rows.push({key, value, offset});
 		if (fault === AppendFault.AnswerLost) {
 			throw new UnknownAppendError('no answer');
 		}
@@ -51,20 +52,22 @@
 		return {era: this.era, offset};
 	}
 
+	/** Returns from an older copy that lacks the newest `count` records of a topic; their offsets are assigned again. */
+	returnWithout(topic: string, count: number): void {
+		const rows = this.topic(topic);
+		rows.length = Math.max(0, rows.length - count);
+		this.era += 1;
+	}
+
 	private check(): void {
 		if (this.isDown) {
 			throw new Error('the store is unreachable');
 		}
 	}
 
-	private topic(name: string): {end: number; rows: Map<string, {value: string; offset: number}>} {
-		const known = this.topics.get(name);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const topic = {end: 0, rows: new Map<string, {value: string; offset: number}>()};
-		this.topics.set(name, topic);
-		return topic;
+	private topic(name: string): StoredRecord[] {
+		const rows = this.topics.get(name) ?? [];
+		this.topics.set(name, rows);
+		return rows;
 	}
 }
