--- a/packages/core/src/keyspace/index.ts
+++ b/packages/core/src/keyspace/index.ts
@@ -1,3 +1,4 @@
+export * from './fencing-token.js';
 export * from './lease.js';
 export * from './key-load.js';
 export * from './ownership-map.js';
--- a/packages/core/src/keyspace/ownership-map.ts
+++ b/packages/core/src/keyspace/ownership-map.ts
@@ -60,6 +60,11 @@
 		return this.ranges[low];
 	}
 
+	/** Returns the ranges that share a key with the given one. */
+	findOverlapping(range: KeyRange): RangeOwnership[] {
+		return this.ranges.filter(ownership => overlaps(ownership, range));
+	}
+
 	/** Returns the ranges of one owner. */
 	findByOwner(owner: string): RangeOwnership[] {
 		return this.ranges.filter(ownership => ownership.owner === owner);
--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -11,6 +11,9 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo} from '../view/index.js';
 import {Directory} from './directory.js';
+import {
+	ElectionOutcome, LeaderElection, leaderTimeoutMs, maxLeaderStoreAgeMs, type ElectionResult,
+} from './leader-election.js';
 import {electionDelayMs} from './election-delay.js';
 import {Leader} from './leader.js';
 import {
@@ -18,14 +21,12 @@
 } from './messages.js';
 import {KnownInstances, type KnownInstancesOptions} from './known-instances.js';
 import {FeedReader} from './feed-reader.js';
-import {OwnerLog, type LeaderRecord, type OwnerState} from './owner-log.js';
+import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import {OwnerLog, type OwnerState} from './owner-log.js';
 
 /** Interval between two ticks, in milliseconds. */
 const tickIntervalMs = 100;
 
-/** Time without a ping of the leader after which an election starts, in milliseconds; two pings are lost by then. */
-const leaderTimeoutMs = 1400;
-
 /** Largest random part of election delays, in milliseconds, so that few instances stand at the same time. */
 const maxRandomDelayMs = 400;
 
@@ -35,21 +36,12 @@
 /** Ratio of processor time from which a larger instance should lead instead. */
 const handoverCoresRatio = 2;
 
-/** Age of the leader's store contact above which an instance that reaches the store takes over, in milliseconds. */
-const maxLeaderStoreAgeMs = 1000;
-
-/** Longest time of a store read at which an instance takes over from a leader without store contact, in milliseconds; above it the store is slow for all. */
-const maxTakeoverReadMs = 400;
-
 /** Time after a change of the leader in which no instance takes over because of its store contact, in milliseconds. */
 const minFollowMs = 2500;
 
 /** Delay between two attempts to become leader, or to register this instance, in milliseconds. */
 const retryDelayMs = 800;
 
-/** Time without a ping after which an instance that reaches no other one becomes leader, in milliseconds; it may be the only one left. */
-const isolatedElectionMs = 4000;
-
 /** Options of `Coordinator`. */
 export type CoordinatorOptions = KnownInstancesOptions & {
 	readonly log: KeyedLog;
@@ -69,9 +61,11 @@
 	private readonly ownerLog: OwnerLog;
 	private readonly reader: FeedReader;
 	private readonly knownInstances: KnownInstances;
+	private readonly election: LeaderElection;
 	private leader: Leader | undefined;
 	private leadingSince = Number.NEGATIVE_INFINITY;
-	private term = 0;
+	/** Leadership that this instance last followed; term 0 before the first one. */
+	private followed: Leadership = {era: 0, term: 0};
 	private leaderNode: NodeInfo | undefined;
 	/** Time of the last ping of the leader. */
 	private lastPingAt: number;
@@ -92,6 +86,9 @@
 		this.ownerLog = new OwnerLog(log);
 		this.reader = new FeedReader(options);
 		this.knownInstances = new KnownInstances(options);
+		this.election = new LeaderElection({
+			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
+		});
 		this.lastPingAt = clock.now();
 		this.nextElectionAt = clock.now() + this.drawElectionDelayMs();
 	}
@@ -101,6 +98,11 @@
 		return this.leader !== undefined;
 	}
 
+	/** Leadership that this instance holds or follows; term 0 before the first one. */
+	private get leadership(): Leadership {
+		return this.leader?.leadership ?? this.followed;
+	}
+
 	/** Time since the last ping of the leader, in milliseconds; 0 on the leader. */
 	get leaderContactAgeMs(): number {
 		return this.isLeader ? 0 : this.options.clock.now() - this.lastPingAt;
@@ -185,7 +187,7 @@
 			return;
 		}
 
-		const hasLeaderTimedOut = now - this.lastPingAt > leaderTimeoutMs || this.term === 0;
+		const hasLeaderTimedOut = now - this.lastPingAt > leaderTimeoutMs || this.leadership.term === 0;
 		const hasStaleLeader = this.leaderStoreAgeMs > maxLeaderStoreAgeMs && now - this.followingSince > minFollowMs;
 		if (!this.isLeaving && (hasLeaderTimedOut || hasStaleLeader) && now >= this.nextElectionAt) {
 			void this.elect(false);
@@ -194,8 +196,8 @@
 
 	private requestTakeover(successor: NodeInfo): void {
 		const {net, telemetry} = this.options;
-		telemetry.info('leader', 'Handing leadership over.', {to: successor.name, cores: successor.cores, term: this.term});
-		net.call(successor.addr, PeerOp.TakeOver, this.term).catch((err: unknown) => {
+		telemetry.info('leader', 'Handing leadership over.', {to: successor.name, cores: successor.cores, ...this.leadership});
+		net.call(successor.addr, PeerOp.TakeOver, this.leadership.term).catch((err: unknown) => {
 			telemetry.warn('leader', 'The successor did not answer.', {to: successor.name, err});
 		});
 	}
@@ -225,9 +227,7 @@
 				// eslint-disable-next-line no-await-in-loop
 				await this.directory.announce(self);
 				// eslint-disable-next-line no-await-in-loop
-				for (const node of await this.directory.list()) {
-					this.knownInstances.add(node);
-				}
+				await this.knownInstances.loadFrom(this.directory);
 
 				this.isAnnounced = true;
 			} catch (err) {
@@ -242,14 +242,16 @@
 
 	private handlePing(ping: Ping, changes: Buffer): Pong {
 		const {clock, view, self, report, telemetry} = this.options;
-		if (ping.term >= this.term) {
-			if (ping.term > this.term || this.leaderNode?.name !== ping.leader.name) {
-				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, term: ping.term});
+		const {era, term} = ping;
+		const order = compareLeaderships(ping, this.leadership);
+		if (order >= 0) {
+			if (order > 0 || this.leaderNode?.name !== ping.leader.name) {
+				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, era, term});
 				this.followingSince = clock.now();
 			}
 
 			const wasStoreFresh = this.leaderStoreAgeMs <= maxLeaderStoreAgeMs;
-			this.term = ping.term;
+			this.followed = {era, term};
 			this.leaderNode = ping.leader;
 			if (this.leader !== undefined) {
 				this.stepDown('another instance leads');
@@ -264,7 +266,7 @@
 
 			const delta = unpackDelta(changes);
 			if (delta?.isFull === true || isSameState(ping.base, this.viewState)) {
-				this.viewState = {term: ping.term, seq: ping.seq};
+				this.viewState = {leader: ping.leader.incarnation, term, seq: ping.seq};
 				if (delta !== undefined) {
 					view.apply(delta);
 				}
@@ -272,13 +274,13 @@
 		}
 
 		return {
-			term: this.term, incarnation: self.incarnation, viewState: this.viewState, report: {...report(), isLeaving: this.isLeaving},
+			...this.leadership, incarnation: self.incarnation, viewState: this.viewState, report: {...report(), isLeaving: this.isLeaving},
 		};
 	}
 
 	private answerLeaderQuery(): LeaderQueryReply {
 		return {
-			term: this.term,
+			...this.leadership,
 			isLeader: this.isLeader,
 			heardAgeMs: this.leaderContactAgeMs,
 			storeAgeMs: this.leader?.storeAgeMs ?? this.leaderStoreAgeMs,
@@ -295,75 +297,63 @@
 		this.isElecting = true;
 		this.nextElectionAt = clock.now() + retryDelayMs + this.drawElectionDelayMs();
 		try {
-			const askedAt = clock.now();
-			const state = await this.ownerLog.read();
-			const isStoreSlow = clock.now() - askedAt > maxTakeoverReadMs && this.leaderContactAgeMs < leaderTimeoutMs;
-			const mayLead = isSuccessor || (!isStoreSlow && await this.isLeadershipVacant(state));
-			if (mayLead) {
-				const term = Math.max(this.term, state.leader?.term ?? 0) + 1;
-				const record = this.createLeaderRecord(term, state);
-				await this.ownerLog.claimLead(record, state);
-				await this.startTerm(record, state);
-			}
+			const result = await this.election.stand({
+				isSuccessor, leadership: this.leadership, leaderName: this.leaderNode?.name, contactAgeMs: this.leaderContactAgeMs,
+			});
+			await this.applyElectionResult(result);
 		} catch (err) {
 			if (!(err instanceof StaleAppendError)) {
 				this.storeFailedAt = clock.now();
 			}
 
-			telemetry.warn('follower', 'This instance could not become leader.', {err, term: this.term});
+			telemetry.warn('follower', 'This instance could not become leader.', {err, ...this.leadership});
 		} finally {
 			this.isElecting = false;
 		}
 	}
 
-	/** Returns the record of this instance as leader, with the former leaders that may not know yet that they are superseded. */
-	private createLeaderRecord(term: number, {leader}: OwnerState): LeaderRecord {
-		const {name, incarnation} = this.options.self;
-		const formers = leader === undefined ? [] : [...new Set([...leader.formers, leader.name])];
-		return {
-			term, name, incarnation, formers: formers.filter(former => former !== name),
-		};
-	}
+	private async applyElectionResult(result: ElectionResult): Promise<void> {
+		switch (result.outcome) {
+			case ElectionOutcome.Won: {
+				await this.startTerm(result.record, result.state);
+				break;
+			}
 
-	/** Returns whether no other instance leads; if one may, starts to read the store here while there is no contact with it. */
-	private async isLeadershipVacant(state: OwnerState): Promise<boolean> {
-		const {clock, telemetry} = this.options;
-		if ((state.leader?.term ?? 0) > this.term && this.term > 0) {
-			// Another instance has become leader and will send a ping.
-			this.term = state.leader?.term ?? 0;
-			this.lastPingAt = clock.now();
-			this.leaderStoreAgeMs = 0;
-			return false;
-		}
+			case ElectionOutcome.OtherElected: {
+				// The new leader will send a ping.
+				this.followed = result.leadership;
+				this.lastPingAt = this.options.clock.now();
+				this.leaderStoreAgeMs = 0;
+				break;
+			}
 
-		const asked = this.knownInstances.selectForQuery(state.leader?.name);
-		const answers = await this.knownInstances.queryLeader(asked);
-		const hasLeader = answers.some(answer => answer.storeAgeMs < maxLeaderStoreAgeMs
-			&& (answer.isLeader || answer.heardAgeMs < leaderTimeoutMs) && answer.term > 0);
-		const isIsolated = asked.length > 0 && answers.length === 0;
-		if (hasLeader || (isIsolated && this.leaderContactAgeMs < isolatedElectionMs && this.term > 0)) {
-			telemetry.info('follower', 'No contact with the leader; reading the store directly.', {answers: answers.length, term: this.term});
-			this.viewState = undefined;
-			this.reader.start(false);
-			return false;
-		}
+			case ElectionOutcome.LeaderUnreachable: {
+				this.viewState = undefined;
+				this.reader.start(false);
+				break;
+			}
 
-		return true;
+			case ElectionOutcome.Postponed:
+		}
 	}
 
 	private async startTerm(record: LeaderRecord, state: OwnerState): Promise<void> {
 		const {self, view, clock, telemetry} = this.options;
-		const {term} = record;
 		telemetry.info('leader', 'This instance became leader.', {
-			term, former: state.leader?.name, formerTerm: state.leader?.term, services: state.maps.size, end: state.end, era: state.era,
+			era: record.era,
+			term: record.term,
+			former: state.leader?.name,
+			formerEra: state.leader?.era,
+			formerTerm: state.leader?.term,
+			services: state.owners.size,
+			end: state.end,
+			isRecovering: record.isRecovering,
 		});
 		const wasStoreUnreachable = clock.now() - this.storeFailedAt < leaderTimeoutMs || this.leaderStoreAgeMs > maxLeaderStoreAgeMs;
-		this.term = term;
 		this.leadingSince = clock.now();
 		this.leaderNode = self;
 		const leader = new Leader({
 			...this.options,
-			term,
 			record,
 			ownerLog: this.ownerLog,
 			reader: this.reader,
@@ -382,16 +372,18 @@
 		}
 
 		leader.tick();
-		for (const node of await this.directory.list()) {
-			this.knownInstances.add(node);
+		await this.knownInstances.loadFrom(this.directory);
+		for (const node of this.knownInstances.all()) {
 			leader.addNode(node);
 		}
 	}
 
 	private stepDown(reason: string): void {
-		this.options.telemetry.info('leader', 'This instance is no longer leader.', {reason, term: this.term});
+		this.options.telemetry.info('leader', 'This instance is no longer leader.', {reason, ...this.leadership});
 		if (this.leader !== undefined) {
-			this.viewState = {term: this.leader.term, seq: this.options.view.store.lastSeq};
+			const {leadership} = this.leader;
+			this.viewState = {leader: this.options.self.incarnation, term: leadership.term, seq: this.options.view.store.lastSeq};
+			this.followed = compareLeaderships(this.followed, leadership) > 0 ? this.followed : leadership;
 			this.leader.stop();
 		}
 
--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -28,7 +28,7 @@
 	let state = followerState;
 	const sync = new FollowerSync({
 		self: node('leader'),
-		term: 2,
+		leadership: () => ({era: 0, term: 2}),
 		view,
 		net: {
 			async exchange(_addr: string, _op: string, {value, bytes}: Message): Promise<Message> {
@@ -36,11 +36,11 @@
 				const delta = unpackDelta(bytes);
 				sent.push(delta?.set.map(([key]) => key) ?? []);
 				if (delta?.isFull === true || isSameState(ping.base, state)) {
-					state = {term: ping.term, seq: ping.seq};
+					state = {leader: ping.leader.incarnation, term: ping.term, seq: ping.seq};
 				}
 
 				const pong: Pong = {
-					term: 2, incarnation: 'follower', viewState: state, report: {keys: {}, slowness: [], isLeaving: false},
+					era: 0, term: 2, incarnation: 'follower', viewState: state, report: {keys: {}, slowness: [], isLeaving: false},
 				};
 				return {value: pong, bytes};
 			},
@@ -62,7 +62,7 @@
 		clock.advance(100);
 	}
 
-	if (!isSameState(state, {term: 2, seq: view.store.lastSeq})) {
+	if (!isSameState(state, {leader: 'leader', term: 2, seq: view.store.lastSeq})) {
 		throw new Error('the follower did not reach the state of the leader within 3 pings');
 	}
 
@@ -70,13 +70,13 @@
 }
 
 test('an instance with the state of the former leader receives only the changes since then', async t => {
-	const state = {term: 1, seq: 77};
+	const state = {leader: 'former', term: 1, seq: 77};
 	const sent = await runSync(state, view => ({state, seq: view.store.lastSeq}));
 	t.deepEqual(sent, [['node/follower']]);
 });
 
 test('an instance with another state receives the whole view once', async t => {
-	const sent = await runSync({term: 1, seq: 70}, view => ({state: {term: 1, seq: 77}, seq: view.store.lastSeq}));
+	const sent = await runSync({leader: 'former', term: 1, seq: 70}, view => ({state: {leader: 'former', term: 1, seq: 77}, seq: view.store.lastSeq}));
 	t.deepEqual(sent.map(keys => keys.length), [1, 101]);
 });
 
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -6,6 +6,7 @@
 import {noBytes, type PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo, View} from '../view/index.js';
+import {compareLeaderships, type Leadership} from './leader-record.js';
 import {
 	isSameState, packDelta, PeerOp, type Ping, type Pong, type ViewState,
 } from './messages.js';
@@ -34,7 +35,8 @@
 /** Options of `FollowerSync`. */
 export type FollowerSyncOptions = {
 	readonly self: NodeInfo;
-	readonly term: number;
+	/** Returns the present leadership of this instance. */
+	readonly leadership: () => Leadership;
 	readonly view: View;
 	readonly net: Pick<PeerNet, 'exchange'>;
 	readonly clock: Clock;
@@ -107,7 +109,7 @@
 
 	/** Sends the pings that are due: with changes as soon as the pace allows, otherwise at intervals. */
 	sendDue(now: number, storeAgeMs: number): void {
-		const {view, self, term} = this.options;
+		const {view, self} = this.options;
 		const nodes = view.nodes();
 		const minIntervalMs = nodes.length * minPingIntervalPerNodeMs;
 		for (const node of nodes) {
@@ -116,7 +118,7 @@
 			}
 
 			const follower = this.getFollower(node, now);
-			const isBehind = !isSameState(follower.viewState, {term, seq: view.store.lastSeq});
+			const isBehind = !isSameState(follower.viewState, this.stateAt(view.store.lastSeq));
 			const isLost = now - follower.repliedAt > lostAfterMs;
 			const isFrequentPingDue = storeAgeMs > frequentPingStoreAgeMs && now - follower.sentAt > frequentPingStoreAgeMs;
 			const isThrottled = now - follower.sentAt < minIntervalMs;
@@ -142,10 +144,10 @@
 	}
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
-		const {net, view, self, term, clock, telemetry, onPong} = this.options;
+		const {net, view, self, leadership, clock, telemetry, onPong} = this.options;
 		const since = this.findBaseSeq(follower.viewState);
 		const ping: Ping = {
-			term, leader: self, storeAgeMs: Math.round(storeAgeMs), base: since === undefined ? undefined : follower.viewState, seq: view.store.lastSeq,
+			...leadership(), leader: self, storeAgeMs: Math.round(storeAgeMs), base: since === undefined ? undefined : follower.viewState, seq: view.store.lastSeq,
 		};
 		const bytes = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
 		follower.isInFlight = true;
@@ -153,7 +155,7 @@
 		try {
 			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, {timeoutMs: pingTimeoutMs});
 			const pong = reply.value as Pong;
-			if (pong.term === term) {
+			if (compareLeaderships(pong, ping) === 0) {
 				this.handlePong(node, follower, pong);
 			}
 
@@ -171,14 +173,19 @@
 
 	/** Returns the sequence number of a state in the store of this instance; undefined if changes cannot be based on it. */
 	private findBaseSeq(state: ViewState | undefined): number | undefined {
-		const {term, baseState} = this.options;
-		if (state?.term === term) {
+		const {baseState} = this.options;
+		if (state !== undefined && isSameState(state, this.stateAt(state.seq))) {
 			return state.seq;
 		}
 
 		return isSameState(state, baseState?.state) ? baseState?.seq : undefined;
 	}
 
+	private stateAt(seq: number): ViewState {
+		const {self, leadership} = this.options;
+		return {leader: self.incarnation, term: leadership().term, seq};
+	}
+
 	private packChangesSince(seq: number): Buffer {
 		const {store} = this.options.view;
 		if (this.packedSeq !== store.lastSeq) {
--- a/packages/gateway/src/cluster/former-leaders.ts
+++ b/packages/gateway/src/cluster/former-leaders.ts
@@ -32,6 +32,13 @@
 		return Math.max(this.ownLeaseEnd, ...this.leaseEnds.values());
 	}
 
+	/** Adds an instance that may have led unless it is known already. */
+	add(name: string, now: number): void {
+		if (!this.leaseEnds.has(name)) {
+			this.leaseEnds.set(name, leaseExpiry(now + leaderGraceMs, this.timing));
+		}
+	}
+
 	/** Records that an instance follows the present leader or has restarted, so that it sends no grants from now on. */
 	markFollowing(name: string, now: number): void {
 		const end = this.leaseEnds.get(name);
--- a/packages/gateway/src/cluster/grant.ts
+++ b/packages/gateway/src/cluster/grant.ts
@@ -40,3 +40,23 @@
 export function grantKey({from, to, owner, fence}: RangeOwnership): string {
 	return `${from}-${to}/${fence}@${owner}`;
 }
+
+/** Returns the state of a range that replaces others: they remain granted if their owner stays. */
+export function inheritGrantState(range: RangeOwnership, replaced: readonly RangeOwnership[], grants: ReadonlyMap<string, GrantState>, now: number): GrantState {
+	const former = replaced.map(old => grants.get(grantKey(old)));
+	const hasSameOwner = replaced.every(old => old.owner === range.owner);
+	const grant = createGrantState(hasSameOwner && former.every(old => old?.isOpen === true));
+	if (!hasSameOwner || former.at(0) === undefined) {
+		return grant;
+	}
+
+	grant.unansweredSentAt = Math.max(...former.map(old => pendingSince(old, now)));
+	grant.isFenced = former.every(old => old?.isFenced === true);
+	grant.nextAt = now;
+	if (replaced.every(old => old.fence === range.fence)) {
+		grant.acceptedSentAt = Math.min(...former.map(old => old?.acceptedSentAt ?? Number.NEGATIVE_INFINITY));
+		grant.nextAt = Math.min(...former.map(old => old?.nextAt ?? now));
+	}
+
+	return grant;
+}
--- a/packages/gateway/src/cluster/known-instances.ts
+++ b/packages/gateway/src/cluster/known-instances.ts
@@ -3,6 +3,7 @@
  */
 import type {PeerNet} from '../peers/index.js';
 import type {NodeInfo, View} from '../view/index.js';
+import type {Directory} from './directory.js';
 import {PeerOp, type LeaderQueryReply} from './messages.js';
 
 /** Timeout of calls to other instances, in milliseconds. */
@@ -36,6 +37,13 @@
 		}
 	}
 
+	/** Adds all instances that are registered in the store. */
+	async loadFrom(directory: Directory): Promise<void> {
+		for (const node of await directory.list()) {
+			this.add(node);
+		}
+	}
+
 	/** Returns all known instances. */
 	all(): NodeInfo[] {
 		for (const node of this.options.view.nodes()) {
--- a/packages/gateway/src/cluster/late-confirmation.test.ts
+++ b/packages/gateway/src/cluster/late-confirmation.test.ts
@@ -17,7 +17,8 @@
 import {View, type NodeInfo} from '../view/index.js';
 import {FeedReader} from './feed-reader.js';
 import {Leader} from './leader.js';
-import {OwnerLog, type LeaderRecord} from './owner-log.js';
+import type {LeaderRecord} from './leader-record.js';
+import {OwnerLog} from './owner-log.js';
 
 /** Time in which each grant is renewed at least once, in milliseconds. */
 const renewalMs = 3500;
@@ -38,7 +39,7 @@
 
 function leaderRecord(term: number, name: string): LeaderRecord {
 	return {
-		term, name, incarnation: `${name}-1`, formers: [],
+		era: 0, term, name, incarnation: `${name}-1`, formers: [], isRecovering: false,
 	};
 }
 
@@ -132,7 +133,6 @@
 		};
 		this.leader = new Leader({
 			self,
-			term: 1,
 			record,
 			view,
 			net: net as PeerNet,
--- /dev/null
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -0,0 +1,223 @@
+/**
+ * Keeps a leader confirmed: asks the store at intervals whether another
+ * instance leads, and claims the lead again when the store has returned from an
+ * older copy, which may have lost the record of this leader.
+ */
+import type {Clock, LeaseTiming} from '@bluebellyard/core';
+import {StaleAppendError} from '../ports/index.js';
+import type {Telemetry} from '../telemetry/index.js';
+import {FormerLeaders, leaderGraceMs} from './former-leaders.js';
+import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import type {OwnerLog, OwnerState} from './owner-log.js';
+
+/** Interval between two questions to the store, in milliseconds. */
+const confirmIntervalMs = 1000;
+
+/** Delay before a failed question is repeated, in milliseconds. */
+const retryDelayMs = 250;
+
+/** Options of `LeadConfirmation`. */
+export type LeadConfirmationOptions = {
+	readonly record: LeaderRecord;
+	/** Whether there was a leader before, which may have been a former process of this instance. */
+	readonly hadLeader: boolean;
+	readonly ownerLog: OwnerLog;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	readonly timing: LeaseTiming;
+	/** Returns the names of all other known instances. */
+	readonly otherInstances: () => readonly string[];
+	/** Called with the content of the store after a write with an unknown outcome; this instance still leads. */
+	readonly onReload: (state: OwnerState) => void;
+	/** Called when the store has returned from an older copy and this instance has claimed the lead again. */
+	readonly onReclaimed: () => void;
+	/** Called when another instance has become leader. */
+	readonly onSuperseded: () => void;
+};
+
+/** Record of a leader in the store, and what the leader may do by what it knows of the store. */
+export class LeadConfirmation {
+	private lead: LeaderRecord;
+	private formers: FormerLeaders;
+	private lastConfirmedAt: number;
+	private isAsking = false;
+	private mustConfirm = false;
+	private mustReload = false;
+	private nextAttemptAt = Number.NEGATIVE_INFINITY;
+	private isStopped = false;
+
+	constructor(private readonly options: LeadConfirmationOptions) {
+		this.lead = options.record;
+		this.lastConfirmedAt = options.clock.now();
+		this.formers = this.startWaiting(options.hadLeader);
+	}
+
+	/** Leadership in the present era of the store. */
+	get leadership(): Leadership {
+		const {era, term} = this.lead;
+		return {era, term};
+	}
+
+	/** Monotonic time of the last question that the store answered with this leader. */
+	get confirmedAt(): number {
+		return this.lastConfirmedAt;
+	}
+
+	/** Monotonic time at which all grants of former leaders have certainly expired. */
+	get formerLeaseEnd(): number {
+		return this.formers.leaseEnd;
+	}
+
+	/** Whether owners may hold keys that neither the store nor this leader knows of, until `formerLeaseEnd`. */
+	get isRecovering(): boolean {
+		return this.lead.isRecovering;
+	}
+
+	/** Whether the store is in the era in which this instance last claimed the lead. */
+	get isInPresentEra(): boolean {
+		return this.options.ownerLog.newestEra === this.lead.era;
+	}
+
+	/** Returns whether this leader may send grants: it has been confirmed recently enough. */
+	mayGrant(now: number): boolean {
+		return !this.mustConfirm && now - this.lastConfirmedAt < leaderGraceMs;
+	}
+
+	/** Stops grants until the store confirms this leader. */
+	requireConfirmation(): void {
+		this.mustConfirm = true;
+	}
+
+	/** Reads the store again, after a write that failed. Grants stop if it was rejected as stale, since another instance may lead. */
+	handleFailedWrite(err: unknown): void {
+		this.mustReload = true;
+		this.mustConfirm ||= err instanceof StaleAppendError;
+	}
+
+	/** Records that the store answered a question which was asked at `askedAt`, and that this instance led then. */
+	recordConfirmation(askedAt: number): void {
+		const {clock, telemetry} = this.options;
+		if (this.mustConfirm) {
+			telemetry.info('leader', 'The store confirmed that this instance leads.', {term: this.lead.term, askedMsAgo: Math.round(clock.now() - askedAt)});
+		}
+
+		this.lastConfirmedAt = Math.max(this.lastConfirmedAt, askedAt);
+		this.mustConfirm = false;
+	}
+
+	/** Records that an instance follows this leader, so that it sends no grants from now on. */
+	recordFollower(name: string, pong: Leadership): void {
+		const now = this.options.clock.now();
+		if (compareLeaderships(pong, this.lead) === 0) {
+			this.formers.markFollowing(name, now);
+		}
+	}
+
+	/** Records an instance that was not known before; it may have led in records that the store has lost. */
+	recordInstance(name: string): void {
+		if (this.isRecovering) {
+			this.formers.add(name, this.options.clock.now());
+		}
+	}
+
+	/** Asks the store, if that is due, whether this instance still leads. */
+	async confirm(): Promise<void> {
+		const {clock, ownerLog, telemetry} = this.options;
+		const askedAt = clock.now();
+		const isUrgent = this.mustConfirm || this.mustReload || !this.isInPresentEra;
+		const isDue = isUrgent ? askedAt >= this.nextAttemptAt : askedAt - this.lastConfirmedAt >= confirmIntervalMs;
+		if (this.isAsking || !isDue) {
+			return;
+		}
+
+		this.isAsking = true;
+		try {
+			if (!this.mustReload && this.isInPresentEra && await ownerLog.isUnchanged()) {
+				this.recordConfirmation(askedAt);
+			} else {
+				await this.reload();
+			}
+		} catch (err) {
+			this.nextAttemptAt = clock.now() + retryDelayMs;
+			telemetry.warn('leader', 'The store could not be asked which instance leads.', {err, ageMs: Math.round(clock.now() - this.lastConfirmedAt)});
+		} finally {
+			this.isAsking = false;
+		}
+	}
+
+	/**
+	 * Records in the store that grants of former leaders, and those in records that the store has lost, have expired.
+	 * Resolves to whether the record was written.
+	 */
+	async clearFormerLeaders(): Promise<boolean> {
+		const {ownerLog, telemetry} = this.options;
+		const record = {...this.lead, formers: [], isRecovering: false};
+		try {
+			await ownerLog.updateLeader(record);
+			this.lead = record;
+			return true;
+		} catch (err) {
+			telemetry.warn('leader', 'The former leaders could not be removed from the record of the leader.', {err});
+			this.handleFailedWrite(err);
+			return false;
+		}
+	}
+
+	/** Ends the term. */
+	stop(): void {
+		this.isStopped = true;
+	}
+
+	private startWaiting(hadLeader: boolean): FormerLeaders {
+		const {clock, timing} = this.options;
+		return new FormerLeaders(this.lead.formers, timing, {now: clock.now(), hadLeader});
+	}
+
+	/** Reads leader and owners again. */
+	private async reload(): Promise<void> {
+		const {ownerLog, clock, onSuperseded, onReload} = this.options;
+		const askedAt = clock.now();
+		const state = await ownerLog.read();
+		if (this.isStopped) {
+			return;
+		}
+
+		const hasReturned = state.era !== this.lead.era;
+		if (hasReturned ? this.isSupersededIn(state) : !this.isNamedIn(state)) {
+			onSuperseded();
+			return;
+		}
+
+		if (hasReturned) {
+			await this.reclaim(state);
+		}
+
+		this.mustReload = false;
+		this.recordConfirmation(askedAt);
+		onReload(state);
+	}
+
+	private isNamedIn({leader}: OwnerState): boolean {
+		return leader?.incarnation === this.lead.incarnation && compareLeaderships(leader, this.lead) === 0;
+	}
+
+	private isSupersededIn({leader}: OwnerState): boolean {
+		return leader !== undefined && leader.incarnation !== this.lead.incarnation && compareLeaderships(leader, this.lead) >= 0;
+	}
+
+	/** Claims the lead in the present era; waits for all other instances, since any of them may have led in lost records. */
+	private async reclaim(state: OwnerState): Promise<void> {
+		const {ownerLog, telemetry, otherInstances, onReclaimed} = this.options;
+		const formers = new Set([...this.lead.formers, ...otherInstances()]);
+		const record = {
+			...this.lead, era: state.era, formers: [...formers], isRecovering: true,
+		};
+		telemetry.info('leader', 'The store returned from an older copy; claiming the lead again.', {
+			era: state.era, formerEra: this.lead.era, term: record.term, recordedTerm: state.leader?.term, end: state.end,
+		});
+		await ownerLog.claimLead(record, state);
+		this.lead = record;
+		this.formers = this.startWaiting(true);
+		onReclaimed();
+	}
+}
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -5,7 +5,6 @@
 import {
 	KeyLoad, OwnershipMap, type Clock, type LeaseTiming, type KeyRates, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
-import {sleep} from '../net/index.js';
 import type {PeerNet} from '../peers/index.js';
 import type {TargetControl} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
@@ -14,17 +13,15 @@
 } from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
-import {FormerLeaders, leaderGraceMs} from './former-leaders.js';
-import {OwnershipManager} from './ownership-manager.js';
-import type {NotOwnerReport, Pong, Report} from './messages.js';
 import type {FeedReader} from './feed-reader.js';
-import type {LeaderRecord, OwnerLog, OwnerState} from './owner-log.js';
+import {LeadConfirmation} from './lead-confirmation.js';
+import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import type {NotOwnerReport, Pong, Report} from './messages.js';
+import type {OwnerLog, OwnerState} from './owner-log.js';
+import {OwnershipManager} from './ownership-manager.js';
 import {planStewards, type QueueToAssign} from './steward-plan.js';
 import {findUsableOwners} from './usable-owners.js';
 
-/** Interval between two checks in the store that no other instance leads, in milliseconds. */
-const confirmIntervalMs = 1000;
-
 /** Age of the store contact up to which keys may be moved, in milliseconds. */
 const maxMoveStoreAgeMs = 2500;
 
@@ -34,7 +31,6 @@
 /** Options of `Leader`. */
 export type LeaderOptions = {
 	readonly self: NodeInfo;
-	readonly term: number;
 	/** Record of this term in the store. */
 	readonly record: LeaderRecord;
 	readonly view: View;
@@ -65,11 +61,9 @@
 	/** Each target seen in this term, also after its removal. */
 	private readonly seenTargets = new Map<string, TargetInfo>();
 	private readonly clockStepDetector: ClockStepDetector;
-	private readonly formerLeaders: FormerLeaders;
-	private hasStartedClearing = false;
-	private confirmedAt: number;
-	private isConfirming = false;
-	private mustConfirm = false;
+	private readonly confirmation: LeadConfirmation;
+	private isClearingFormers = false;
+	private hasClearedFormers: boolean;
 	private isStopped = false;
 	private isPublishScheduled = false;
 	/** Inputs of the last assignment of stewards. */
@@ -77,13 +71,22 @@
 	private readonly publishedRevisions = new Map<string, number>();
 
 	constructor(private readonly options: LeaderOptions, private readonly initialState: OwnerState) {
-		const now = options.clock.now();
 		this.clockStepDetector = new ClockStepDetector(options.clock);
-		this.confirmedAt = now;
-		const hadLeader = initialState.leader !== undefined;
-		this.formerLeaders = new FormerLeaders(options.record.formers, options.timing, {now, hadLeader});
+		this.hasClearedFormers = options.record.formers.length === 0 && !options.record.isRecovering;
+		this.confirmation = new LeadConfirmation({
+			...options,
+			hadLeader: initialState.leader !== undefined || options.record.isRecovering,
+			otherInstances: () => options.view.nodes().map(({name}) => name).filter(name => name !== options.self.name),
+			onReload: state => {
+				this.reloadOwners(state);
+			},
+			onReclaimed: () => {
+				this.suspendMoves();
+			},
+		});
 		this.followers = new FollowerSync({
 			...options,
+			leadership: () => this.leadership,
 			onPong: (node, pong) => {
 				this.handlePong(node, pong);
 			},
@@ -93,19 +96,20 @@
 	/** Adds an instance that announced itself. */
 	addNode(node: NodeInfo): void {
 		if (this.followers.add(node)) {
+			this.confirmation.recordInstance(node.name);
 			this.schedulePublish();
 		}
 	}
 
-	/** Number of this term. */
-	get term(): number {
-		return this.options.term;
+	/** Leadership of this instance in the present era of the store. */
+	get leadership(): Leadership {
+		return this.confirmation.leadership;
 	}
 
 	/** Time since the last contact with the store, in milliseconds. */
 	get storeAgeMs(): number {
 		const {clock, reader} = this.options;
-		return clock.now() - Math.max(this.confirmedAt, reader.lastReadAt);
+		return clock.now() - Math.max(this.confirmation.confirmedAt, reader.lastReadAt);
 	}
 
 	/** Performs the actions that are due. */
@@ -118,10 +122,11 @@
 		const now = clock.now();
 		if (this.clockStepDetector.hasStepped()) {
 			this.options.telemetry.info('leader', 'A clock made a step; checking in the store which instance leads.', {});
-			this.mustConfirm = true;
+			this.confirmation.requireConfirmation();
 		}
 
-		void this.confirm(now);
+		void this.confirmation.confirm();
+		this.endRecovery(now);
 		void this.clearFormerLeaders(now);
 		this.applyReport(this.options.report());
 		for (const target of view.targets.values()) {
@@ -130,7 +135,7 @@
 
 		const before = view.store.lastSeq;
 		this.assignStewards(now);
-		if (!this.mustConfirm && now - this.confirmedAt < leaderGraceMs) {
+		if (this.confirmation.mayGrant(now)) {
 			this.tickManagers(now);
 		}
 
@@ -169,57 +174,44 @@
 	/** Ends this term. */
 	stop(): void {
 		this.isStopped = true;
+		this.confirmation.stop();
 	}
 
-	private async confirm(now: number): Promise<void> {
-		if (this.isConfirming || (now - this.confirmedAt < confirmIntervalMs && !this.mustConfirm)) {
-			return;
-		}
-
-		this.isConfirming = true;
-		try {
-			if (await this.options.ownerLog.isUnchanged()) {
-				this.recordConfirmation(now);
-			} else {
-				await this.reload();
-			}
-		} catch (err) {
-			this.options.telemetry.warn('leader', 'The store could not be asked which instance leads.', {err, ageMs: Math.round(this.options.clock.now() - this.confirmedAt)});
-		} finally {
-			this.isConfirming = false;
+	/** Replaces the owners by those in the store, after a write with an unknown outcome. */
+	private reloadOwners(state: OwnerState): void {
+		for (const [service, manager] of this.managers) {
+			const recorded = state.owners.get(service);
+			const isOwnRecord = recorded !== undefined && compareLeaderships(recorded, this.leadership) === 0;
+			manager.reload(isOwnRecord ? recorded.map : undefined);
 		}
 	}
 
-	private recordConfirmation(at: number): void {
-		if (this.mustConfirm) {
-			const {clock, telemetry, term} = this.options;
-			telemetry.info('leader', 'The store confirmed that this instance leads.', {term, askedMsAgo: Math.round(clock.now() - at)});
+	/** Keeps owners as they are while others may hold keys by records that the store has lost. */
+	private suspendMoves(): void {
+		this.hasClearedFormers = false;
+		for (const manager of this.managers.values()) {
+			manager.suspendMoves();
 		}
-
-		this.confirmedAt = Math.max(this.confirmedAt, at);
-		this.mustConfirm = false;
 	}
 
-	/** Reads leader and owners again, after a write with an unknown outcome. */
-	private async reload(): Promise<void> {
-		const {ownerLog, clock, term, onSuperseded} = this.options;
-		const at = clock.now();
-		const state = await ownerLog.read();
-		if (this.isStopped) {
+	/** Writes the owners again, with tokens of the present era, once no other grants can count any more. */
+	private endRecovery(now: number): void {
+		if (this.isRecovering(now)) {
 			return;
 		}
 
-		if (state.leader?.term !== term) {
-			onSuperseded();
-			return;
-		}
-
-		this.recordConfirmation(at);
 		for (const [service, manager] of this.managers) {
-			manager.reload(state.maps.get(service) ?? OwnershipMap.empty());
+			if (manager.isSuspended) {
+				this.options.telemetry.info('leader', 'Grants that the store has lost have expired; moving keys again.', {service, ...this.leadership});
+				manager.resumeMoves();
+			}
 		}
 	}
 
+	private isRecovering(now: number): boolean {
+		return this.confirmation.isRecovering && now < this.confirmation.formerLeaseEnd;
+	}
+
 	private applyReport(report: Report): void {
 		const now = this.options.clock.now();
 		for (const [service, pairs] of Object.entries(report.keys)) {
@@ -271,13 +263,16 @@
 
 	private tickManagers(now: number): void {
 		const {view} = this.options;
+		const isRecovering = this.isRecovering(now);
+		const hasStoreContact = now - this.confirmation.confirmedAt < maxMoveStoreAgeMs && this.storeAgeMs < maxMoveStoreAgeMs;
 		for (const service of view.allServices.values()) {
-			if (service.isSharded) {
+			const isWaiting = isRecovering && !this.managers.has(service.name);
+			if (service.isSharded && !isWaiting) {
 				const manager = this.managers.get(service.name) ?? this.addManager(service);
 				manager.tick({
 					owners: this.findOwners(service.name, manager, now),
 					rates: () => this.rates(service.name, now),
-					mayMove: now - this.confirmedAt < maxMoveStoreAgeMs && this.storeAgeMs < maxMoveStoreAgeMs,
+					mayMove: hasStoreContact && !isRecovering && this.confirmation.isInPresentEra,
 				});
 			}
 		}
@@ -298,7 +293,7 @@
 
 	private addManager(service: Service): OwnershipManager {
 		const {control, clock, timing, telemetry, ownerLog, view} = this.options;
-		const inheritedMap = this.initialState.maps.get(service.name);
+		const inheritedMap = this.initialState.owners.get(service.name)?.map;
 		const manager = new OwnershipManager({
 			service: service.name,
 			control,
@@ -307,20 +302,19 @@
 			telemetry,
 			write: async change => {
 				const at = clock.now();
-				const map = await ownerLog.write(service.name, change);
-				this.recordConfirmation(at);
+				const map = await ownerLog.write(service.name, this.leadership, change);
+				this.confirmation.recordConfirmation(at);
 				return map;
 			},
 			onChange: () => {
 				this.schedulePublish();
 			},
-			onUncertainWrite: () => {
-				this.mustConfirm = true;
-				void this.reloadUntilDone();
+			onFailedWrite: err => {
+				this.confirmation.handleFailedWrite(err);
 			},
 			findTarget: owner => this.seenTargets.get(owner),
 			hasEnded: owner => this.hasEnded(owner, view),
-			inheritedLeaseEnd: () => this.formerLeaders.leaseEnd,
+			inheritedLeaseEnd: () => this.confirmation.formerLeaseEnd,
 		}, inheritedMap ?? OwnershipMap.empty(), inheritedMap !== undefined);
 		this.managers.set(service.name, manager);
 		if (inheritedMap !== undefined) {
@@ -330,20 +324,6 @@
 		return manager;
 	}
 
-	private async reloadUntilDone(): Promise<void> {
-		while (!this.isStopped) {
-			try {
-				// eslint-disable-next-line no-await-in-loop
-				await this.reload();
-				return;
-			} catch (err) {
-				this.options.telemetry.warn('leader', 'The owners could not be read again; trying again.', {err});
-				// eslint-disable-next-line no-await-in-loop
-				await sleep(confirmIntervalMs / 2);
-			}
-		}
-	}
-
 	/** Returns whether an owner has ended: a later incarnation has its name or its address. */
 	private hasEnded(owner: string, view: View): boolean {
 		const former = this.seenTargets.get(owner);
@@ -372,34 +352,28 @@
 	}
 
 	private handlePong(node: NodeInfo, pong: Pong): void {
-		const {clock, term, onSuperseded} = this.options;
 		if (this.isStopped) {
 			return;
 		}
 
-		if (pong.term > term) {
-			onSuperseded();
+		if (compareLeaderships(pong, this.leadership) > 0) {
+			this.options.onSuperseded();
 			return;
 		}
 
 		this.applyReport(pong.report);
-		this.formerLeaders.markFollowing(node.name, clock.now());
+		this.confirmation.recordFollower(node.name, pong);
 	}
 
 	/** Removes expired former leaders from the record, so that later leaders do not wait for them. */
 	private async clearFormerLeaders(now: number): Promise<void> {
-		const {record, ownerLog, telemetry} = this.options;
-		if (this.hasStartedClearing || record.formers.length === 0 || now < this.formerLeaders.leaseEnd) {
+		const isDue = now >= this.confirmation.formerLeaseEnd && [...this.managers.values()].every(manager => manager.hasOwnFences);
+		if (this.hasClearedFormers || this.isClearingFormers || !isDue || !this.confirmation.mayGrant(now)) {
 			return;
 		}
 
-		this.hasStartedClearing = true;
-		try {
-			await ownerLog.updateLeader({...record, formers: []});
-		} catch (err) {
-			telemetry.warn('leader', 'The former leaders could not be removed from the record of the leader.', {err});
-			this.mustConfirm = true;
-			void this.reloadUntilDone();
-		}
+		this.isClearingFormers = true;
+		this.hasClearedFormers = await this.confirmation.clearFormerLeaders();
+		this.isClearingFormers = false;
 	}
 }
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -6,6 +6,7 @@
 import {Packr} from 'msgpackr';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
+import type {Leadership} from './leader-record.js';
 
 /** Operations that an instance accepts from other instances. */
 export enum PeerOp {
@@ -25,14 +26,15 @@
 
 /** Identifies a state of the view: the state at one leader after one of its changes. */
 export type ViewState = {
+	/** Incarnation of the leader; two leaders may have the same term if the store has lost the record of one. */
+	readonly leader: string;
 	readonly term: number;
 	/** Sequence number of the change at that leader. */
 	readonly seq: number;
 };
 
 /** Heartbeat of the leader; the changes of the view are sent with it as bytes. */
-export type Ping = {
-	readonly term: number;
+export type Ping = Leadership & {
 	readonly leader: NodeInfo;
 	/** Time since the leader last reached the store, in milliseconds. */
 	readonly storeAgeMs: number;
@@ -52,8 +54,7 @@
 };
 
 /** Answer to a heartbeat. */
-export type Pong = {
-	readonly term: number;
+export type Pong = Leadership & {
 	readonly incarnation: string;
 	/** State of its view; undefined if it does not match any state that a leader sent. */
 	readonly viewState: ViewState | undefined;
@@ -61,8 +62,7 @@
 };
 
 /** Which contact with a leader an instance has. */
-export type LeaderQueryReply = {
-	readonly term: number;
+export type LeaderQueryReply = Leadership & {
 	readonly isLeader: boolean;
 	/** Time since its last heartbeat from the leader, in milliseconds. */
 	readonly heardAgeMs: number;
@@ -95,5 +95,5 @@
 
 /** Returns whether both states are known and the same. */
 export function isSameState(a: ViewState | undefined, b: ViewState | undefined): boolean {
-	return a !== undefined && a.term === b?.term && a.seq === b.seq;
+	return a !== undefined && a.leader === b?.leader && a.term === b.term && a.seq === b.seq;
 }
--- a/packages/gateway/src/cluster/owner-log.ts
+++ b/packages/gateway/src/cluster/owner-log.ts
@@ -4,8 +4,11 @@
  * writes of an instance that lost leadership are rejected.
  */
 import {z} from 'zod';
-import {OwnershipMap, type RangeOwnership} from '@bluebellyard/core';
-import type {KeyedLog, KeyedListing, TopicEnd} from '../ports/index.js';
+import {fencingToken, OwnershipMap, type RangeOwnership} from '@bluebellyard/core';
+import {
+	StaleAppendError, UnknownAppendError, type KeyedLog, type KeyedListing, type TopicEnd,
+} from '../ports/index.js';
+import {leaderRecordSchema, type LeaderRecord, type Leadership} from './leader-record.js';
 
 /** Topic that holds the leader and the owners. */
 const topic = 'keyed.bluebellyard-owners';
@@ -13,26 +16,21 @@
 const leaderKey = 'leader';
 const mapKeyPrefix = 'keys/';
 
-/** The instance that assigns keys to owners. */
-export type LeaderRecord = {
-	/** Increases with each change of the leader. */
-	readonly term: number;
-	readonly name: string;
-	readonly incarnation: string;
-	/** Names of former leaders whose grants may not have expired yet. */
-	readonly formers: readonly string[];
+/** Era of a store that has never returned from a copy. */
+const firstEra = 1;
+
+/** Owners of a service as recorded by a leader. */
+export type OwnersRecord = Leadership & {
+	readonly map: OwnershipMap;
 };
 
 /** Content of the topic. */
 export type OwnerState = TopicEnd & {
 	readonly leader: LeaderRecord | undefined;
-	readonly maps: ReadonlyMap<string, OwnershipMap>;
+	/** Owners by service. */
+	readonly owners: ReadonlyMap<string, OwnersRecord>;
 };
 
-const leaderSchema = z.object({
-	term: z.number().int(), name: z.string(), incarnation: z.string(), formers: z.array(z.string()).default([]),
-});
-
 /** A range with its owner as `[from, to, owner, fence, [[former owner, its fence], ...]]`. */
 const rangeSchema = z.tuple([
 	z.number().int(),
@@ -42,69 +40,89 @@
 	z.array(z.tuple([z.string(), z.number().int()])),
 ]);
 
-const mapSchema = z.array(rangeSchema).min(1);
+const rangesSchema = z.array(rangeSchema).min(1);
+
+/** Versions that did not know the era stored the ranges only. */
+const ownersSchema = z.union([
+	z.object({era: z.number().int(), term: z.number().int(), ranges: rangesSchema}),
+	rangesSchema.transform(ranges => ({era: 0, term: 0, ranges})),
+]);
 
-/** Reads and writes the topic. Calls are executed one after the other. Errors are those of `KeyedLog`. */
+/**
+ * Reads and writes the topic. Calls are executed one after the other. Errors are those of `KeyedLog`; a record that
+ * was written in another era than the one it was decided in counts as an unknown outcome.
+ */
 export class OwnerLog {
 	private readonly log: KeyedLog;
-	private knownEnd = 0;
+	/** End of the topic as of the last read or write. */
+	private known: TopicEnd = {era: 0, end: 0};
 	private lastCall: Promise<unknown> = Promise.resolve();
 
 	constructor(log: KeyedLog) {
 		this.log = log;
 	}
 
-	/** End of the topic as of the last read or write. */
-	get end(): number {
-		return this.knownEnd;
+	/** Newest era that any answer of the store has stated. */
+	get newestEra(): number {
+		return this.log.newestEra;
 	}
 
 	/** Reads the whole topic. */
 	async read(): Promise<OwnerState> {
 		return this.serialize(async () => {
 			const state = decode(await this.log.list(topic));
-			this.knownEnd = state.end;
+			this.known = {era: state.era, end: state.end};
 			return state;
 		});
 	}
 
-	/** Returns whether the topic still ends where the last read or write left it. */
+	/** Returns whether the topic still ends, in the same era, where the last read or write left it. */
 	async isUnchanged(): Promise<boolean> {
 		return this.serialize(async () => {
-			const {end} = await this.log.end(topic, this.knownEnd);
-			return end === this.knownEnd;
+			const {era, end} = await this.log.end(topic, this.known.end);
+			return era === this.known.era && end === this.known.end;
 		});
 	}
 
 	/** Writes a new leader; fails with `StaleAppendError` if the topic changed since `state` was read. */
 	async claimLead(record: LeaderRecord, state: OwnerState): Promise<void> {
 		await this.serialize(async () => {
-			const {offset} = await this.log.append(topic, leaderKey, JSON.stringify(record), state.end);
-			this.knownEnd = offset + 1;
+			this.known = {era: state.era, end: state.end};
+			await this.append(leaderKey, JSON.stringify(record), record.era);
 		});
 	}
 
 	/** Replaces the record of this leader. */
 	async updateLeader(record: LeaderRecord): Promise<void> {
-		await this.serialize(async () => {
-			const {offset} = await this.log.append(topic, leaderKey, JSON.stringify(record), this.knownEnd);
-			this.knownEnd = offset + 1;
-		});
+		await this.serialize(async () => this.append(leaderKey, JSON.stringify(record), record.era));
 	}
 
 	/**
-	 * Writes the owners of a service. `change` receives the fencing token of the
+	 * Writes the owners of a service as the given leader. `change` receives the fencing token of the
 	 * new record and returns the new map, to which the call resolves.
 	 */
-	async write(service: string, change: (fence: number) => OwnershipMap): Promise<OwnershipMap> {
+	async write(service: string, {era, term}: Leadership, change: (fence: number) => OwnershipMap): Promise<OwnershipMap> {
 		return this.serialize(async () => {
-			const map = change(this.knownEnd);
-			const {offset} = await this.log.append(topic, mapKeyPrefix + service, encode(map), this.knownEnd);
-			this.knownEnd = offset + 1;
+			const map = change(fencingToken(era, this.known.end));
+			await this.append(mapKeyPrefix + service, JSON.stringify({era, term, ranges: encodeRanges(map)}), era);
 			return map;
 		});
 	}
 
+	/** Appends a record that was decided in `era`. */
+	private async append(key: string, value: string, era: number): Promise<void> {
+		if (this.known.era !== era) {
+			throw new StaleAppendError(`append of ${key} rejected: decided in era ${era} of the store, which is now in era ${this.known.era}`);
+		}
+
+		const written = await this.log.append(topic, key, value, this.known.end);
+		if (written.era !== era) {
+			throw new UnknownAppendError(`append of ${key}: decided in era ${era} of the store, carried out in era ${written.era}`);
+		}
+
+		this.known = {era, end: written.offset + 1};
+	}
+
 	private async serialize<T>(action: () => Promise<T>): Promise<T> {
 		const result = this.lastCall.then(action);
 		this.lastCall = result.catch(() => undefined);
@@ -112,26 +130,39 @@
 	}
 }
 
-function encode(map: OwnershipMap): string {
-	const rows = map.ranges.map(({from, to, owner, fence, formers}) =>
+/**
+ * Returns whether owners may have been granted keys that the topic does not show, because the store has returned from
+ * an older copy since the records were written and no leader has made up for it.
+ */
+export function hasLostRecords({era, leader, owners}: OwnerState): boolean {
+	if (leader === undefined) {
+		return era > firstEra;
+	}
+
+	return leader.isRecovering || leader.era < era || [...owners.values()].some(record => record.era < era);
+}
+
+function encodeRanges(map: OwnershipMap): unknown[] {
+	return map.ranges.map(({from, to, owner, fence, formers}) =>
 		[from, to, owner, fence, formers.map(former => [former.owner, former.fence])]);
-	return JSON.stringify(rows);
 }
 
 function decode({records, end, era}: KeyedListing): OwnerState {
-	const maps = new Map<string, OwnershipMap>();
+	const owners = new Map<string, OwnersRecord>();
 	let leader: LeaderRecord | undefined;
 	for (const {key, value} of records) {
 		if (key === leaderKey) {
-			leader = leaderSchema.parse(JSON.parse(value));
+			leader = leaderRecordSchema.parse(JSON.parse(value));
 		} else if (key.startsWith(mapKeyPrefix)) {
-			const rows = mapSchema.parse(JSON.parse(value));
-			maps.set(key.slice(mapKeyPrefix.length), new OwnershipMap(rows.map(row => toRangeOwnership(row))));
+			const record = ownersSchema.parse(JSON.parse(value));
+			owners.set(key.slice(mapKeyPrefix.length), {
+				era: record.era, term: record.term, map: new OwnershipMap(record.ranges.map(row => toRangeOwnership(row))),
+			});
 		}
 	}
 
 	return {
-		era, end, leader, maps,
+		era, end, leader, owners,
 	};
 }
 
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -8,7 +8,7 @@
  * fencing token is the offset of the record.
  */
 import {
-	ErrorKind, planKeyMoves, type FormerOwner, type LeaseTiming, type RangeOwnership, type OwnershipMap, type KeyRange, type KeyRates, type EligibleOwner, type Clock,
+	ErrorKind, planKeyMoves, type FormerOwner, type LeaseTiming, type RangeOwnership, type OwnershipMap, type KeyRates, type EligibleOwner, type Clock,
 } from '@bluebellyard/core';
 import {
 	GrantReply, StaleAppendError, type TargetControl, type TargetRef,
@@ -17,7 +17,7 @@
 import type {OwnedRange} from '../view/index.js';
 import {Revocations} from './revocations.js';
 import {
-	grantKey, createGrantState, pendingSince, type GrantState,
+	grantKey, createGrantState, inheritGrantState, pendingSince, type GrantState,
 } from './grant.js';
 
 /** Share of the lease after which a grant is renewed; leaves time for three more attempts and a change of the leader before it expires. */
@@ -52,8 +52,8 @@
 	readonly write: (change: (fence: number) => OwnershipMap) => Promise<OwnershipMap>;
 	/** Called when the owners to which requests are routed may have changed. */
 	readonly onChange: () => void;
-	/** Called after a write that failed, was outdated or has an unknown outcome. */
-	readonly onUncertainWrite: () => void;
+	/** Called after a write that failed, was outdated or has an unknown outcome; `reload` must follow. */
+	readonly onFailedWrite: (err: unknown) => void;
 	/** Returns the present or last known address of a target. */
 	readonly findTarget: (owner: string) => TargetRef | undefined;
 	/** Returns whether the process of an owner is known to have ended. */
@@ -80,8 +80,9 @@
 	private readonly handovers = new Map<string, string>();
 	private isWriting = false;
 	private rangesRevision = 1;
-	/** Whether owners may still accept grants of a former leader. */
 	private mustRenewFences = false;
+	private areGrantsSuspended = false;
+	private areMovesSuspended = false;
 	/** Time from which a removal of former owners waits to be written. */
 	private cleanupPendingSince: number | undefined;
 	private lastPlanAt = Number.NEGATIVE_INFINITY;
@@ -105,6 +106,16 @@
 		return this.rangesRevision;
 	}
 
+	/** Whether only present grants are renewed, from `suspendMoves` to `resumeMoves`. */
+	get isSuspended(): boolean {
+		return this.areMovesSuspended;
+	}
+
+	/** Whether all ranges have fencing tokens of this term and of the store's present era. */
+	get hasOwnFences(): boolean {
+		return !this.mustRenewFences && !this.areMovesSuspended;
+	}
+
 	/** Returns the owners by which requests are routed, as rows of the view. */
 	ranges(): Map<string, OwnedRange> {
 		const {service} = this.options;
@@ -119,19 +130,36 @@
 
 	/**
 	 * Gives all ranges a new fencing token, so that owners reject grants that a
-	 * former leader may still send.
+	 * former leader may still send. Grants nothing before.
 	 */
 	renewAllFences(): void {
-		this.mustRenewFences = true;
-		this.write(fence => this.map.renewFences(fence));
+		this.areGrantsSuspended = true;
+		this.writeNewFences();
 	}
 
-	/** Replaces the map by the one in the store, after a write with an unknown outcome. */
-	reload(map: OwnershipMap): void {
+	/** Until `resumeMoves`, only renews grants under the present tokens and completes moves that were written before. */
+	suspendMoves(): void {
+		this.areMovesSuspended = true;
+	}
+
+	/** Moves keys again, after all ranges have got a new fencing token; renews grants meanwhile. */
+	resumeMoves(): void {
+		this.areMovesSuspended = false;
+		this.writeNewFences();
+	}
+
+	/**
+	 * Ends a write that failed. `map` is the record of this manager in the store; if the store has another one or
+	 * none, the present map stays in force and is written again.
+	 */
+	reload(map: OwnershipMap | undefined): void {
 		this.isWriting = false;
-		this.applyMap(map);
-		if (this.mustRenewFences) {
-			this.renewAllFences();
+		if (map !== undefined) {
+			this.applyMap(map);
+		}
+
+		if (!this.areMovesSuspended && (this.mustRenewFences || (map === undefined && this.hasOwners))) {
+			this.writeNewFences();
 		}
 	}
 
@@ -144,6 +172,10 @@
 		}
 	}
 
+	private get hasOwners(): boolean {
+		return this.map.ranges.some(range => range.owner !== '');
+	}
+
 	/** Returns for how long an owner has not answered grants, in milliseconds; negative infinity if it answers. */
 	silentMs(owner: string): number {
 		return this.options.clock.now() - (this.silentSince.get(owner) ?? Number.POSITIVE_INFINITY);
@@ -151,7 +183,7 @@
 
 	/** Plans moves, sends grants and sends releases, as far as they are due. */
 	tick(input: TickInput): void {
-		if (this.mustRenewFences) {
+		if (this.areGrantsSuspended) {
 			return;
 		}
 
@@ -218,11 +250,17 @@
 		this.write(fence => mergedCount < ranges.length * maxMergedShare ? this.map.renewFences(fence) : this.map);
 	}
 
+	private writeNewFences(): void {
+		this.mustRenewFences = true;
+		this.write(fence => this.map.renewFences(fence));
+	}
+
 	private write(change: (fence: number) => OwnershipMap): void {
 		this.isWriting = true;
 		this.options.write(change).then(map => {
 			this.isWriting = false;
 			this.mustRenewFences = false;
+			this.areGrantsSuspended = false;
 			this.applyMap(map);
 			this.options.onChange();
 		}, (err: unknown) => {
@@ -230,7 +268,7 @@
 			this.options.telemetry.warn('keeper', 'The owners could not be written; reading them from the store again.', {
 				service: this.options.service, isStale, err,
 			});
-			this.options.onUncertainWrite();
+			this.options.onFailedWrite(err);
 		});
 	}
 
@@ -254,19 +292,7 @@
 				continue;
 			}
 
-			const overlapping = findOverlapping(formerMap, range).map(old => formerGrants.get(grantKey(old)));
-			const [first] = overlapping;
-			const hasSameOwner = findOverlapping(formerMap, range).every(old => old.owner === range.owner);
-			const grant = createGrantState(hasSameOwner && overlapping.every(old => old?.isOpen === true));
-			if (hasSameOwner && first !== undefined) {
-				const hasSameFence = findOverlapping(formerMap, range).every(old => old.fence === range.fence);
-				grant.acceptedSentAt = hasSameFence ? Math.min(...overlapping.map(old => old?.acceptedSentAt ?? Number.NEGATIVE_INFINITY)) : Number.NEGATIVE_INFINITY;
-				grant.unansweredSentAt = Math.max(...overlapping.map(old => pendingSince(old, now)));
-				grant.isFenced = overlapping.every(old => old?.isFenced === true);
-				grant.nextAt = hasSameFence ? Math.min(...overlapping.map(old => old?.nextAt ?? now)) : now;
-			}
-
-			this.grants.set(grantKey(range), grant);
+			this.grants.set(grantKey(range), inheritGrantState(range, formerMap.findOverlapping(range), formerGrants, now));
 			for (const former of range.formers) {
 				this.startRevocation(range, former, {formerMap, formerGrants, now});
 			}
@@ -300,7 +326,7 @@
 
 	/** Starts to revoke a range from a former owner, based on its last grants. */
 	private startRevocation(range: RangeOwnership, former: FormerOwner, {formerMap, formerGrants, now}: {formerMap: OwnershipMap; formerGrants: ReadonlyMap<string, GrantState>; now: number}): void {
-		const lastGrants = findOverlapping(formerMap, range).filter(part => part.owner === former.owner).map(part => formerGrants.get(grantKey(part)));
+		const lastGrants = formerMap.findOverlapping(range).filter(part => part.owner === former.owner).map(part => formerGrants.get(grantKey(part)));
 		this.revocations.begin(range, former, {
 			now,
 			isFenced: lastGrants.length > 0 && lastGrants.every(grant => grant?.isFenced === true),
@@ -366,13 +392,9 @@
 		this.options.telemetry.warn('keeper', 'The target refused a grant.', {
 			service: this.options.service, owner: range.owner, from: range.from, to: range.to, fence: range.fence, reply, error: ErrorKind.TargetFenced,
 		});
-		if (reply === GrantReply.Fenced && !this.isWriting && this.map.findByKey(range.from).fence === range.fence) {
+		if (reply === GrantReply.Fenced && !this.isWriting && !this.areMovesSuspended && this.map.findByKey(range.from).fence === range.fence) {
 			const move = {from: range.from, to: range.to, owner: range.owner};
 			this.write(fence => this.map.assign([move], fence));
 		}
 	}
 }
-
-function findOverlapping(map: OwnershipMap, range: KeyRange): RangeOwnership[] {
-	return map.ranges.filter(owned => owned.from <= range.to && range.from <= owned.to);
-}
--- a/packages/gateway/src/mocks/memory-log.ts
+++ b/packages/gateway/src/mocks/memory-log.ts
@@ -20,6 +20,10 @@
 	era = 0;
 	private readonly topics = new Map<string, StoredRecord[]>();
 
+	override get newestEra(): number {
+		return this.era;
+	}
+
 	override async list(topic: string): Promise<KeyedListing> {
 		this.check();
 		const rows = this.topic(topic);
--- a/packages/gateway/src/mocks/ownership-harness.ts
+++ b/packages/gateway/src/mocks/ownership-harness.ts
@@ -42,13 +42,13 @@
 			clock: this.clock,
 			timing: harnessTiming,
 			telemetry: new Telemetry(this.clock),
-			write: async change => this.log.write('s', change),
+			write: async change => this.log.write('s', {era: 0, term: 1}, change),
 			onChange() {
 				// The test calls `tick` itself.
 			},
-			onUncertainWrite: () => {
+			onFailedWrite: () => {
 				void this.log.read().then(state => {
-					this.manager.reload(state.maps.get('s') ?? OwnershipMap.empty());
+					this.manager.reload(state.owners.get('s')?.map);
 				});
 			},
 			findTarget(owner) {
--- a/packages/gateway/src/ports/keyed-log.ts
+++ b/packages/gateway/src/ports/keyed-log.ts
@@ -44,6 +44,9 @@
  * written.
  */
 export abstract class KeyedLog {
+	/** Newest era that any answer of the store has stated. */
+	abstract get newestEra(): number;
+
 	/** Lists a topic. Records that are written during the call may be missing. */
 	abstract list(topic: string): Promise<KeyedListing>;
 
