OWNER: an answer from before a freeze no longer confirms a leader

Callers saw: with a leader frozen while its question to the store was on its way, requests for keys could run at two targets: the frozen leader renewed grants after the thaw although another instance had taken over. Cause: a clock step demands a confirmation, but any answer ended the wait, also one to a question, write or reading from before the step. Change: a confirmation counts only if its question was asked after the demand. Why it works: an answer to such a question is linearized after the step, so a leader that was replaced meanwhile learns of it before it grants.

--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -42,6 +42,8 @@
 	private lastConfirmedAt: number;
 	private isAsking = false;
 	private mustConfirm = false;
+	/** Time from which a question must have been asked for its answer to confirm this leader. */
+	private askedFrom = Number.NEGATIVE_INFINITY;
 	private mustReload = false;
 	private nextAttemptAt = Number.NEGATIVE_INFINITY;
 	private isStopped = false;
@@ -83,20 +85,27 @@
 		return !this.mustConfirm && now - this.lastConfirmedAt < leaderGraceMs;
 	}
 
-	/** Stops grants until the store confirms this leader. */
+	/** Stops grants until the store answers a question asked from now on; another instance may have led since an earlier one. */
 	requireConfirmation(): void {
 		this.mustConfirm = true;
+		this.askedFrom = this.options.clock.now();
 	}
 
 	/** Reads the store again, after a write that failed. Grants stop if it was rejected as stale, since another instance may lead. */
 	handleFailedWrite(err: unknown): void {
 		this.mustReload = true;
-		this.mustConfirm ||= err instanceof StaleAppendError;
+		if (err instanceof StaleAppendError) {
+			this.requireConfirmation();
+		}
 	}
 
 	/** Records that the store answered a question which was asked at `askedAt`, and that this instance led then. */
 	recordConfirmation(askedAt: number): void {
 		const {clock, telemetry} = this.options;
+		if (askedAt < this.askedFrom) {
+			return;
+		}
+
 		if (this.mustConfirm) {
 			telemetry.info('leader', 'The store confirmed that this instance leads.', {term: this.lead.term, askedMsAgo: Math.round(clock.now() - askedAt)});
 		}
