OWNER: a range moves off a restarted target only after a release or the lease

Callers saw: after a target restarted under its name and address, requests for its keys could begin at two targets for up to a lease. Cause: a later incarnation at the same name and address let the range move at once, as if nobody could hold it. But that process has no memory of tokens and accepts grants that are addressed to the former one: the leader's own renewals until it reads of the restart, grants in flight, and those of a former leader. Also the bypass for targets that accepted this leader's token outlived the process that had accepted it. Same class: knowledge of a process that is gone. Change: three states instead of hasEnded. A later incarnation at another address or under another name proves that nobody accepts the grants, and moves at once. One at the same name and address is asked to release, like any former owner, and its acceptance of this leader's token no longer voids former leaders' grants. An owner that is known to have ended gets no more grants. Why it works: the release is answered by the process that may hold the range; grants that may still arrive are waited for as for every former owner.

--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -3,4 +3,5 @@
 export * from './messages.js';
 export * from './feed-reader.js';
 export * from './owner-log.js';
+export * from './owner-process.js';
 export * from './steward-plan.js';
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -18,6 +18,7 @@
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
 import type {NotOwnerReport, Pong, Report} from './messages.js';
 import type {OwnerLog, OwnerState} from './owner-log.js';
+import {findOwnerProcess} from './owner-process.js';
 import {OwnershipManager} from './ownership-manager.js';
 import {planStewards, type QueueToAssign} from './steward-plan.js';
 import {findUsableOwners} from './usable-owners.js';
@@ -292,7 +293,7 @@
 	}
 
 	private addManager(service: Service): OwnershipManager {
-		const {control, clock, timing, telemetry, ownerLog, view} = this.options;
+		const {control, clock, timing, telemetry, ownerLog} = this.options;
 		const inheritedMap = this.initialState.owners.get(service.name)?.map;
 		const manager = new OwnershipManager({
 			service: service.name,
@@ -313,7 +314,7 @@
 				this.confirmation.handleFailedWrite(err);
 			},
 			findTarget: owner => this.seenTargets.get(owner),
-			hasEnded: owner => this.hasEnded(owner, view),
+			findProcess: owner => findOwnerProcess(this.seenTargets.get(owner), this.seenTargets.values()),
 			inheritedLeaseEnd: () => this.confirmation.formerLeaseEnd,
 		}, inheritedMap ?? OwnershipMap.empty(), inheritedMap !== undefined);
 		this.managers.set(service.name, manager);
@@ -324,23 +325,6 @@
 		return manager;
 	}
 
-	/** Returns whether an owner has ended: a later incarnation has its name or its address. */
-	private hasEnded(owner: string, view: View): boolean {
-		const former = this.seenTargets.get(owner);
-		if (former === undefined || former.bornAt === 0) {
-			return false;
-		}
-
-		for (const target of view.targets.values()) {
-			const isSuccessor = target.name === former.name || target.addr === former.addr;
-			if (isSuccessor && target.bornAt > former.bornAt) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
 	private publishKeys(): void {
 		const {view} = this.options;
 		for (const [service, manager] of this.managers) {
--- a/packages/gateway/src/cluster/ownership-manager.test.ts
+++ b/packages/gateway/src/cluster/ownership-manager.test.ts
@@ -5,6 +5,7 @@
 import {
 	ControlFault, AppendFault, createHolderCheck, harnessOwners as owners, harnessTiming as timing, OwnershipHarness as Harness,
 } from '../mocks/index.js';
+import {OwnerProcess} from './owner-process.js';
 
 /** Interval in which each grant is renewed once. */
 const renewalMs = timing.leaseMs / 2;
@@ -120,7 +121,7 @@
 	await harness.run(1500);
 	const [first] = harness.control.ownersOfKey(5);
 	harness.control.faults.set(first, ControlFault.Lost);
-	harness.ended.add(first);
+	harness.processes.set(first, OwnerProcess.Ended);
 	harness.owners = owners.filter(({id}) => id !== first);
 	await harness.run(500);
 	t.is(harness.openOwner(5), harness.owners[0].id);
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -15,6 +15,7 @@
 } from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {OwnedRange} from '../view/index.js';
+import {OwnerProcess} from './owner-process.js';
 import {Revocations} from './revocations.js';
 import {
 	grantKey, createGrantState, inheritGrantState, pendingSince, type GrantState,
@@ -56,8 +57,8 @@
 	readonly onFailedWrite: (err: unknown) => void;
 	/** Returns the present or last known address of a target. */
 	readonly findTarget: (owner: string) => TargetRef | undefined;
-	/** Returns whether the process of an owner is known to have ended. */
-	readonly hasEnded: (owner: string) => boolean;
+	/** Returns what is known of the process of an owner. */
+	readonly findProcess: (owner: string) => OwnerProcess;
 	/** Returns the monotonic time at which all grants of former leaders have certainly expired. */
 	readonly inheritedLeaseEnd: () => number;
 };
@@ -336,11 +337,10 @@
 
 	private renewIfDue(range: RangeOwnership, now: number): void {
 		const grant = this.grants.get(grantKey(range));
-		if (grant === undefined || grant.isInFlight || now < grant.nextAt) {
-			return;
+		const isDue = grant !== undefined && !grant.isInFlight && now >= grant.nextAt;
+		if (isDue && this.options.findProcess(range.owner) === OwnerProcess.Running) {
+			void this.sendGrant(range, grant);
 		}
-
-		void this.sendGrant(range, grant);
 	}
 
 	private async sendGrant(range: RangeOwnership, grant: GrantState): Promise<void> {
--- a/packages/gateway/src/cluster/restarted-target.test.ts
+++ b/packages/gateway/src/cluster/restarted-target.test.ts
@@ -8,6 +8,7 @@
 import {
 	createHolderCheck, harnessTiming as timing, OwnershipHarness, type OwnershipHarnessOptions,
 } from '../mocks/index.js';
+import {OwnerProcess} from './owner-process.js';
 
 const key = 5;
 const formerFence = 0;
@@ -32,7 +33,7 @@
 /** Replaces the process of the target `a`; the leader has read the record of the later incarnation. */
 function restart(harness: OwnershipHarness): void {
 	harness.control.restart('a');
-	harness.ended.add('a@1');
+	harness.processes.set('a@1', OwnerProcess.Restarted);
 	harness.owners = [{id: 'b', capacity: 4}];
 }
 
@@ -162,7 +163,7 @@
 		await harness.run(100);
 	}
 
-	harness.ended.add('a@1');
+	harness.processes.set('a@1', OwnerProcess.Restarted);
 	harness.owners = [{id: 'b', capacity: 4}];
 	await harness.run(8000, createHolderCheck(t));
 	t.is(harness.openOwner(key), 'b');
--- a/packages/gateway/src/cluster/revocations.ts
+++ b/packages/gateway/src/cluster/revocations.ts
@@ -7,6 +7,7 @@
 } from '@bluebellyard/core';
 import type {TargetControl, TargetRef} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
+import {OwnerProcess} from './owner-process.js';
 
 /** Timeout of a release, in milliseconds; the target answers once its running requests have ended. */
 const releaseTimeoutMs = 2500;
@@ -25,8 +26,8 @@
 	readonly onChange: () => void;
 	/** Returns the present or last known address of a target. */
 	readonly findTarget: (owner: string) => TargetRef | undefined;
-	/** Returns whether the process of an owner is known to have ended. */
-	readonly hasEnded: (owner: string) => boolean;
+	/** Returns what is known of the process of an owner. */
+	readonly findProcess: (owner: string) => OwnerProcess;
 	/** Returns the monotonic time at which all grants of former leaders have certainly expired. */
 	readonly inheritedLeaseEnd: () => number;
 };
@@ -102,7 +103,8 @@
 
 	/** Returns whether a former owner certainly holds nothing of a range any more; otherwise sends a release if one is due. */
 	tryComplete(range: RangeOwnership, former: FormerOwner, now: number): boolean {
-		if (this.options.hasEnded(former.owner)) {
+		const process = this.options.findProcess(former.owner);
+		if (process === OwnerProcess.Ended) {
 			this.recordCompletion(range, former, 'process-ended');
 			return true;
 		}
@@ -111,7 +113,8 @@
 		this.begin(range, former, {now, isFenced: false, pendingSince: Number.NEGATIVE_INFINITY});
 		const revocation = this.revocations.get(revocationKey(range, former))!;
 		// The former leaders may turn out to have ended earlier than was known when the revocation started.
-		const formerLeadersEnd = revocation.isFenced ? Number.NEGATIVE_INFINITY : this.options.inheritedLeaseEnd();
+		const isFenced = revocation.isFenced && process !== OwnerProcess.Restarted;
+		const formerLeadersEnd = isFenced ? Number.NEGATIVE_INFINITY : this.options.inheritedLeaseEnd();
 		if (now >= formerLeadersEnd && (now >= revocation.expiresAt || (revocation.isReleased && now >= revocation.releaseValidAt))) {
 			this.recordCompletion(range, former, revocation.isReleased ? 'released' : 'lease-expired');
 			return true;
--- a/packages/gateway/src/mocks/ownership-harness.ts
+++ b/packages/gateway/src/mocks/ownership-harness.ts
@@ -1,7 +1,7 @@
 import {
 	OwnershipMap, ManualClock, type KeyRates, type EligibleOwner,
 } from '@bluebellyard/core';
-import {OwnerLog, OwnershipManager} from '../cluster/index.js';
+import {OwnerLog, OwnerProcess, OwnershipManager} from '../cluster/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {FakeTargetControl} from './fake-target-control.js';
 import {MemoryLog} from './memory-log.js';
@@ -27,7 +27,8 @@
 	readonly control = new FakeTargetControl(this.clock);
 	readonly store = new MemoryLog();
 	readonly log = new OwnerLog(this.store);
-	readonly ended = new Set<string>();
+	/** What is known of the processes of owners that do not run any more. */
+	readonly processes = new Map<string, OwnerProcess>();
 	readonly manager: OwnershipManager;
 	owners: readonly EligibleOwner[] = harnessOwners;
 	rates: KeyRates = [];
@@ -55,7 +56,7 @@
 				const [name] = owner.split('@');
 				return {addr: name, name};
 			},
-			hasEnded: owner => this.ended.has(owner),
+			findProcess: owner => this.processes.get(owner) ?? OwnerProcess.Running,
 			inheritedLeaseEnd: () => this.inheritedLeaseEnd,
 		}, map, isInherited);
 	}
