A reading of the store ends only writes that failed

After any write with an unknown outcome the owners of all services were replaced by those in the store, and their writes counted as ended, also those under way: a later write could then be decided on owners that lacked the one before it. Change: only a manager whose own write failed takes the recorded owners.

--- a/packages/core/src/keyspace/ownership-map.ts
+++ b/packages/core/src/keyspace/ownership-map.ts
@@ -44,6 +44,11 @@
 		this.ranges = ranges;
 	}
 
+	/** Whether any key has an owner. */
+	get hasOwners(): boolean {
+		return this.ranges.some(range => range.owner !== '');
+	}
+
 	/** Returns the range that contains the key. */
 	findByKey(key: number): RangeOwnership {
 		let low = 0;
--- a/packages/gateway/src/cluster/late-confirmation.test.ts
+++ b/packages/gateway/src/cluster/late-confirmation.test.ts
@@ -7,12 +7,10 @@
 	ManualClock, TargetPhase, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import {
-	AppendFault, FakeTargetControl, MemoryFeed, MemoryLog,
+	AppendFault, FakeTargetControl, HeldLog, MemoryFeed, type StoreCall,
 } from '../mocks/index.js';
 import type {PeerNet} from '../peers/index.js';
-import type {
-	AppendedRecord, KeyedListing, OperatorEntry, TopicEnd,
-} from '../ports/index.js';
+import type {OperatorEntry} from '../ports/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {View, type NodeInfo} from '../view/index.js';
 import {FeedReader} from './feed-reader.js';
@@ -43,65 +41,6 @@
 	};
 }
 
-/** Kinds of calls to the store. */
-type Call = 'list' | 'end' | 'append';
-
-/** Store whose answers can be withheld after the calls were carried out. */
-class HeldLog extends MemoryLog {
-	private heldCalls = new Set<Call>();
-	private readonly held: Array<() => void> = [];
-
-	/** Number of answers that are withheld. */
-	get heldCount(): number {
-		return this.held.length;
-	}
-
-	/** Withholds the answers to calls of the given kinds from now on. */
-	hold(...calls: readonly Call[]): void {
-		this.heldCalls = new Set(calls);
-	}
-
-	/** Sends the oldest withheld answer. */
-	releaseOne(): void {
-		this.held.shift()?.();
-	}
-
-	/** Sends all withheld answers and withholds none from now on. */
-	releaseAll(): void {
-		this.heldCalls.clear();
-		for (const send of this.held.splice(0)) {
-			send();
-		}
-	}
-
-	/** Makes another instance leader. */
-	async replaceLeader(): Promise<void> {
-		await super.append('keyed.bluebellyard-owners', 'leader', JSON.stringify(leaderRecord(2, 'e1')));
-	}
-
-	override async list(topic: string): Promise<KeyedListing> {
-		return this.delay('list', await super.list(topic));
-	}
-
-	override async end(topic: string): Promise<TopicEnd> {
-		return this.delay('end', await super.end(topic));
-	}
-
-	override async append(topic: string, key: string, value: string, at?: number): Promise<AppendedRecord> {
-		return this.delay('append', await super.append(topic, key, value, at));
-	}
-
-	private async delay<T>(call: Call, answer: T): Promise<T> {
-		if (this.heldCalls.has(call)) {
-			await new Promise<void>(resolve => {
-				this.held.push(resolve);
-			});
-		}
-
-		return answer;
-	}
-}
-
 /** A leader of two targets, in the first term of its deployment. */
 class Harness {
 	readonly clock = new ManualClock(100_000);
@@ -153,6 +92,11 @@
 		await this.run(2000);
 	}
 
+	/** Makes another instance leader in the store. */
+	async replaceLeader(): Promise<void> {
+		await this.log.append('keyed.bluebellyard-owners', 'leader', JSON.stringify(leaderRecord(2, 'e1')));
+	}
+
 	/** Ticks every 100 ms of the manual clock. */
 	async run(ms: number): Promise<void> {
 		for (let passed = 0; passed < ms; passed += 100) {
@@ -170,7 +114,7 @@
 	}
 
 	/** Runs until an answer to a call of the given kind is withheld. */
-	async runUntilHeld(call: Call): Promise<void> {
+	async runUntilHeld(call: StoreCall): Promise<void> {
 		this.log.hold(call);
 		for (let i = 0; i < 100 && this.log.heldCount === 0; i += 1) {
 			// eslint-disable-next-line no-await-in-loop
@@ -245,7 +189,7 @@
 test('a leader that was replaced during a freeze grants nothing after it', async t => {
 	const harness = await setUp();
 	await harness.runUntilHeld('end');
-	await harness.log.replaceLeader();
+	await harness.replaceLeader();
 	await harness.freeze();
 	harness.log.releaseOne();
 	await harness.run(renewalMs);
--- a/packages/gateway/src/cluster/ownership-manager.test.ts
+++ b/packages/gateway/src/cluster/ownership-manager.test.ts
@@ -256,3 +256,22 @@
 	await harness.run(200);
 	t.deepEqual(harness.control.ownersOfKey(5), [first]);
 });
+
+test('a reading of the store does not replace owners whose write is under way', async t => {
+	const harness = new Harness();
+	const [a, b, c] = ['a', 'b', 'c'].map(id => ({id, capacity: 4}));
+	harness.owners = [a];
+	await harness.run(1500);
+	const {owners} = await harness.log.read();
+	harness.store.hold('append');
+	harness.owners = [b];
+	await harness.run(100);
+	harness.manager.reload(owners.get('s')?.map);
+	harness.owners = [c];
+	await harness.run(600);
+	harness.store.releaseOne();
+	await harness.run(1500, createHolderCheck(t));
+	harness.store.releaseAll();
+	await harness.run(10_000, createHolderCheck(t));
+	t.is(harness.openOwner(5), 'c');
+});
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -79,7 +79,9 @@
 	private readonly revocations: Revocations;
 	/** State handed over by former owners, by the key of the grant that delivers it. */
 	private readonly handovers = new Map<string, string>();
+	/** Whether a write is under way, or has failed and `reload` has not followed. */
 	private isWriting = false;
+	private hasFailedWrite = false;
 	private rangesRevision = 1;
 	private mustRenewFences = false;
 	private areGrantsSuspended = false;
@@ -119,11 +121,10 @@
 
 	/** Returns the owners by which requests are routed, as rows of the view. */
 	ranges(): Map<string, OwnedRange> {
-		const {service} = this.options;
 		const rows = new Map<string, OwnedRange>();
 		for (const range of this.map.ranges) {
 			const isOpen = range.formers.length === 0 && (this.grants.get(grantKey(range))?.isOpen ?? false);
-			rows.set(`keys/${service}/${range.from}`, {to: range.to, owner: range.owner, isOpen});
+			rows.set(`keys/${this.options.service}/${range.from}`, {to: range.to, owner: range.owner, isOpen});
 		}
 
 		return rows;
@@ -143,7 +144,7 @@
 		this.areMovesSuspended = true;
 	}
 
-	/** Moves keys again, after all ranges have got a new fencing token; renews grants meanwhile. */
+	/** Moves keys again once all ranges have a new fencing token; renews grants meanwhile. */
 	resumeMoves(): void {
 		this.areMovesSuspended = false;
 		this.writeNewFences();
@@ -154,12 +155,15 @@
 	 * none, the present map stays in force and is written again.
 	 */
 	reload(map: OwnershipMap | undefined): void {
-		this.isWriting = false;
-		if (map !== undefined) {
-			this.applyMap(map);
+		if (this.hasFailedWrite) {
+			this.hasFailedWrite = false;
+			this.isWriting = false;
+			if (map !== undefined) {
+				this.applyMap(map);
+			}
 		}
 
-		if (!this.areMovesSuspended && (this.mustRenewFences || (map === undefined && this.hasOwners))) {
+		if (!this.isWriting && !this.areMovesSuspended && (this.mustRenewFences || (map === undefined && this.map.hasOwners))) {
 			this.writeNewFences();
 		}
 	}
@@ -173,10 +177,6 @@
 		}
 	}
 
-	private get hasOwners(): boolean {
-		return this.map.ranges.some(range => range.owner !== '');
-	}
-
 	/** Returns for how long an owner has not answered grants, in milliseconds; negative infinity if it answers. */
 	silentMs(owner: string): number {
 		return this.options.clock.now() - (this.silentSince.get(owner) ?? Number.POSITIVE_INFINITY);
@@ -246,9 +246,8 @@
 		}
 
 		this.cleanupPendingSince = undefined;
-		const {ranges} = this.map;
 		const mergedCount = this.map.renewFences(0).ranges.length;
-		this.write(fence => mergedCount < ranges.length * maxMergedShare ? this.map.renewFences(fence) : this.map);
+		this.write(fence => mergedCount < this.map.ranges.length * maxMergedShare ? this.map.renewFences(fence) : this.map);
 	}
 
 	private writeNewFences(): void {
@@ -269,6 +268,7 @@
 			this.options.telemetry.warn('keeper', 'The owners could not be written; reading them from the store again.', {
 				service: this.options.service, isStale, err,
 			});
+			this.hasFailedWrite = true;
 			this.options.onFailedWrite(err);
 		});
 	}
--- a/packages/gateway/src/mocks/ownership-harness.ts
+++ b/packages/gateway/src/mocks/ownership-harness.ts
@@ -4,7 +4,7 @@
 import {OwnerLog, OwnerProcess, OwnershipManager} from '../cluster/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {FakeTargetControl} from './fake-target-control.js';
-import {MemoryLog} from './memory-log.js';
+import {HeldLog} from './held-log.js';
 
 export const harnessTiming = {leaseMs: 6000, transitMs: 500};
 
@@ -25,7 +25,7 @@
 export class OwnershipHarness {
 	readonly clock = new ManualClock(100_000);
 	readonly control = new FakeTargetControl(this.clock);
-	readonly store = new MemoryLog();
+	readonly store = new HeldLog();
 	readonly log = new OwnerLog(this.store);
 	/** What is known of the processes of owners that do not run any more. */
 	readonly processes = new Map<string, OwnerProcess>();
