--- /dev/null
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -0,0 +1,159 @@
+import test from 'ava';
+import {leaseExpiry, ManualClock} from '@bluebellyard/core';
+import {AppendFault, MemoryLog} from '../mocks/index.js';
+import {StaleAppendError, UnknownAppendError} from '../ports/index.js';
+import {Telemetry} from '../telemetry/index.js';
+import {leaderGraceMs} from './former-leaders.js';
+import {LeadConfirmation} from './lead-confirmation.js';
+import type {LeaderRecord} from './leader-record.js';
+import {OwnerLog} from './owner-log.js';
+
+const topic = 'keyed.bluebellyard-owners';
+const timing = {leaseMs: 6000, transitMs: 500};
+
+function leaderRecord(name: string, {era, term}: {era: number; term: number}): LeaderRecord {
+	return {
+		era, term, name, incarnation: `${name}-1`, formers: [], isRecovering: false,
+	};
+}
+
+/** Leader e0 of term 5, which claimed the lead in era 1 after another leader's record. */
+class Harness {
+	readonly clock = new ManualClock(100_000);
+	readonly store = new MemoryLog();
+	readonly ownerLog = new OwnerLog(this.store);
+	readonly events: string[] = [];
+	confirmation!: LeadConfirmation;
+
+	async start(): Promise<void> {
+		this.store.era = 1;
+		await this.writeLeader('e1', {era: 1, term: 4});
+		const record = leaderRecord('e0', {era: 1, term: 5});
+		await this.ownerLog.claimLead(record, await this.ownerLog.read());
+		this.confirmation = new LeadConfirmation({
+			record,
+			hadLeader: true,
+			ownerLog: this.ownerLog,
+			clock: this.clock,
+			telemetry: new Telemetry(this.clock),
+			timing,
+			otherInstances: () => ['e1', 'e2'],
+			onReload: () => {
+				this.events.push('reload');
+			},
+			onReclaimed: () => {
+				this.events.push('reclaimed');
+			},
+			onSuperseded: () => {
+				this.events.push('superseded');
+			},
+		});
+		this.clock.advance(20_000);
+	}
+
+	async writeLeader(name: string, leadership: {era: number; term: number}): Promise<void> {
+		await this.store.append(topic, 'leader', JSON.stringify(leaderRecord(name, leadership)));
+	}
+
+	/** Asks the store; a failed question is repeated after its delay. */
+	async confirm(): Promise<void> {
+		await this.confirmation.confirm();
+		this.clock.advance(300);
+	}
+}
+
+async function setUp(): Promise<Harness> {
+	const harness = new Harness();
+	await harness.start();
+	return harness;
+}
+
+test('a leader claims the lead again when the store has lost its record', async t => {
+	const {confirmation, store, events, ownerLog, ...harness} = await setUp();
+	store.returnWithout(topic, 1);
+	t.false(confirmation.isInPresentEra);
+	await confirmation.confirm();
+	t.deepEqual(events, ['reclaimed', 'reload']);
+	t.deepEqual(confirmation.leadership, {era: 2, term: 5});
+	t.true(confirmation.isRecovering);
+	const {leader} = await ownerLog.read();
+	t.like(leader, {
+		era: 2, term: 5, name: 'e0', isRecovering: true,
+	});
+	t.deepEqual(leader?.formers, ['e1', 'e2']);
+	t.is(confirmation.formerLeaseEnd, leaseExpiry(harness.clock.now() + leaderGraceMs, timing));
+});
+
+test('a leader whose record survived the return claims the lead again, too', async t => {
+	const {confirmation, store, events} = await setUp();
+	store.returnWithout(topic, 0);
+	await confirmation.confirm();
+	t.deepEqual(events, ['reclaimed', 'reload']);
+});
+
+test('a leader that a later one has superseded does not claim the lead after a return', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 0);
+	await harness.writeLeader('e1', {era: 2, term: 1});
+	await harness.confirm();
+	t.deepEqual(harness.events, ['superseded']);
+});
+
+test('a claim whose answer is lost is claimed once more', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 1);
+	harness.store.faults.push(AppendFault.AnswerLost);
+	await harness.confirm();
+	t.deepEqual(harness.events, []);
+	await harness.confirm();
+	t.deepEqual(harness.events, ['reclaimed', 'reload']);
+});
+
+test('only instances that follow in the present era end the wait for lost grants', async t => {
+	const {confirmation, store, clock} = await setUp();
+	store.returnWithout(topic, 1);
+	await confirmation.confirm();
+	const reclaimedAt = clock.now();
+	clock.advance(1000);
+	confirmation.recordFollower('e1', {era: 1, term: 5});
+	confirmation.recordFollower('e2', {era: 2, term: 5});
+	t.is(confirmation.formerLeaseEnd, leaseExpiry(reclaimedAt + leaderGraceMs, timing));
+	confirmation.recordFollower('e1', {era: 2, term: 5});
+	t.is(confirmation.formerLeaseEnd, leaseExpiry(clock.now(), timing));
+});
+
+test('a second return begins the wait for lost grants anew', async t => {
+	const {confirmation, store, clock} = await setUp();
+	store.returnWithout(topic, 1);
+	await confirmation.confirm();
+	confirmation.recordFollower('e1', {era: 2, term: 5});
+	confirmation.recordFollower('e2', {era: 2, term: 5});
+	clock.advance(3000);
+	store.returnWithout(topic, 1);
+	await confirmation.confirm();
+	t.deepEqual(confirmation.leadership, {era: 3, term: 5});
+	t.is(confirmation.formerLeaseEnd, leaseExpiry(clock.now() + leaderGraceMs, timing));
+});
+
+test('a write with an unknown outcome does not stop grants, a rejected one does until the store confirms', async t => {
+	const harness = await setUp();
+	await harness.confirm();
+	harness.confirmation.handleFailedWrite(new UnknownAppendError('no answer'));
+	t.true(harness.confirmation.mayGrant(harness.clock.now()));
+	harness.confirmation.handleFailedWrite(new StaleAppendError('rejected'));
+	t.false(harness.confirmation.mayGrant(harness.clock.now()));
+	await harness.confirm();
+	t.true(harness.confirmation.mayGrant(harness.clock.now()));
+	t.deepEqual(harness.events, ['reload']);
+});
+
+test('a leader without an answer of the store stops grants after its grace period', async t => {
+	const harness = await setUp();
+	await harness.confirm();
+	harness.store.isDown = true;
+	harness.clock.advance(leaderGraceMs - 800);
+	await harness.confirm();
+	t.true(harness.confirmation.mayGrant(harness.clock.now()));
+	harness.clock.advance(400);
+	t.false(harness.confirmation.mayGrant(harness.clock.now()));
+});
--- /dev/null
+++ b/packages/gateway/src/cluster/leader-election.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import {ManualClock} from '@bluebellyard/core';
+import {MemoryLog} from '../mocks/index.js';
+import type {PeerNet} from '../peers/index.js';
+import {Telemetry} from '../telemetry/index.js';
+import {View, type NodeInfo} from '../view/index.js';
+import {Directory} from './directory.js';
+import {KnownInstances} from './known-instances.js';
+import {ElectionOutcome, LeaderElection, type Candidacy} from './leader-election.js';
+import type {LeaderRecord} from './leader-record.js';
+import {OwnerLog} from './owner-log.js';
+
+const topic = 'keyed.bluebellyard-owners';
+
+function node(name: string): NodeInfo {
+	return {
+		name, domain: 'x', incarnation: `${name}-1`, addr: `${name}:1`, cores: 1,
+	};
+}
+
+/** Instance e0 follows the leader e1, of term 5 in era 1; it does not know e2, which is registered, too. No instance answers queries. */
+class Harness {
+	readonly clock = new ManualClock(100_000);
+	readonly store = new MemoryLog();
+	readonly ownerLog = new OwnerLog(this.store);
+	private readonly election: LeaderElection;
+
+	constructor() {
+		const self = node('e0');
+		const net: Pick<PeerNet, 'call'> = {
+			async call() {
+				throw new Error('no answer');
+			},
+		};
+		this.store.era = 1;
+		const knownInstances = new KnownInstances({
+			self, view: new View(), net: net as PeerNet, random: () => 0,
+		});
+		knownInstances.add(node('e1'));
+		this.election = new LeaderElection({
+			self,
+			ownerLog: this.ownerLog,
+			directory: new Directory(this.store),
+			knownInstances,
+			clock: this.clock,
+			telemetry: new Telemetry(this.clock),
+		});
+	}
+
+	async start(): Promise<void> {
+		const directory = new Directory(this.store);
+		await directory.announce(node('e1'));
+		await directory.announce(node('e2'));
+		await this.ownerLog.claimLead({
+			era: 1, term: 5, name: 'e1', incarnation: 'e1-1', formers: [], isRecovering: false,
+		}, await this.ownerLog.read());
+	}
+
+	async stand(candidacy: Partial<Candidacy> = {}): Promise<ElectionOutcome> {
+		const {outcome} = await this.election.stand({
+			isSuccessor: false, leadership: {era: 1, term: 5}, leaderName: 'e1', contactAgeMs: 5000, ...candidacy,
+		});
+		return outcome;
+	}
+
+	async recorded(): Promise<LeaderRecord | undefined> {
+		const {leader} = await this.ownerLog.read();
+		return leader;
+	}
+}
+
+async function setUp(): Promise<Harness> {
+	const harness = new Harness();
+	await harness.start();
+	return harness;
+}
+
+test('a successor of the recorded leader waits for that leader alone', async t => {
+	const harness = await setUp();
+	t.is(await harness.stand(), ElectionOutcome.Won);
+	const leader = await harness.recorded();
+	t.like(leader, {era: 1, term: 6, isRecovering: false});
+	t.deepEqual(leader?.formers, ['e1']);
+});
+
+test('after a return of the store any known instance may have led', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 0);
+	t.is(await harness.stand(), ElectionOutcome.Won);
+	const leader = await harness.recorded();
+	t.like(leader, {era: 2, term: 6, isRecovering: true});
+	t.deepEqual(leader?.formers.toSorted(), ['e1', 'e2']);
+});
+
+test('a leader of which only lost records tell does not lower the term', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 0);
+	t.is(await harness.stand({leadership: {era: 1, term: 8}}), ElectionOutcome.Won);
+	t.like(await harness.recorded(), {era: 2, term: 9});
+});
+
+test('a leader that is heard gets time to claim the lead after a return of the store', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 0);
+	t.is(await harness.stand({contactAgeMs: 600}), ElectionOutcome.Postponed);
+	harness.clock.advance(1600);
+	t.is(await harness.stand({contactAgeMs: 600}), ElectionOutcome.LeaderUnreachable);
+	t.is(await harness.stand({contactAgeMs: 5000}), ElectionOutcome.Won);
+});
+
+test('a later leader in the store is followed', async t => {
+	const harness = await setUp();
+	t.is(await harness.stand({leadership: {era: 1, term: 3}}), ElectionOutcome.OtherElected);
+	t.is(await harness.stand({leadership: {era: 2, term: 3}}), ElectionOutcome.Won);
+});
