FeedReader: entries that a copy of the store lacks have time to be written again

Cause: a listing of the store after its return from an older copy was taken for the present state. Targets in use were removed and evacuations withdrawn at once, also by a new leader that took over the view and did not see the return itself. Change: the view keeps the era of the store on which it is based. When an answer states a later one, targets and evacuations that the listing lacks stay for the two seconds that the platform gives for entries to be written again. Evacuations are a class of their own. Decision on evacuations: one that the copy lacks ends after these two seconds, as an operator who no longer wants it has nothing to withdraw in the copy; its withdrawal, if written, ends it at once. One that was withdrawn but is in the copy holds until its withdrawal is written again, as an evacuation that holds too long costs capacity, and one that ends too early sends work where none may go. A plain outage loses no records, so evacuations end at once after it, as before.

--- a/packages/gateway/src/cluster/feed-reader.test.ts
+++ b/packages/gateway/src/cluster/feed-reader.test.ts
@@ -1,46 +1,9 @@
 import test from 'ava';
-import {ManualClock, TargetPhase, type TargetInfo} from '@bluebellyard/core';
-import {MemoryFeed} from '../mocks/index.js';
-import type {OperatorEntry} from '../ports/index.js';
-import {Telemetry} from '../telemetry/index.js';
-import {View} from '../view/index.js';
-import {FeedReader} from './feed-reader.js';
-
-const target: TargetInfo = {
-	id: 'i@1', name: 'i', service: 's', addr: '10.0.0.1:1', domain: 'x', slots: 2, phase: TargetPhase.Ready, bornAt: 1, coldLeftMs: 0,
-};
-
-function setUp(): {reader: FeedReader; view: View; clock: ManualClock; targets: MemoryFeed<TargetInfo>; operators: MemoryFeed<OperatorEntry>} {
-	const clock = new ManualClock(10_000);
-	const view = new View();
-	const targets = new MemoryFeed<TargetInfo>();
-	const operators = new MemoryFeed<OperatorEntry>();
-	const reader = new FeedReader({
-		operators, targets, view, clock, telemetry: new Telemetry(clock),
-	});
-	return {
-		reader, view, clock, targets, operators,
-	};
-}
-
-/** Waits until a condition holds; resolves to false after at least 5 s. */
-async function until(condition: () => boolean): Promise<boolean> {
-	for (let i = 0; i < 500; i += 1) {
-		if (condition()) {
-			return true;
-		}
-
-		// eslint-disable-next-line no-await-in-loop
-		await new Promise(resolve => {
-			setTimeout(resolve, 10);
-		});
-	}
-
-	return false;
-}
+import {TargetPhase} from '@bluebellyard/core';
+import {feedTarget as target, FeedHarness, until} from '../mocks/index.js';
 
 test('targets are added, changed and removed', async t => {
-	const {reader, view, targets} = setUp();
+	const {reader, view, targets} = new FeedHarness();
 	targets.put('i', target);
 	reader.start(false);
 	t.true(await until(() => view.targets.has('i@1')));
@@ -52,7 +15,7 @@
 });
 
 test('a new incarnation of a target replaces the former one', async t => {
-	const {reader, view, targets} = setUp();
+	const {reader, view, targets} = new FeedHarness();
 	targets.put('i', target);
 	reader.start(false);
 	await until(() => view.targets.has('i@1'));
@@ -62,7 +25,7 @@
 });
 
 test('a target whose entry expired in an outage of the store has two seconds to write it again', async t => {
-	const {reader, view, targets, clock} = setUp();
+	const {reader, view, targets, clock} = new FeedHarness();
 	targets.put('i', target);
 	targets.put('j', {...target, id: 'j@1', name: 'j'});
 	reader.start(false);
@@ -83,7 +46,7 @@
 });
 
 test('a target that becomes cold again is updated in the view', async t => {
-	const {reader, view, targets, clock} = setUp();
+	const {reader, view, targets, clock} = new FeedHarness();
 	targets.put('i', target);
 	reader.start(false);
 	await until(() => view.targets.has('i@1'));
@@ -94,7 +57,7 @@
 });
 
 test('evacuations are applied and withdrawn', async t => {
-	const {reader, view, operators} = setUp();
+	const {reader, view, operators} = new FeedHarness();
 	operators.put('evacuate/x', {kind: 'evacuation', domain: 'x'});
 	reader.start(false);
 	t.true(await until(() => view.evacuated.has('x')));
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -7,6 +7,7 @@
 import type {OperatorEntry, OperatorFeed, TargetFeed} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
+import {Evacuations} from './evacuations.js';
 
 /** Interval between two reads of the targets' records, in milliseconds: delays a heartbeat by a third of its interval at most, and is well below the time for draining. */
 const targetReadIntervalMs = 450;
@@ -20,7 +21,7 @@
 /** Time without a successful read from which the store counts as having been unreachable, in milliseconds. */
 const minOutageMs = 1500;
 
-/** Time after an outage within which targets write their expired entries again, in milliseconds; specified by the platform. */
+/** Time after an outage or a return of the store from a copy within which expired and lost entries are written again, in milliseconds; specified by the platform. */
 const reregistrationMs = 2000;
 
 /** Increase of the remaining cold time above which a target counts as cold again, in milliseconds. */
@@ -44,14 +45,15 @@
 	private readAt = Number.NEGATIVE_INFINITY;
 	private isStoreUnreachable = false;
 	private recoveredAt = Number.NEGATIVE_INFINITY;
-	/** Names of targets whose entries expired during an outage, with the time at which they are removed. */
+	/** Time at which the last return of the store from an older copy was noticed. */
+	private returnedAt = Number.NEGATIVE_INFINITY;
+	/** Names of targets whose entries expired or were lost in an outage, with the time at which they are removed. */
 	private readonly pendingRemovals = new Map<string, number>();
 	/** Target id (one incarnation) by target name. */
 	private readonly idsByName = new Map<string, string>();
 	/** Monotonic time until which a target is cold, by target id. */
 	private readonly coldUntil = new Map<string, number>();
-	/** Evacuated failure domain by record key. */
-	private readonly evacuations = new Map<string, string>();
+	private readonly evacuations = new Evacuations();
 
 	constructor(options: FeedReaderOptions) {
 		this.options = options;
@@ -77,6 +79,7 @@
 			this.idsByName.set(target.name, target.id);
 		}
 
+		this.evacuations.load(this.options.view.evacuated);
 		this.options.operators.restart();
 		this.options.targets.restart();
 		void this.readOperators(this.generation);
@@ -104,6 +107,7 @@
 					return;
 				}
 
+				this.recordEra(change.era);
 				if (change.isFull || change.set.size > 0 || change.gone.length > 0) {
 					this.applyOperatorEntries(change.set, change.gone, change.isFull);
 					view.notifyListeners();
@@ -117,13 +121,13 @@
 	}
 
 	private applyOperatorEntries(set: ReadonlyMap<string, OperatorEntry>, removed: readonly string[], isFull: boolean): void {
-		const {view, telemetry} = this.options;
+		const {view, telemetry, clock} = this.options;
 		if (isFull) {
-			this.evacuations.clear();
+			this.evacuations.endMissing(set, this.returnedAt + reregistrationMs);
 		}
 
 		for (const key of removed) {
-			this.evacuations.delete(key);
+			this.evacuations.remove(key);
 		}
 
 		for (const [key, entry] of set) {
@@ -134,12 +138,17 @@
 			}
 		}
 
-		const domains = new Map([...this.evacuations.values()].map(domain => [`evacuated/${domain}`, true]));
-		if ([...domains.keys()].join(',') !== [...view.evacuated].map(domain => `evacuated/${domain}`).join(',')) {
-			telemetry.info('news', 'The set of evacuated failure domains changed.', {domains: [...this.evacuations.values()]});
-		}
+		this.publishEvacuations(clock.now());
+	}
 
-		view.replacePrefix('evacuated/', domains);
+	private publishEvacuations(now: number): void {
+		const {view, telemetry} = this.options;
+		this.evacuations.expire(now);
+		const {domains} = this.evacuations;
+		if (!isSameSet(domains, view.evacuated)) {
+			telemetry.info('news', 'The set of evacuated failure domains changed.', {domains: [...domains]});
+			view.replacePrefix('evacuated/', new Map([...domains].map(domain => [`evacuated/${domain}`, true])));
+		}
 	}
 
 	private async readTargets(generation: number): Promise<void> {
@@ -155,6 +164,8 @@
 
 				this.recordRead(startedAt);
 				const before = view.store.lastSeq;
+				this.recordEra(change.era);
+				this.publishEvacuations(clock.now());
 				this.applyTargetEntries(change.set, change.gone, change.isFull);
 				if (view.store.lastSeq !== before) {
 					view.notifyListeners();
@@ -182,6 +193,21 @@
 		this.readAt = startedAt;
 	}
 
+	/** Records the era of an answer; a rise means that entries which the copy lacks must be written again. */
+	private recordEra(era: number): void {
+		const {view, clock, telemetry} = this.options;
+		const formerEra = view.storeEra;
+		if (formerEra !== undefined && era <= formerEra) {
+			return;
+		}
+
+		view.setStoreEra(era);
+		if (formerEra !== undefined) {
+			this.returnedAt = clock.now();
+			telemetry.info('news', 'The store returned from an older copy; lost entries have time to be written again.', {era, formerEra, reregistrationMs});
+		}
+	}
+
 	private applyTargetEntries(set: ReadonlyMap<string, TargetInfo>, removed: readonly string[], isFull: boolean): void {
 		const now = this.options.clock.now();
 		for (const [name, target] of set) {
@@ -190,9 +216,10 @@
 		}
 
 		const missing = isFull ? [...this.idsByName.keys()].filter(name => !set.has(name)) : removed;
+		const reregisteredAt = Math.max(this.recoveredAt, this.returnedAt) + reregistrationMs;
 		for (const name of missing) {
-			if (now < this.recoveredAt + reregistrationMs) {
-				this.pendingRemovals.set(name, this.recoveredAt + reregistrationMs);
+			if (now < reregisteredAt) {
+				this.pendingRemovals.set(name, reregisteredAt);
 			} else {
 				this.remove(name);
 			}
@@ -245,6 +272,10 @@
 	}
 }
 
+function isSameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
+	return a.size === b.size && [...a].every(item => b.has(item));
+}
+
 function isSameTarget(a: TargetInfo, b: TargetInfo): boolean {
 	return a.service === b.service && a.addr === b.addr && a.domain === b.domain && a.slots === b.slots && a.phase === b.phase;
 }
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -1,4 +1,5 @@
 export * from './fake-target-control.js';
+export * from './feed-harness.js';
 export * from './held-log.js';
 export * from './memory-feed.js';
 export * from './memory-log.js';
--- a/packages/gateway/src/mocks/memory-feed.ts
+++ b/packages/gateway/src/mocks/memory-feed.ts
@@ -5,6 +5,8 @@
 	isDown = false;
 	era = 0;
 	restarts = 0;
+	/** Number of answers with all entries. */
+	listings = 0;
 	private readonly rows = new Map<string, T>();
 	private changed = new Map<string, T>();
 	private gone: string[] = [];
@@ -22,6 +24,19 @@
 		this.gone.push(key);
 	}
 
+	/** Replaces all entries by those of an older copy of the store, and starts the next era. */
+	returnFromCopy(rows: ReadonlyMap<string, T>): void {
+		this.era += 1;
+		this.rows.clear();
+		this.changed = new Map();
+		this.gone = [];
+		for (const [key, value] of rows) {
+			this.rows.set(key, value);
+		}
+
+		this.isFull = true;
+	}
+
 	override restart(): void {
 		this.restarts += 1;
 		this.isFull = true;
@@ -42,6 +57,7 @@
 			: {
 				era: this.era, isFull: false, set: this.changed, gone: this.gone,
 			};
+		this.listings += this.isFull ? 1 : 0;
 		this.isFull = false;
 		this.changed = new Map();
 		this.gone = [];
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -106,6 +106,11 @@
 		return this.servicesByName;
 	}
 
+	/** Era of the store that the entries of targets and operators are based on; undefined before the first answer. */
+	get storeEra(): number | undefined {
+		return this.store.get<number>('store-era');
+	}
+
 	/** Registers a listener that is called after each change. */
 	onChange(listener: () => void): void {
 		this.listeners.add(listener);
@@ -162,6 +167,11 @@
 		return true;
 	}
 
+	/** Records the era of the store, so that instances which do not read the store know it, too. */
+	setStoreEra(era: number): void {
+		this.store.set('store-era', era);
+	}
+
 	/** Replaces all rows under a prefix. */
 	replacePrefix(prefix: string, rows: ReadonlyMap<string, unknown>): void {
 		for (const [key] of this.store.withPrefix(prefix)) {
