Records of targets that are older than what was seen do not count

Cause: after a return of the store from an older copy, its listing has records that targets have replaced or deleted since. A draining target was ready again, one that had left got work, and a process could be replaced by its predecessor; the same at a new leader. Change: TargetInfo has the number of its record (the platform's sequence). TargetRecords keeps the newest number of each target and ignores a record of the same process with a lower one, and in a listing also the last record of a target that left and that of an earlier process. A higher number counts, and so does all that a target writes after the listing. The view keeps a small row of each target that left, for five minutes, so that a new leader knows it. A heartbeat changes no row.

--- a/packages/core/src/routing/model.ts
+++ b/packages/core/src/routing/model.ts
@@ -70,6 +70,8 @@
 	readonly phase: TargetPhase;
 	/** Start time of the process, in Unix milliseconds; 0 when not reported. */
 	readonly bornAt: number;
+	/** Number of this record among those of the process; rises with each one, so that an older record is recognized. Undefined when not reported. */
+	readonly recordSeq?: number;
 	/** Reported time for which it remains cold, in milliseconds, so that wall clocks need not agree; 0 when not reported. */
 	readonly coldLeftMs: number;
 };
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -8,6 +8,7 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {Evacuations} from './evacuations.js';
+import {TargetRecords} from './target-records.js';
 
 /** Interval between two reads of the targets' records, in milliseconds: delays a heartbeat by a third of its interval at most, and is well below the time for draining. */
 const targetReadIntervalMs = 450;
@@ -54,9 +55,11 @@
 	/** Monotonic time until which a target is cold, by target id. */
 	private readonly coldUntil = new Map<string, number>();
 	private readonly evacuations = new Evacuations();
+	private readonly records: TargetRecords;
 
 	constructor(options: FeedReaderOptions) {
 		this.options = options;
+		this.records = new TargetRecords(options.view, options.clock);
 	}
 
 	/** Monotonic time at which the last successful read of the targets' records began. */
@@ -79,6 +82,7 @@
 			this.idsByName.set(target.name, target.id);
 		}
 
+		this.records.load();
 		this.evacuations.load(this.options.view.evacuated);
 		this.options.operators.restart();
 		this.options.targets.restart();
@@ -212,9 +216,18 @@
 		const now = this.options.clock.now();
 		for (const [name, target] of set) {
 			this.pendingRemovals.delete(name);
-			this.applyTarget(name, target, now);
+			if (this.records.isOutdated(target, isFull)) {
+				const {id, phase, recordSeq} = target;
+				this.options.telemetry.trace('news', 'Ignored an older record of a target.', {
+					target: id, phase, recordSeq, present: this.idsByName.get(name),
+				});
+			} else {
+				this.applyTarget(name, target, now);
+			}
 		}
 
+		this.records.expire(now);
+
 		const missing = isFull ? [...this.idsByName.keys()].filter(name => !set.has(name)) : removed;
 		const reregisteredAt = Math.max(this.recoveredAt, this.returnedAt) + reregistrationMs;
 		for (const name of missing) {
@@ -237,9 +250,10 @@
 		const {view, telemetry} = this.options;
 		const formerId = this.idsByName.get(name);
 		if (formerId !== undefined && formerId !== target.id) {
-			this.remove(name);
+			this.removeRow(formerId);
 		}
 
+		this.records.record(target);
 		this.idsByName.set(name, target.id);
 		const coldUntil = now + target.coldLeftMs;
 		const isColder = target.coldLeftMs > 0 && coldUntil > (this.coldUntil.get(target.id) ?? 0) + minColdIncreaseMs;
@@ -258,13 +272,16 @@
 	}
 
 	private remove(name: string): void {
-		const {view, telemetry} = this.options;
 		const id = this.idsByName.get(name);
-		if (id === undefined) {
-			return;
+		if (id !== undefined) {
+			this.idsByName.delete(name);
+			this.records.recordLeft(name);
+			this.removeRow(id);
 		}
+	}
 
-		this.idsByName.delete(name);
+	private removeRow(id: string): void {
+		const {view, telemetry} = this.options;
 		this.coldUntil.delete(id);
 		if (view.store.remove(`target/${id}`)) {
 			telemetry.info('news', 'A target was removed.', {target: id});
