--- a/packages/gateway/src/cluster/directory.ts
+++ b/packages/gateway/src/cluster/directory.ts
@@ -12,13 +12,21 @@
 /** Register of all instances that ever started; each one writes its own entry. */
 export class Directory {
 	private readonly log: KeyedLog;
+	private lastEra: number | undefined;
+
 	constructor(log: KeyedLog) {
 		this.log = log;
 	}
 
+	/** Era of the store in which `announce` last wrote an entry; undefined before that. A later era may lack the entry. */
+	get announcedEra(): number | undefined {
+		return this.lastEra;
+	}
+
 	/** Writes the entry of this instance. */
 	async announce(node: NodeInfo): Promise<void> {
-		await this.log.append(topic, node.name, JSON.stringify(node));
+		const {era} = await this.log.append(topic, node.name, JSON.stringify(node));
+		this.lastEra = Math.max(era, this.lastEra ?? 0);
 	}
 
 	/** Reads all entries. */
--- a/packages/gateway/src/mocks/memory-log.ts
+++ b/packages/gateway/src/mocks/memory-log.ts
@@ -18,6 +18,8 @@
 	readonly faults: AppendFault[] = [];
 	isDown = false;
 	era = 0;
+	/** Number of appends that were carried out. */
+	appends = 0;
 	private readonly topics = new Map<string, StoredRecord[]>();
 
 	override get newestEra(): number {
@@ -49,6 +51,7 @@
 		}
 
 		rows.push({key, value, offset});
+		this.appends += 1;
 		if (fault === AppendFault.AnswerLost) {
 			throw new UnknownAppendError('no answer');
 		}
@@ -63,6 +66,11 @@
 		this.era += 1;
 	}
 
+	/** Removes all topics. */
+	clear(): void {
+		this.topics.clear();
+	}
+
 	private check(): void {
 		if (this.isDown) {
 			throw new Error('the store is unreachable');
