Request ids count only from the incarnation that was asked

Cause: a new steward asks the former one, and those that keep backups for it, at their addresses. A process that was started again there, or joined again under a new id, knows none of the ids; its empty answer counted as all of them, so a repeat of non-idempotent work could run a second time. Change: the answer names the incarnation whose memory it comes from, and another one counts as no answer. A process that joined again answers for its former id from its own table, which it still has. The answer for a former id has no test yet.

--- a/packages/router/src/entry/peer-at-most-once-guard.test.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.test.ts
@@ -8,7 +8,7 @@
 import type {RequestRecord} from '../peer/generated/bluebellyard/RequestRecord.js';
 import type {Answer} from '../work/index.js';
 import {RequestBackups} from './request-backups.js';
-import {RequestIdPeer, RequestIdPeers} from './request-id-peers.js';
+import {RequestIdPeer, RequestIdPeers, type FetchedRequests} from './request-id-peers.js';
 import {PeerAtMostOnceGuard} from './peer-at-most-once-guard.js';
 import {requestWindowMs} from './steward-executor.js';
 
@@ -16,6 +16,8 @@
 class FakePeer extends RequestIdPeer {
 	readonly calls: Array<readonly [instance: string, shards: readonly string[]]> = [];
 	isStoring = true;
+	/** Id of the incarnation that answers; that of the instance at the address by default. */
+	incarnation = '';
 
 	constructor(private readonly script: Array<readonly RequestRecord[] | undefined> = [undefined]) {
 		super();
@@ -29,16 +31,20 @@
 		return this.isStoring;
 	}
 
-	override async fetchRequests(instance: string, shards: readonly string[]): Promise<readonly RequestRecord[] | undefined> {
+	override async fetchRequests(instance: string, shards: readonly string[]): Promise<FetchedRequests | undefined> {
 		this.calls.push([instance, shards]);
 		const index = Math.min(this.calls.length, this.script.length) - 1;
-		return this.script[index]?.filter(record => shards.includes(record.shard!));
+		const records = this.script[index]?.filter(record => shards.includes(record.shard!));
+		return records && {instance: this.incarnation, records};
 	}
 }
 
 class FakePeers extends RequestIdPeers {
 	constructor(readonly byAddr: Readonly<Record<string, FakePeer>>) {
 		super();
+		for (const [addr, peer] of Object.entries(byAddr)) {
+			peer.incarnation ||= addr;
+		}
 	}
 
 	override get(addr: string): FakePeer {
@@ -202,3 +208,27 @@
 	await guard.waitForFormerIds('p', 0);
 	t.is(begin('any'), BeginResultKind.Fresh);
 });
+
+/** Returns a peer whose process was started again: another incarnation answers, and knows no ids. */
+function makeRestartedPeer(): FakePeer {
+	const peer = new FakePeer([[]]);
+	peer.incarnation = 'restarted';
+	return peer;
+}
+
+// The empty answer of a process that was started again at the address counted as the ids of the one before it.
+test('a restarted former steward does not vouch for the ids of the process before it', async t => {
+	const lost = setUp(makeTablesAfterMove(removed), {old: makeRestartedPeer(), near: new FakePeer()});
+	await lost.guard.waitForFormerIds('p', 0);
+	t.is(lost.begin('any'), BeginResultKind.Unknown);
+	const stored = setUp(makeTablesAfterMove(removed), {old: makeRestartedPeer(), near: new FakePeer([[record('stored')]])});
+	await stored.guard.waitForFormerIds('p', 0);
+	t.is(stored.begin('stored'), BeginResultKind.Unknown);
+	t.is(stored.begin('new'), BeginResultKind.Fresh);
+});
+
+test('a restarted instance does not vouch for the backups of the process before it', async t => {
+	const {guard, begin} = setUp(makeTablesAfterMove(removed), {near: makeRestartedPeer()});
+	await guard.waitForFormerIds('p', 0);
+	t.is(begin('any'), BeginResultKind.Unknown);
+});
--- a/packages/router/src/entry/peer-at-most-once-guard.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.ts
@@ -278,10 +278,11 @@
 		return this.options.clock.now() - requestWindowMs;
 	}
 
+	/** Fetches ids from the instance `peer`; resolves to whether this incarnation of it, not a later process at its address, has answered. */
 	private async fetchFrom(peer: InstanceRow, instance: string, labels: readonly string[]): Promise<boolean> {
-		const records = await this.options.peers.get(peer.peerAddr).fetchRequests(instance, labels, callTimeoutMs);
-		this.importRecords(records ?? []);
-		return records !== undefined;
+		const fetched = await this.options.peers.get(peer.peerAddr).fetchRequests(instance, labels, callTimeoutMs);
+		this.importRecords(fetched?.records ?? []);
+		return fetched?.instance === peer.id;
 	}
 
 	private importRecords(records: readonly WireRecord[]): void {
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -85,6 +85,8 @@
 	readonly left: Promise<void>;
 	private currentMember: Member;
 	private identity: InstanceIdentity;
+	/** Ids under which this process was evicted before it joined again. */
+	private readonly formerIds = new Set<string>();
 	private readonly log: MeteredLog;
 	private readonly follower: LogFollower<Tables>;
 	private readonly appender: Appender;
@@ -169,6 +171,11 @@
 		return this.log.ageMs;
 	}
 
+	/** Returns whether `id` is the id of this process now or before it joined again. */
+	isOwnId(id: string): boolean {
+		return id === this.currentMember.id || this.formerIds.has(id);
+	}
+
 	/** Sets the addresses that the servers listen on. Must be called before `start`. */
 	setAddresses(addrs: InstanceAddresses): void {
 		this.identity = {...this.identity, ...addrs};
@@ -246,6 +253,7 @@
 	private rejoin(): void {
 		logger.warn('This instance was evicted and joins again under a new id.', {instance: this.currentMember.id});
 		const {tables, id} = this.currentMember;
+		this.formerIds.add(id);
 		this.currentMember = this.createMember(tables, id);
 		this.executors.prune();
 		this.scheduleTick();
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -13,7 +13,7 @@
 import {createLogger} from './logging/index.js';
 import {createCounters, type Counters} from './metrics/index.js';
 import {
-	clientCredentials, PeerClients, PeerRequestHandler, PeerServer,
+	clientCredentials, PeerClients, PeerRequestHandler, PeerServer, type KnownRequests,
 } from './peer/index.js';
 import type {RequestRecord__Output} from './peer/generated/bluebellyard/RequestRecord.js';
 import {readTlsFiles, type Settings} from './settings/index.js';
@@ -204,9 +204,9 @@
 		return this.backups.add(instance, record);
 	}
 
-	override async findRequests(instance: string, shards: readonly string[]): Promise<readonly RequestRecord__Output[] | undefined> {
-		if (instance !== this.host.member.id) {
-			return shards.flatMap(shard => this.backups.findByShard(instance, shard));
+	override async findRequests(instance: string, shards: readonly string[]): Promise<KnownRequests | undefined> {
+		if (!this.host.isOwnId(instance)) {
+			return {instance: this.host.member.id, records: shards.flatMap(shard => this.backups.findByShard(instance, shard))};
 		}
 
 		const isShardComplete = await Promise.all(shards.map(async shard => this.guard.isComplete(shard)));
@@ -215,10 +215,11 @@
 		}
 
 		await this.stewardExecutor.waitUntilIdle(shards);
-		return shards.flatMap(shard => this.stewardExecutor.ids.exportShard(shard, systemClock.now()))
+		const records = shards.flatMap(shard => this.stewardExecutor.ids.exportShard(shard, systemClock.now()))
 			.map(({id, shard, fingerprint, state, ageMs}) => ({
 				id, shard, fingerprint, state, ageMs, attempt: '',
 			}));
+		return {instance, records};
 	}
 }
 
--- a/packages/router/src/peer/peer-client.ts
+++ b/packages/router/src/peer/peer-client.ts
@@ -3,6 +3,7 @@
 import type {BeatReply__Output} from './generated/bluebellyard/BeatReply.js';
 import type {BeatRequest} from './generated/bluebellyard/BeatRequest.js';
 import type {PeerClient as GrpcClient} from './generated/bluebellyard/Peer.js';
+import type {FetchRequestsReply__Output} from './generated/bluebellyard/FetchRequestsReply.js';
 import type {RequestRecord} from './generated/bluebellyard/RequestRecord.js';
 import type {StateReply__Output} from './generated/bluebellyard/StateReply.js';
 import {PeerService} from './proto.js';
@@ -83,11 +84,11 @@
 		});
 	}
 
-	/** Resolves to the request ids that the peer knows for shards of `instance`; undefined when the call fails or ids may be missing. */
-	async fetchRequests(instance: string, shards: readonly string[], timeoutMs: number): Promise<readonly RequestRecord[] | undefined> {
+	/** Resolves to the request ids that the peer knows for shards of `instance`, with the id of the incarnation that knows them; undefined when the call fails or ids may be missing. */
+	async fetchRequests(instance: string, shards: readonly string[], timeoutMs: number): Promise<FetchRequestsReply__Output | undefined> {
 		return new Promise(resolve => {
 			this.client.fetchRequests({instance, shards: [...shards]}, {deadline: Date.now() + timeoutMs}, (err, reply) => {
-				resolve(err === null ? reply?.records : undefined);
+				resolve(err === null ? reply : undefined);
 			});
 		});
 	}
--- a/packages/router/src/peer/peer-server.ts
+++ b/packages/router/src/peer/peer-server.ts
@@ -8,6 +8,12 @@
 import {PeerService} from './proto.js';
 import {TlsProvider} from './tls-provider.js';
 
+/** Request ids that one incarnation of an instance knows. */
+export type KnownRequests = {
+	readonly instance: string;
+	readonly records: readonly RequestRecord__Output[];
+};
+
 /** Handles the calls of other instances. */
 export abstract class PeerRequestHandler {
 	/** Returns the answer to a heartbeat of the instance `from`. */
@@ -22,8 +28,11 @@
 	abstract keepRequest(instance: string, record: RequestRecord__Output): boolean;
 	/** Removes a stored id whose request did not run. */
 	abstract dropRequest(instance: string, id: string, attempt: string): void;
-	/** Resolves to the ids stored as a backup for shards of `instance`, or to its own ids when that is this instance; undefined when some may be missing. */
-	abstract findRequests(instance: string, shards: readonly string[]): Promise<readonly RequestRecord__Output[] | undefined>;
+	/**
+	 * Resolves to the ids stored as a backup for shards of `instance`, or to the ids of this process
+	 * when that is this instance or was it before it joined again; undefined when some may be missing.
+	 */
+	abstract findRequests(instance: string, shards: readonly string[]): Promise<KnownRequests | undefined>;
 }
 
 /** Server for the gRPC calls of other instances. */
@@ -97,11 +106,11 @@
 		},
 		FetchRequests(call, done) {
 			const {instance, shards} = call.request;
-			void handler.findRequests(instance, shards).then(records => {
-				if (records === undefined) {
+			void handler.findRequests(instance, shards).then(known => {
+				if (known === undefined) {
 					done({code: status.UNAVAILABLE, details: 'some ids are not known here'});
 				} else {
-					done(null, {records: [...records]});
+					done(null, {instance: known.instance, records: [...known.records]});
 				}
 			});
 		},
