An instance that proposed to leave vouches for nobody

Cause: a leave record takes its writer out of those that must confirm an eviction. A leaving instance that was cut off before it read its own record back had not read a later eviction either and kept vouching for the evicted instance, which acted on until the leaving process ended (up to 15 s) while its stewardships were given away. Change: from the proposal of its leave record on, a member answers heartbeats without a vouch; its own right ended there already. Measured: 'an instance that is leaving vouches for no evicted one' failed before (a1 could act when its eviction was complete) and passes. A second test shows that the return of one of two evicted instances was handled: the rejoined instance must confirm, which starts the wait again; it passed before, too.

--- a/packages/core/src/ownership/context.ts
+++ b/packages/core/src/ownership/context.ts
@@ -36,6 +36,8 @@
 	readonly mutations: ReadonlySet<Mutation>;
 	/** Whether this member is transferring its targets in order to leave. */
 	isLeaving: boolean;
+	/** Whether this member has proposed the record by which it leaves; others may have folded that record already. */
+	hasProposedLeave: boolean;
 	/** Whether other instances have taken over the request ids that this process keeps. */
 	idsHandedOver: boolean;
 	/** Whether a record that ends this incarnation was folded. */
--- a/packages/core/src/ownership/effect.ts
+++ b/packages/core/src/ownership/effect.ts
@@ -85,7 +85,7 @@
 export type HeartbeatAnswer = {
 	/** Id of the answering incarnation. */
 	readonly instance: string;
-	/** Whether it knows the sender as a member and has folded no eviction of the sender or of itself. */
+	/** Whether it knows the sender as a member, has folded no eviction of the sender or of itself and has not proposed to leave. */
 	readonly vouches: boolean;
 	/** Whether its own right holds; only then does it count as a contact for another failure domain. */
 	readonly mayAct: boolean;
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -79,6 +79,7 @@
 			random: options.random,
 			mutations,
 			isLeaving: false,
+			hasProposedLeave: false,
 			idsHandedOver: false,
 			isEvicted: false,
 			emit: effect => {
@@ -190,7 +191,7 @@
 		const age = ctx.right.contactAge(now);
 		return {
 			instance: ctx.self.id,
-			vouches: mustVouch ? true : isKnown && !ctx.isEvicted,
+			vouches: mustVouch ? true : isKnown && !ctx.isEvicted && !ctx.hasProposedLeave,
 			mayAct: mustVouch ? true : !ctx.isEvicted && ctx.right.holds(now),
 			contactAgeMs: Number.isFinite(age) ? age : -1,
 			suspects: [...ctx.local.peers.keys()].filter(id => isSuspected(ctx, id, now)),
--- a/packages/core/src/ownership/membership-system.ts
+++ b/packages/core/src/ownership/membership-system.ts
@@ -49,6 +49,7 @@
 	if ((!isSteward || isAlone) && isSelfMember(ctx)) {
 		propose(ctx, 'leave', {kind: RecordKind.Leave, instance: ctx.self.id, idsHandedOver: ctx.idsHandedOver});
 		// Others may take over as soon as they fold the record, even if this member never reads it back.
+		ctx.hasProposedLeave = true;
 		ctx.right.recordEviction();
 	}
 }
