An eviction is confirmed up to the newest one of its failure domain

Cause: evicted instances of one failure domain that are cut off together vouch for each other and pass their contacts on. Each of their evictions counted the confirmations of its own record only. With two records, the first one completed although the second instance was still in contact with others that had not read the second record, and its completion made the second eviction a short one that asked nobody else: both instances acted on while their stewardships were given away. Change: an eviction needs confirmations up to the newest eviction of its failure domains; a confirmation of a later offset counts for all earlier ones. Whether several instances may vouch for each other is asked per failure domain that still has evicted instances, no longer spoilt by one whose instances came back.

--- a/packages/core/src/ownership/evict-system.test.ts
+++ b/packages/core/src/ownership/evict-system.test.ts
@@ -154,3 +154,19 @@
 	t.deepEqual(deployment.members.get('a0')!.memberIds(), ['a0', 'b0', 'a2-again']);
 	t.deepEqual(deployment.actingAfterEviction, []);
 });
+
+// Two evicted instances vouch for each other. The end of the first eviction counted as if the
+// first instance had stopped, so that the second eviction no longer asked those in contact.
+test('the end of one eviction does not shorten another one of the failure domain', t => {
+	const deployment = new Deployment(['a0', 'a1', 'a2', 'b0', 'b1']);
+	deployment.run(1000);
+	const links = new Set(['a1 a2', 'a1 b0', 'a1 b1', 'a0 b0', 'a0 b1', 'b0 b1']);
+	deployment.reaches = (a, b) => links.has([a, b].toSorted().join(' '));
+	deployment.reachesLog = id => !['a1', 'a2'].includes(id);
+	deployment.append({kind: RecordKind.Evict, members: ['a2']}, 'a0');
+	deployment.run(200);
+	deployment.reachesLog = id => id === 'a0';
+	deployment.run(40_000);
+	t.true(deployment.mayAct('a1'));
+	t.deepEqual(deployment.actingAfterEviction, []);
+});
--- a/packages/core/src/ownership/evict-system.ts
+++ b/packages/core/src/ownership/evict-system.ts
@@ -30,9 +30,11 @@
 	dropEndedEvictions(ctx);
 }
 
-/** Records that a peer has folded an eviction. */
+/** Records that a peer has folded an eviction, and with it all earlier records. */
 export function handleConfirmation(ctx: Context, peerId: string, eviction: number): void {
-	ctx.local.evictionProgress.get(eviction)?.confirmed.add(peerId);
+	for (const {confirmed} of ctx.local.evictionProgress.values()) {
+		confirmed.set(peerId, Math.max(eviction, confirmed.get(peerId) ?? 0));
+	}
 }
 
 /**
@@ -144,12 +146,13 @@
 function advanceEviction(ctx: Context, eviction: EvictionRow, now: number): void {
 	const progress = ctx.local.evictionProgress.get(eviction.offset) ?? startEviction(ctx, eviction, now);
 	const needed = neededConfirmations(ctx, eviction);
-	const missing = needed.filter(row => row.id !== ctx.self.id && !progress.confirmed.has(row.id));
+	const offset = offsetToConfirm(ctx, eviction);
+	const missing = needed.filter(row => row.id !== ctx.self.id && (progress.confirmed.get(row.id) ?? 0) < offset);
 	if (missing.length > 0 && !ctx.mutations.has(Mutation.EvictWithoutConfirmations)) {
 		progress.confirmedAt = Infinity;
 		if (now >= progress.nextAskAt) {
 			progress.nextAskAt = now + (ctx.timing.heartbeatMs / 2);
-			requestConfirmations(ctx, eviction, missing);
+			requestConfirmations(ctx, offset, missing);
 		}
 
 		return;
@@ -163,7 +166,7 @@
 
 function startEviction(ctx: Context, eviction: EvictionRow, now: number): EvictionProgress {
 	const progress: EvictionProgress = {
-		offset: eviction.offset, confirmed: new Set(), nextAskAt: now, confirmedAt: Infinity,
+		offset: eviction.offset, confirmed: new Map(), nextAskAt: now, confirmedAt: Infinity,
 	};
 	ctx.local.evictionProgress.set(eviction.offset, progress);
 	return progress;
@@ -199,13 +202,25 @@
 	return evicting.filter(row => isMutual(row) && isInOtherDomain(row));
 }
 
+/**
+ * Returns the offset that must be confirmed for an eviction: that of the newest eviction in its failure domains. An
+ * instance that was evicted later may still pass on its contact with those that have folded the earlier eviction only.
+ */
+function offsetToConfirm(ctx: Context, eviction: EvictionRow): number {
+	return Math.max(eviction.offset, ...evictingAround(ctx, eviction).map(row => row.eviction));
+}
+
 /** Returns whether a failure domain of the evicted instances has several instances whose right may not have expired yet. */
 function mayVouchMutually(ctx: Context, eviction: EvictionRow): boolean {
-	const evicted = eviction.members.map(id => ctx.tables.instances.get(id)).filter(row => row !== undefined);
-	const domains = new Set(evicted.map(row => row.domain));
-	const evicting = [...ctx.tables.instances.values()]
+	const evicting = evictingAround(ctx, eviction);
+	return evicting.length > new Set(evicting.map(row => row.domain)).size;
+}
+
+/** Returns all instances of the failure domains of an eviction that are being evicted. */
+function evictingAround(ctx: Context, eviction: EvictionRow): InstanceRow[] {
+	const domains = new Set(eviction.members.map(id => ctx.tables.instances.get(id)?.domain ?? ''));
+	return [...ctx.tables.instances.values()]
 		.filter(row => row.state === InstanceState.Evicting && domains.has(row.domain));
-	return evicting.length > domains.size;
 }
 
 function rightExpiryMs(ctx: Context, eviction: EvictionRow): number {
@@ -224,10 +239,10 @@
 	return [...domains].every(domain => ctx.tables.config.rules.domainsLost.has(domain));
 }
 
-function requestConfirmations(ctx: Context, eviction: EvictionRow, missing: readonly InstanceRow[]): void {
+function requestConfirmations(ctx: Context, eviction: number, missing: readonly InstanceRow[]): void {
 	for (const row of missing) {
 		ctx.emit({
-			kind: EffectKind.Confirm, peer: row.id, addr: row.peerAddr, eviction: eviction.offset,
+			kind: EffectKind.Confirm, peer: row.id, addr: row.peerAddr, eviction,
 		});
 	}
 }
--- a/packages/core/src/ownership/local-tables.ts
+++ b/packages/core/src/ownership/local-tables.ts
@@ -91,7 +91,8 @@
 /** Progress of an eviction that this member completes. */
 export type EvictionProgress = {
 	readonly offset: number;
-	readonly confirmed: Set<string>;
+	/** Latest offset that each other instance has confirmed to have folded. */
+	readonly confirmed: Map<string, number>;
 	nextAskAt: number;
 	/** Time at which all required confirmations had arrived; `Infinity` before. */
 	confirmedAt: number;
