An eviction waits one right after the last vouch of an instance that left

Cause: the time of the confirmations counted as the time from which the right of an evicted instance runs out, also when another evicted instance of its failure domain had vouched for it until it left, seconds later. Change: when evicted instances can no longer vouch for each other, the wait of one right starts again.

--- a/packages/core/src/ownership/evict-system.test.ts
+++ b/packages/core/src/ownership/evict-system.test.ts
@@ -170,3 +170,19 @@
 	t.true(deployment.mayAct('a1'));
 	t.deepEqual(deployment.actingAfterEviction, []);
 });
+
+// An instance that left while evicted had vouched for the other one until then.
+test('an eviction waits one right after the other evicted instance has left', t => {
+	const deployment = new Deployment(['a0', 'a1', 'a2', 'b0']);
+	deployment.run(1000);
+	deployment.cutOff('a1', 'a2');
+	deployment.run(5000);
+	t.true(deployment.mayAct('a1'));
+	const leaving = deployment.members.get('a2')!;
+	leaving.leave();
+	leaving.tick(deployment.now);
+	deployment.append({kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false}, 'a2');
+	deployment.run(1000);
+	t.deepEqual(deployment.members.get('a0')!.memberIds(), ['a0', 'b0']);
+	t.deepEqual(deployment.actingAfterEviction, []);
+});
--- a/packages/core/src/ownership/evict-system.ts
+++ b/packages/core/src/ownership/evict-system.ts
@@ -158,7 +158,10 @@
 		return;
 	}
 
-	progress.confirmedAt = Math.min(progress.confirmedAt, now);
+	const isMutual = mayVouchMutually(ctx, eviction);
+	// An instance that has just left or come back may have vouched until now for the one that remains.
+	progress.confirmedAt = progress.wasMutual && !isMutual ? now : Math.min(progress.confirmedAt, now);
+	progress.wasMutual = isMutual;
 	if (now >= progress.confirmedAt + rightExpiryMs(ctx, eviction)) {
 		completeEviction(ctx, eviction);
 	}
@@ -166,7 +169,7 @@
 
 function startEviction(ctx: Context, eviction: EvictionRow, now: number): EvictionProgress {
 	const progress: EvictionProgress = {
-		offset: eviction.offset, confirmed: new Map(), nextAskAt: now, confirmedAt: Infinity,
+		offset: eviction.offset, confirmed: new Map(), nextAskAt: now, confirmedAt: Infinity, wasMutual: false,
 	};
 	ctx.local.evictionProgress.set(eviction.offset, progress);
 	return progress;
--- a/packages/core/src/ownership/local-tables.ts
+++ b/packages/core/src/ownership/local-tables.ts
@@ -94,8 +94,10 @@
 	/** Latest offset that each other instance has confirmed to have folded. */
 	readonly confirmed: Map<string, number>;
 	nextAskAt: number;
-	/** Time at which all required confirmations had arrived; `Infinity` before. */
+	/** Time from which the rights of the evicted instances run out: all required confirmations had arrived; `Infinity` before. */
 	confirmedAt: number;
+	/** Whether the evicted instances might vouch for each other at the last check. */
+	wasMutual: boolean;
 };
 
 /** Record that was proposed and not yet read back from the log. */
