The window of request ids starts at the end of an eviction

Cause: an instance counted as removed when its eviction was recorded. With others of its failure domain it may act for the whole isolation bound after that (15 s by default, more by setting). With a bound above the 60 s of the ids, its successor took all its ids for expired and asked nobody; what an evicted holder of backups had stored meanwhile counted as never stored, too. A repeat of non-idempotent work could run a second time. Change: removal counts from the record that ends the eviction, and an instance that is being evicted counts as a holder of backups. Measured: the two new tests of peer-at-most-once-guard failed before (begin gave fresh) and pass, with the others of the file.

--- a/packages/router/src/entry/peer-at-most-once-guard.test.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.test.ts
@@ -232,3 +232,28 @@
 	await guard.waitForFormerIds('p', 0);
 	t.is(begin('any'), BeginResultKind.Unknown);
 });
+
+// The start of an eviction counted as the end of the instance, which may act for the whole isolation bound after it.
+test('the window of the ids starts at the end of an eviction', async t => {
+	const tables = makeTablesAfterMove({state: InstanceState.Evicting, eviction: 9});
+	const {guard, begin, clock} = setUp(tables, {near: new FakePeer()});
+	tables.targets.get('t')!.steward = 'near';
+	guard.fetchMissingIds();
+	clock.advance(requestWindowMs);
+	tables.instances.get('old')!.state = InstanceState.Removed;
+	tables.targets.get('t')!.steward = 'self';
+	await guard.waitForFormerIds('p', 0);
+	t.is(begin('any'), BeginResultKind.Unknown);
+});
+
+test('an instance that is being evicted may store backups until the end of its eviction', async t => {
+	const tables = makeTablesAfterMove({}, {state: InstanceState.Evicting, eviction: 9});
+	const {guard, begin, clock} = setUp(tables, {far: new FakePeer([[]])});
+	tables.targets.get('t')!.steward = 'near';
+	guard.fetchMissingIds();
+	clock.advance(requestWindowMs);
+	tables.instances.get('old')!.state = InstanceState.Removed;
+	tables.targets.get('t')!.steward = 'self';
+	await guard.waitForFormerIds('p', 0);
+	t.is(begin('any'), BeginResultKind.Unknown);
+});
--- a/packages/router/src/entry/peer-at-most-once-guard.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.ts
@@ -268,7 +268,7 @@
 	private findBackupHolders(row: InstanceRow): InstanceRow[] {
 		const windowStart = this.windowStart();
 		const holders = [...this.options.member().tables.instances.values()].filter(({id, state}) =>
-			id !== row.id && (state === InstanceState.Member || this.removalTimes.isRemovedAfter(id, windowStart)));
+			id !== row.id && (state !== InstanceState.Removed || this.removalTimes.isRemovedAfter(id, windowStart)));
 		const inDomain = holders.filter(({domain}) => domain === row.domain);
 		return inDomain.length > 0 ? inDomain : holders;
 	}
--- a/packages/router/src/entry/removal-times.ts
+++ b/packages/router/src/entry/removal-times.ts
@@ -1,13 +1,13 @@
 import {InstanceState, type InstanceRow} from '@bluebellyard/core';
 
-/** Records when this process saw each instance stop being a member. */
+/** Records when this process saw the removal of each instance. One that is still being evicted may act, and counts as not removed. */
 export class RemovalTimes {
 	private readonly removedAt = new Map<string, number>();
 
 	/** Records changes of the table at monotonic time `now`, in milliseconds. An instance removed before this process started counts from the first call. */
 	update(instances: ReadonlyMap<string, InstanceRow>, now: number): void {
 		for (const {id, state} of instances.values()) {
-			if (state !== InstanceState.Member && !this.removedAt.has(id)) {
+			if (state === InstanceState.Removed && !this.removedAt.has(id)) {
 				this.removedAt.set(id, now);
 			}
 		}
@@ -19,12 +19,12 @@
 		}
 	}
 
-	/** Returns whether the instance stopped being a member after monotonic time `time`. */
+	/** Returns whether the instance was removed after monotonic time `time`. */
 	isRemovedAfter(id: string, time: number): boolean {
 		return (this.removedAt.get(id) ?? -Infinity) > time;
 	}
 
-	/** Returns whether the instance stopped being a member at or before monotonic time `time`. */
+	/** Returns whether the instance was removed at or before monotonic time `time`. */
 	isRemovedBefore(id: string, time: number): boolean {
 		return (this.removedAt.get(id) ?? Infinity) <= time;
 	}
