A log that lost folded records is noticed

Cause: after an outage a follower read on at its own offset. A log that came back from an older copy and had grown past that offset meanwhile was folded on top of records that it no longer held; one that had grown to the same end confirmed the state. The log's contract gives no such loss, so it was never looked for. Change: after each failed read the follower compares its last folded record with the log; when another one stands at its offset, it reports that once and stops for good. readEnd gives the end of the log with the same check. A log that only ends too early stays unavailable, as before, as a reader that lags looks alike.

--- a/packages/coordination/src/follower/log-follower.test.ts
+++ b/packages/coordination/src/follower/log-follower.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {LogTruncated, LogUnavailable} from '../log-service/index.js';
+import {LogReset, LogTruncated, LogUnavailable} from '../log-service/index.js';
 import {
 	encodeWrite, FakeLog, ManualClock, RegisterFold,
 } from '../mocks/index.js';
@@ -202,3 +202,68 @@
 	backoff.reset();
 	t.true(backoff.nextMs() <= 10);
 });
+
+/** Returns a follower that has folded three records of a log, of which the last two are lost then. */
+async function setUpRestored() {
+	const parts = setUp();
+	const {log, follower} = parts;
+	await log.append([encodeWrite('a', 0, 'x'), encodeWrite('b', 1, 'y'), encodeWrite('c', 2, 'z')]);
+	await catchUp(follower, log);
+	log.restore(2);
+	return parts;
+}
+
+// The records after the own offset were folded on top of others than those of the log.
+test('a log that lost folded records is not followed when it has grown again', async t => {
+	const {log, follower} = await setUpRestored();
+	const resets: LogReset[] = [];
+	follower.onReset(err => {
+		resets.push(err);
+	});
+	await t.throwsAsync(follower.poll(), {instanceOf: LogUnavailable});
+	await log.append([encodeWrite('d', 1, 'v'), encodeWrite('e', 2, 'w'), encodeWrite('f', 3, 'u')]);
+	await t.throwsAsync(follower.poll(), {instanceOf: LogReset});
+	await t.throwsAsync(follower.poll(), {instanceOf: LogReset});
+	t.is(resets.length, 1);
+	t.false(follower.isLoaded);
+	t.false(follower.adopt({state: {version: 9, value: 'peer'}, offset: 9}));
+	t.is(follower.state.value, 'z');
+});
+
+test('a log that grew to the same end in one outage counts as reset', async t => {
+	const {log, follower} = await setUpRestored();
+	log.isDown = true;
+	await t.throwsAsync(follower.poll(), {instanceOf: LogUnavailable});
+	log.isDown = false;
+	await log.append([encodeWrite('d', 1, 'v'), encodeWrite('e', 2, 'w')]);
+	let tails = 0;
+	follower.onTail(() => {
+		tails++;
+	});
+	await t.throwsAsync(follower.poll(), {instanceOf: LogReset});
+	t.is(tails, 0);
+});
+
+test('a log that keeps its records is followed on after an outage', async t => {
+	const {log, follower} = setUp();
+	await log.append([encodeWrite('a', 0, 'x')]);
+	await catchUp(follower, log);
+	log.isDown = true;
+	await t.throwsAsync(follower.poll(), {instanceOf: LogUnavailable});
+	log.isDown = false;
+	await log.append([encodeWrite('b', 1, 'y')]);
+	log.truncate(2);
+	await catchUp(follower, log);
+	t.is(follower.state.value, 'y');
+});
+
+test('the end of a log that lost folded records is not reported', async t => {
+	const {log, follower} = setUp();
+	await log.append([encodeWrite('a', 0, 'x'), encodeWrite('b', 1, 'y')]);
+	await catchUp(follower, log);
+	t.is(await follower.readEnd(), 3);
+	log.restore(2);
+	await t.throwsAsync(follower.readEnd(), {instanceOf: LogUnavailable});
+	await log.append([encodeWrite('c', 1, 'z')]);
+	await t.throwsAsync(follower.readEnd(), {instanceOf: LogReset});
+});
--- a/packages/coordination/src/follower/log-follower.ts
+++ b/packages/coordination/src/follower/log-follower.ts
@@ -3,7 +3,7 @@
 import {ControlKind, decodeControl, type ControlRecord} from '../control/index.js';
 import type {Fold, FoldVerdict} from '../fold/index.js';
 import {
-	LogTruncated, LogUnavailable, type LogPage, type LogService,
+	LogReset, LogTruncated, LogUnavailable, type LogPage, type LogRecord, type LogService,
 } from '../log-service/index.js';
 import {Backoff, type BackoffOptions} from './backoff.js';
 import {Listeners} from './listeners.js';
@@ -38,7 +38,8 @@
 /**
  * Keeps the fold of a log up to date. Starts from a peer's state, or from the
  * newest snapshot and the records after it. Loads a snapshot again if records
- * were truncated before it read them.
+ * were truncated before it read them. After each failed read it compares the last
+ * record that it folded with the log; when that holds another one, it stops for good.
  */
 export class LogFollower<State> {
 	readonly counters: FollowerCounters = {
@@ -51,8 +52,13 @@
 	private readonly controlListeners = new Listeners<[offset: number, record: ControlRecord]>();
 	private readonly tailListeners = new Listeners<[sentAt: number]>();
 	private readonly loadListeners = new Listeners<[offset: number, skipped: number]>();
+	private readonly resetListeners = new Listeners<[err: LogReset]>();
 	private currentState: State;
 	private foldedOffset = 0;
+	/** Last record folded; undefined while the state includes none that was read by this follower. */
+	private lastRecord: LogRecord | undefined;
+	private mustCompare = false;
+	private reset: LogReset | undefined;
 	private loaded = false;
 	private abort: AbortController | undefined;
 	private running: Promise<void> | undefined;
@@ -73,9 +79,9 @@
 		return this.foldedOffset;
 	}
 
-	/** Whether the state was loaded from the log or a peer and no truncated record is missing from it. */
+	/** Whether the state was loaded from the log or a peer, no truncated record is missing from it and the log was not reset. */
 	get isLoaded(): boolean {
-		return this.loaded;
+		return this.loaded && this.reset === undefined;
 	}
 
 	/** Calls `listener` after each record passed to the fold. */
@@ -101,18 +107,24 @@
 		return this.loadListeners.add(listener);
 	}
 
+	/** Calls `listener` once if the log turns out to hold another record than the one that was folded. The follower reads nothing from then on. */
+	onReset(listener: (err: LogReset) => void): () => void {
+		return this.resetListeners.add(listener);
+	}
+
 	/**
 	 * Adopts the state of a peer if it is newer than the own state, or as new while
 	 * none is loaded. Returns whether it was adopted.
 	 */
 	adopt(received: FoldedState<State>): boolean {
 		const skipped = received.offset - this.foldedOffset;
-		if (skipped < 0 || (this.loaded && skipped === 0)) {
+		if (this.reset !== undefined || skipped < 0 || (this.loaded && skipped === 0)) {
 			return false;
 		}
 
 		this.currentState = received.state;
 		this.foldedOffset = received.offset;
+		this.lastRecord = undefined;
 		this.loaded = true;
 		this.loadListeners.emit(received.offset, skipped);
 		return true;
@@ -138,9 +150,10 @@
 		this.running = undefined;
 	}
 
-	/** Does one load or one read. Throws `LogUnavailable`, `LogTruncated` or `NoSnapshot`. */
+	/** Does one load or one read. Throws `LogUnavailable`, `LogTruncated`, `NoSnapshot` or `LogReset`. */
 	async poll(signal?: AbortSignal): Promise<void> {
 		try {
+			this.throwIfReset();
 			await (this.loaded ? this.read(signal) : this.load(signal));
 		} catch (err) {
 			this.countFailure(err);
@@ -148,6 +161,44 @@
 		}
 	}
 
+	/** Reads the end of the log now: the offset of the next record. Throws `LogUnavailable`, or `LogReset` if the log lost folded records. */
+	async readEnd(signal?: AbortSignal): Promise<number> {
+		this.throwIfReset();
+		const known = this.lastRecord;
+		const folded = this.foldedOffset;
+		try {
+			const page = await this.options.log.read(known?.offset ?? folded + 1, 1, 0, signal);
+			throwIfBehind(page, folded);
+			this.compare(known, page);
+			return page.next;
+		} catch (err) {
+			// The record itself may be older than the retention.
+			if (err instanceof LogTruncated && err.next > folded) {
+				return err.next;
+			}
+
+			throw err;
+		}
+	}
+
+	private throwIfReset(): void {
+		if (this.reset !== undefined) {
+			throw this.reset;
+		}
+	}
+
+	private compare(known: LogRecord | undefined, page: LogPage): void {
+		this.throwIfReset();
+		const found = page.records.find(record => record.offset === known?.offset);
+		if (known === undefined || found === undefined || found.data === known.data) {
+			return;
+		}
+
+		this.reset = new LogReset(`The log holds another record at offset ${known.offset} than the one that was folded.`);
+		this.resetListeners.emit(this.reset);
+		throw this.reset;
+	}
+
 	private async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			try {
@@ -168,6 +219,7 @@
 			this.loaded = false;
 		} else {
 			this.counters.failures++;
+			this.mustCompare = true;
 		}
 	}
 
@@ -184,6 +236,11 @@
 
 	private async read(signal?: AbortSignal): Promise<void> {
 		const {log, clock, limit, waitMs} = this.options;
+		if (this.mustCompare) {
+			await this.readEnd(signal);
+			this.mustCompare = false;
+		}
+
 		const sentAt = clock.now();
 		const page = await log.read(this.foldedOffset + 1, limit, waitMs, signal);
 		this.foldPage(page);
@@ -193,10 +250,7 @@
 	}
 
 	private foldPage(page: LogPage): void {
-		if (page.next <= this.foldedOffset) {
-			throw new LogUnavailable(`The log ends at ${page.next}, before folded offset ${this.foldedOffset}.`, false);
-		}
-
+		throwIfBehind(page, this.foldedOffset);
 		for (const record of page.records) {
 			if (record.offset > this.foldedOffset + 1) {
 				throw new LogUnavailable(`A read skipped offset ${this.foldedOffset + 1}.`, false);
@@ -210,6 +264,7 @@
 
 	private foldRecord(offset: number, data: string): void {
 		this.foldedOffset = offset;
+		this.lastRecord = {offset, data};
 		const control = decodeControl(data);
 		if (control) {
 			this.controlListeners.emit(offset, control);
@@ -232,6 +287,12 @@
 	}
 }
 
+function throwIfBehind(page: LogPage, folded: number): void {
+	if (page.next <= folded) {
+		throw new LogUnavailable(`The log ends at ${page.next}, before folded offset ${folded}.`, false);
+	}
+}
+
 /** Passes each snapshot chunk that a follower reads to `observe`, as a snapshot writer requires. Returns the function that stops it. */
 export function watchSnapshots(
 	follower: Pick<LogFollower<unknown>, 'onControl'>,
--- a/packages/coordination/src/log-service/log-service.ts
+++ b/packages/coordination/src/log-service/log-service.ts
@@ -34,6 +34,11 @@
 	}
 }
 
+/** The log lost records that were read from it, and holds others at their offsets. */
+export class LogReset extends Error {
+	override readonly name = 'LogReset';
+}
+
 /** An append-only log with limited retention. Offsets start at 1. */
 export abstract class LogService {
 	/**
--- a/packages/coordination/src/mocks/fake-log.ts
+++ b/packages/coordination/src/mocks/fake-log.ts
@@ -57,6 +57,11 @@
 		this.first = first;
 	}
 
+	/** Loses the records from offset `next` on, as a log that returns from an older copy. */
+	restore(next: number): void {
+		this.records = this.records.slice(0, next - this.first);
+	}
+
 	/** Stores a record of another writer and returns its offset. Not counted in `appends`, and not subject to faults. */
 	foreign(data: string): number {
 		return this.store([data]);
