An instance stops acting when the log has lost records that it read

Cause: a read of the log's end renewed the right of an instance also when the log held other records, or fewer, than the instance had folded. Heartbeats between such instances went on, and they confirmed evictions at offsets that the log had given out a second time. Change: the read of the end goes through the check of the follower. When that finds another record at a known offset, the instance logs an error, is no longer ready (callers are refused as not run), neither acts nor vouches, confirms nothing, and gives its state to nobody until it is restarted.

--- a/packages/core/src/ownership/context.ts
+++ b/packages/core/src/ownership/context.ts
@@ -40,6 +40,8 @@
 	hasProposedLeave: boolean;
 	/** Whether other instances have taken over the request ids that this process keeps. */
 	idsHandedOver: boolean;
+	/** Whether the log lost records that the tables include. */
+	hasLostLog: boolean;
 	/** Whether a record that ends this incarnation was folded. */
 	isEvicted: boolean;
 	membershipView?: MembershipView;
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -81,6 +81,7 @@
 			isLeaving: false,
 			hasProposedLeave: false,
 			idsHandedOver: false,
+			hasLostLog: false,
 			isEvicted: false,
 			emit: effect => {
 				this.effects.push(effect);
@@ -101,6 +102,10 @@
 	/** Runs all systems once and returns the effects that the host must carry out. */
 	tick(now: number): Effect[] {
 		const {ctx} = this;
+		if (ctx.hasLostLog) {
+			return [];
+		}
+
 		if (now - this.lastTickAt > pauseHeartbeats * ctx.timing.heartbeatMs) {
 			restartSilenceTimers(ctx, now);
 		}
@@ -160,6 +165,13 @@
 		this.confirmTail();
 	}
 
+	/** Ends this member for good: the log lost records on which its tables rest, and gives their offsets to others. */
+	handleLogReset(): void {
+		this.ctx.hasLostLog = true;
+		this.ctx.isEvicted = true;
+		this.ctx.right.recordEviction();
+	}
+
 	/** Handles a proposed record that was certainly not appended, or was rejected. */
 	handleAppendRefused(recordId: string): void {
 		this.ctx.local.isLogRefusing = true;
@@ -206,7 +218,7 @@
 
 	/** Returns whether this member has folded the eviction at `offset`; the answer to a confirmation request. */
 	hasFolded(offset: number): boolean {
-		return this.ctx.tables.folded >= offset;
+		return !this.ctx.hasLostLog && this.ctx.tables.folded >= offset;
 	}
 
 	/** Handles the confirmation of a peer that it has folded an eviction. */
--- a/packages/router/src/host/effect-runner.ts
+++ b/packages/router/src/host/effect-runner.ts
@@ -1,4 +1,4 @@
-import {AppendOutcomeKind, type Appender, type LogService} from '@bluebellyard/coordination';
+import {AppendOutcomeKind, type Appender} from '@bluebellyard/coordination';
 import {
 	EffectKind, encodeRecord, type HeartbeatEffect, type ConfirmEffect, type Effect, type GrantEffect, type LogRecord, type Member,
 } from '@bluebellyard/core';
@@ -9,7 +9,8 @@
 /** Dependencies of an `EffectRunner`. */
 export type EffectRunnerOptions = {
 	readonly appender: Appender;
-	readonly log: LogService;
+	/** Reads the end of the log, the offset of the next record; rejects when the log does not answer or has lost records. */
+	readonly readLogEnd: () => Promise<number>;
 	readonly peers: PeerClients;
 	readonly executors: TargetExecutorTable;
 	readonly counters: Counters;
@@ -116,8 +117,7 @@
 
 	private async readLogTail(member: Member, sentAt: number): Promise<void> {
 		try {
-			const page = await this.options.log.read(member.tables.folded + 1, 1, 0);
-			member.handleLogTail(sentAt, page.next);
+			member.handleLogTail(sentAt, await this.options.readLogEnd());
 		} catch {
 			// The right expires unless another vouch arrives.
 		}
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -132,7 +132,7 @@
 		this.executors = new TargetExecutorTable({member: () => this.currentMember, now, connections: options.connections});
 		this.effectRunner = new EffectRunner({
 			appender: this.appender,
-			log: this.log,
+			readLogEnd: async () => this.follower.readEnd(),
 			peers: options.peers,
 			executors: this.executors,
 			counters: options.counters,
@@ -276,6 +276,11 @@
 			this.hasCaughtUp = true;
 			this.currentMember.handleLogTail(sentAt, this.follower.offset + 1);
 		});
+		this.follower.onReset(err => {
+			logger.error('The log lost records that this instance had read. It stops acting until it is restarted.', {instance: this.currentMember.id, folded: this.folded, err});
+			this.currentMember.handleLogReset();
+			this.notifyListeners();
+		});
 		watchSnapshots(this.follower, chunk => {
 			this.snapshots.observe(chunk);
 		});
