A late answer of the membership list does not replace a newer one

Cause: the list is read every 500 ms with a timeout of 2 s, so up to four reads overlap. The answer that came last counted as the newest, whenever its question was asked; a slow one could put a leaving target back into service for a while. Change: the answer to a read that began before that of the newest answer is dropped.

--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -13,7 +13,7 @@
 import {TargetExecutorTable} from '../work/index.js';
 import {countRecord} from './count-record.js';
 import {EffectRunner} from './effect-runner.js';
-import {readMembership} from './membership-reader.js';
+import {MembershipReader} from './membership-reader.js';
 import {fetchNewestState} from './peer-state.js';
 
 /** Interval between two ticks. */
@@ -92,6 +92,7 @@
 	private readonly appender: Appender;
 	private readonly effectRunner: EffectRunner;
 	private readonly snapshots: SnapshotWriter;
+	private readonly membershipReader: MembershipReader;
 	/** Whether the tables have at some time reached the end of the log or the state of a peer. */
 	private hasCaughtUp = false;
 	private listedPeers: readonly string[] = [];
@@ -129,6 +130,7 @@
 		this.snapshots = new SnapshotWriter(this.log, clock, {
 			everyRecords: 2000, retentionMs: options.retentionMs, chunkChars: 256 * 1024, delayMs: options.random() * 5000,
 		});
+		this.membershipReader = MembershipReader.forOrigin(options.membershipOrigin);
 		this.executors = new TargetExecutorTable({member: () => this.currentMember, now, connections: options.connections});
 		this.effectRunner = new EffectRunner({
 			appender: this.appender,
@@ -333,9 +335,11 @@
 
 	private async updateMembershipList(): Promise<void> {
 		try {
-			const {targets, instances, peerAddrs} = await readMembership(this.options.membershipOrigin);
-			this.listedPeers = peerAddrs;
-			this.currentMember.applyMembershipList(targets, instances);
+			const listing = await this.membershipReader.readNewest();
+			if (listing !== undefined) {
+				this.listedPeers = listing.peerAddrs;
+				this.currentMember.applyMembershipList(listing.targets, listing.instances);
+			}
 		} catch (err) {
 			logger.debug('Failed to read the membership list.', {err});
 		}
--- a/packages/router/src/host/membership-reader.ts
+++ b/packages/router/src/host/membership-reader.ts
@@ -25,7 +25,7 @@
 };
 
 /** Reads the platform's membership list. Rejects when the service is unreachable or the list is malformed. */
-export async function readMembership(origin: string): Promise<MembershipListing> {
+async function readMembership(origin: string): Promise<MembershipListing> {
 	const res = await request(`${origin}/members`, {signal: AbortSignal.timeout(readTimeoutMs)});
 	const {members} = membersSchema.parse(await res.body.json());
 	const targets = members
@@ -40,3 +40,34 @@
 		peerAddrs: instances.map(({addr}) => addr).filter(addr => addr !== undefined),
 	};
 }
+
+/** Reads the membership list of the platform, also while an earlier read is in progress. */
+export class MembershipReader {
+	/** Returns a reader of the list at `origin`. */
+	static forOrigin(origin: string): MembershipReader {
+		return new MembershipReader(async () => readMembership(origin));
+	}
+
+	private readonly read: () => Promise<MembershipListing>;
+	private asked = 0;
+	/** Number of the read whose answer is the newest one. */
+	private newest = 0;
+
+	/** `read` reads the list once. */
+	constructor(read: () => Promise<MembershipListing>) {
+		this.read = read;
+	}
+
+	/** Resolves to the list; undefined when a read that began later was answered before. Rejects when the read fails. */
+	async readNewest(): Promise<MembershipListing | undefined> {
+		this.asked += 1;
+		const number = this.asked;
+		const listing = await this.read();
+		if (number < this.newest) {
+			return undefined;
+		}
+
+		this.newest = number;
+		return listing;
+	}
+}
