Instances take over when all of two or more domains were restarted at once

Cause: when two instances or more of a domain are being evicted, the evicted instances of other domains in the same situation must confirm, because they may still act together. After a loss of all instances those are the former processes. They confirmed nothing, the new ones at their addresses answered under other ids, which counted as no answer, and the former ones kept all stewardships for good. Change: the answer of another incarnation at the address of an evicted instance counts as the end of that instance. The wait of the isolation bound stays.

--- a/packages/bench/src/matrix/simulated-instance.ts
+++ b/packages/bench/src/matrix/simulated-instance.ts
@@ -285,10 +285,10 @@
 			}
 
 			case EffectKind.Confirm: {
-				const isFolded = (peer: Member) => peer.id === effect.peer && peer.hasFolded(effect.eviction);
-				this.callPeer(effect.peer, true, isFolded, isConfirmed => {
-					if (isConfirmed) {
-						member.handleConfirmation(effect.peer, effect.eviction);
+				const confirm = (peer: Member) => peer.hasFolded(effect.eviction) ? peer.id : undefined;
+				this.callPeer(effect.peer, true, confirm, by => {
+					if (by !== undefined) {
+						member.handleConfirmation(effect.peer, effect.eviction, by);
 					}
 				});
 				break;
--- a/packages/core/src/ownership/evict-system.ts
+++ b/packages/core/src/ownership/evict-system.ts
@@ -30,10 +30,17 @@
 	dropEndedEvictions(ctx);
 }
 
-/** Records that a peer has folded an eviction, and with it all earlier records. */
-export function handleConfirmation(ctx: Context, peerId: string, eviction: number): void {
-	for (const {confirmed} of ctx.local.evictionProgress.values()) {
-		confirmed.set(peerId, Math.max(eviction, confirmed.get(peerId) ?? 0));
+/**
+ * Records that a peer has folded an eviction, and with it all earlier records. When another
+ * incarnation answered at its address, records instead that the peer has ended.
+ */
+export function handleConfirmation(ctx: Context, peerId: string, eviction: number, by: string): void {
+	for (const {confirmed, ended} of ctx.local.evictionProgress.values()) {
+		if (by === peerId) {
+			confirmed.set(peerId, Math.max(eviction, confirmed.get(peerId) ?? 0));
+		} else {
+			ended.add(peerId);
+		}
 	}
 }
 
@@ -147,7 +154,9 @@
 	const progress = ctx.local.evictionProgress.get(eviction.offset) ?? startEviction(ctx, eviction, now);
 	const needed = neededConfirmations(ctx, eviction);
 	const offset = offsetToConfirm(ctx, eviction);
-	const missing = needed.filter(row => row.id !== ctx.self.id && (progress.confirmed.get(row.id) ?? 0) < offset);
+	const missing = needed.filter(row => row.id !== ctx.self.id
+		&& (progress.confirmed.get(row.id) ?? 0) < offset
+		&& !(row.state === InstanceState.Evicting && progress.ended.has(row.id)));
 	if (missing.length > 0 && !ctx.mutations.has(Mutation.EvictWithoutConfirmations)) {
 		progress.confirmedAt = Infinity;
 		if (now >= progress.nextAskAt) {
@@ -169,7 +178,7 @@
 
 function startEviction(ctx: Context, eviction: EvictionRow, now: number): EvictionProgress {
 	const progress: EvictionProgress = {
-		offset: eviction.offset, confirmed: new Map(), nextAskAt: now, confirmedAt: Infinity, wasMutual: false,
+		offset: eviction.offset, confirmed: new Map(), ended: new Set(), nextAskAt: now, confirmedAt: Infinity, wasMutual: false,
 	};
 	ctx.local.evictionProgress.set(eviction.offset, progress);
 	return progress;
@@ -180,8 +189,8 @@
  * vouch for the evicted instances: the members of the same failure domains. When
  * several evicted instances of one domain might keep vouching for each other, all
  * other members must confirm too, and so must evicted instances of another domain
- * that is in the same situation. Those confirm nothing while they are cut off, so
- * when two domains lose contact with the rest together, neither is evicted for good.
+ * that is in the same situation, unless they have ended. Those confirm nothing while they are cut off,
+ * so when two domains lose contact with the rest together, neither is evicted for good.
  */
 function neededConfirmations(ctx: Context, eviction: EvictionRow): InstanceRow[] {
 	const domains = new Set(eviction.members.map(id => ctx.tables.instances.get(id)?.domain ?? ''));
--- a/packages/core/src/ownership/local-tables.ts
+++ b/packages/core/src/ownership/local-tables.ts
@@ -93,6 +93,8 @@
 	readonly offset: number;
 	/** Latest offset that each other instance has confirmed to have folded. */
 	readonly confirmed: Map<string, number>;
+	/** Incarnations that have ended: another one answers at their address. */
+	readonly ended: Set<string>;
 	nextAskAt: number;
 	/** Time from which the rights of the evicted instances run out: all required confirmations had arrived; `Infinity` before. */
 	confirmedAt: number;
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -221,9 +221,9 @@
 		return !this.ctx.hasLostLog && this.ctx.tables.folded >= offset;
 	}
 
-	/** Handles the confirmation of a peer that it has folded an eviction. */
-	handleConfirmation(peer: string, eviction: number): void {
-		handleConfirmation(this.ctx, peer, eviction);
+	/** Handles the confirmation that an eviction was folded, from the incarnation `by` at the address of a peer. */
+	handleConfirmation(peer: string, eviction: number, by: string): void {
+		handleConfirmation(this.ctx, peer, eviction, by);
 	}
 
 	/** Handles the answer of a target to a grant. */
--- a/packages/router/src/host/effect-runner.ts
+++ b/packages/router/src/host/effect-runner.ts
@@ -109,8 +109,8 @@
 	private async requestConfirmation(member: Member, effect: ConfirmEffect): Promise<void> {
 		const {peers, answerTimeoutMs, scheduleTick} = this.options;
 		const instance = await peers.get(effect.addr).confirmEviction(effect.eviction, answerTimeoutMs);
-		if (instance === effect.peer) {
-			member.handleConfirmation(effect.peer, effect.eviction);
+		if (instance !== undefined) {
+			member.handleConfirmation(effect.peer, effect.eviction, instance);
 			scheduleTick();
 		}
 	}
