The confirmation of an eviction names the evicted instances

Cause: 'folded up to offset N' counted as the confirmation of the eviction at N. An instance that had read more records than a log still held, after the log came back from a copy, so confirmed an eviction that it had never read, and kept vouching for the evicted instance. Change: the request names the evicted instances; one confirms only when it counts none of them as a member. Measured: 'an eviction of an instance that still counts as a member is not confirmed' fails without the new condition and passes with it; 38 tests of core/ownership, router/host and instance.test.js pass.

--- a/packages/bench/src/matrix/simulated-instance.ts
+++ b/packages/bench/src/matrix/simulated-instance.ts
@@ -285,7 +285,7 @@
 			}
 
 			case EffectKind.Confirm: {
-				const confirm = (peer: Member) => peer.hasFolded(effect.eviction) ? peer.id : undefined;
+				const confirm = (peer: Member) => peer.hasFolded(effect.eviction, effect.evicted) ? peer.id : undefined;
 				this.callPeer(effect.peer, true, confirm, by => {
 					if (by !== undefined) {
 						member.handleConfirmation(effect.peer, effect.eviction, by);
--- a/packages/core/src/ownership/effect.ts
+++ b/packages/core/src/ownership/effect.ts
@@ -66,6 +66,8 @@
 	readonly peer: string;
 	readonly addr: string;
 	readonly eviction: number;
+	/** Instances that the other one must no longer count as members. */
+	readonly evicted: readonly string[];
 };
 
 /** Action that a member asks its host to carry out. */
--- a/packages/core/src/ownership/evict-system.test.ts
+++ b/packages/core/src/ownership/evict-system.test.ts
@@ -118,7 +118,7 @@
 			member.handleHeartbeatAnswer(effect, this.at(effect.addr).answerHeartbeat(member.id, this.now), this.now);
 		}
 
-		if (effect.kind === EffectKind.Confirm && this.reaches(member.id, effect.peer) && this.at(effect.addr).hasFolded(effect.eviction)) {
+		if (effect.kind === EffectKind.Confirm && this.reaches(member.id, effect.peer) && this.at(effect.addr).hasFolded(effect.eviction, effect.evicted)) {
 			member.handleConfirmation(effect.peer, effect.eviction, this.at(effect.addr).id);
 		}
 
@@ -218,3 +218,14 @@
 		t.deepEqual(ids.map(id => tables.instances.get(id)?.state), ids.map(() => InstanceState.Removed));
 	});
 }
+
+// An instance that had read more of the log than it still held confirmed an eviction that it had never read.
+test('an eviction of an instance that still counts as a member is not confirmed', t => {
+	const deployment = new Deployment(['a0', 'a1']);
+	deployment.run(100);
+	const member = deployment.members.get('a0')!;
+	t.false(member.hasFolded(member.tables.folded, ['a1']));
+	deployment.append({kind: RecordKind.Evict, members: ['a1']}, 'a0');
+	deployment.run(tickMs);
+	t.true(member.hasFolded(member.tables.folded, ['a1']));
+});
--- a/packages/core/src/ownership/evict-system.ts
+++ b/packages/core/src/ownership/evict-system.ts
@@ -161,7 +161,7 @@
 		progress.confirmedAt = Infinity;
 		if (now >= progress.nextAskAt) {
 			progress.nextAskAt = now + (ctx.timing.heartbeatMs / 2);
-			requestConfirmations(ctx, offset, missing);
+			requestConfirmations(ctx, eviction, missing);
 		}
 
 		return;
@@ -251,10 +251,12 @@
 	return [...domains].every(domain => ctx.tables.config.rules.domainsLost.has(domain));
 }
 
-function requestConfirmations(ctx: Context, eviction: number, missing: readonly InstanceRow[]): void {
+function requestConfirmations(ctx: Context, eviction: EvictionRow, missing: readonly InstanceRow[]): void {
+	const offset = offsetToConfirm(ctx, eviction);
+	const evicted = new Set([...eviction.members, ...evictingAround(ctx, eviction).map(row => row.id)]);
 	for (const row of missing) {
 		ctx.emit({
-			kind: EffectKind.Confirm, peer: row.id, addr: row.peerAddr, eviction,
+			kind: EffectKind.Confirm, peer: row.id, addr: row.peerAddr, eviction: offset, evicted: [...evicted],
 		});
 	}
 }
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -216,9 +216,13 @@
 		handleHeartbeatAnswer(this.ctx, sent, answer, now);
 	}
 
-	/** Returns whether this member has folded the eviction at `offset`; the answer to a confirmation request. */
-	hasFolded(offset: number): boolean {
-		return !this.ctx.hasLostLog && this.ctx.tables.folded >= offset;
+	/**
+	 * Returns whether this member has folded the eviction at `offset` and counts none of `evicted` as a member;
+	 * the answer to a confirmation request. The offset alone proves nothing when the log has given it out twice.
+	 */
+	hasFolded(offset: number, evicted: readonly string[]): boolean {
+		const {hasLostLog, tables} = this.ctx;
+		return !hasLostLog && tables.folded >= offset && evicted.every(id => !isMember(tables, id));
 	}
 
 	/** Handles the confirmation that an eviction was folded, from the incarnation `by` at the address of a peer. */
--- a/packages/router/src/host/effect-runner.ts
+++ b/packages/router/src/host/effect-runner.ts
@@ -108,7 +108,7 @@
 
 	private async requestConfirmation(member: Member, effect: ConfirmEffect): Promise<void> {
 		const {peers, answerTimeoutMs, scheduleTick} = this.options;
-		const instance = await peers.get(effect.addr).confirmEviction(effect.eviction, answerTimeoutMs);
+		const instance = await peers.get(effect.addr).confirmEviction(effect.eviction, effect.evicted, answerTimeoutMs);
 		if (instance !== undefined) {
 			member.handleConfirmation(effect.peer, effect.eviction, instance);
 			scheduleTick();
--- a/packages/router/src/host/member-host.test.ts
+++ b/packages/router/src/host/member-host.test.ts
@@ -53,6 +53,6 @@
 	await waitUntil(() => !host.isReady, () => 'the instance is not ready');
 	t.is(host.member.rightUntil(), -Infinity);
 	t.false(host.member.answerHeartbeat(host.member.id, systemClock.now()).vouches);
-	t.false(await host.hasFolded(folded));
+	t.false(await host.hasFolded(folded, []));
 	t.is(host.encodeState(), undefined);
 });
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -224,10 +224,10 @@
 		this.listeners.add(listener);
 	}
 
-	/** Returns whether the log is folded up to `offset`; waits a short time for it. */
-	async hasFolded(offset: number): Promise<boolean> {
+	/** Returns whether the log is folded up to `offset` and none of `evicted` is a member; waits a short time for it. */
+	async hasFolded(offset: number, evicted: readonly string[]): Promise<boolean> {
 		const deadline = this.options.clock.now() + confirmTimeoutMs;
-		while (!this.currentMember.hasFolded(offset) && this.options.clock.now() < deadline) {
+		while (!this.currentMember.hasFolded(offset, evicted) && this.options.clock.now() < deadline) {
 			// The follower keeps reading the log while this waits.
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
@@ -235,7 +235,7 @@
 			});
 		}
 
-		return this.currentMember.hasFolded(offset);
+		return this.currentMember.hasFolded(offset, evicted);
 	}
 
 	/** Returns the encoded tables for a peer; undefined while this instance is not ready. */
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -184,8 +184,8 @@
 		return this.host.member.answerHeartbeat(from, systemClock.now());
 	}
 
-	override async hasFolded(offset: number): Promise<boolean> {
-		return this.host.hasFolded(offset);
+	override async hasFolded(offset: number, evicted: readonly string[]): Promise<boolean> {
+		return this.host.hasFolded(offset, evicted);
 	}
 
 	override getInstanceId(): string {
--- a/packages/router/src/peer/peer-client.ts
+++ b/packages/router/src/peer/peer-client.ts
@@ -48,10 +48,10 @@
 		this.openStream().write({from, number: this.lastNumber});
 	}
 
-	/** Resolves to the id of the instance when it has folded the eviction; undefined when it has not or the call fails. */
-	async confirmEviction(eviction: number, timeoutMs: number): Promise<string | undefined> {
+	/** Resolves to the id of the instance when it has folded the eviction and counts none of `evicted` as a member; undefined when not, or when the call fails. */
+	async confirmEviction(eviction: number, evicted: readonly string[], timeoutMs: number): Promise<string | undefined> {
 		return new Promise(resolve => {
-			this.client.confirm({eviction}, {deadline: Date.now() + timeoutMs}, (err, reply) => {
+			this.client.confirm({eviction, evicted: [...evicted]}, {deadline: Date.now() + timeoutMs}, (err, reply) => {
 				resolve(err === null && reply?.folded ? reply.instance : undefined);
 			});
 		});
--- a/packages/router/src/peer/peer-server.ts
+++ b/packages/router/src/peer/peer-server.ts
@@ -18,8 +18,8 @@
 export abstract class PeerRequestHandler {
 	/** Returns the answer to a heartbeat of the instance `from`. */
 	abstract handleHeartbeat(from: string): HeartbeatAnswer;
-	/** Resolves to whether the log is folded up to the offset; may wait a short time for it. */
-	abstract hasFolded(offset: number): Promise<boolean>;
+	/** Resolves to whether the log is folded up to the offset and none of `evicted` counts as a member; may wait a short time for it. */
+	abstract hasFolded(offset: number, evicted: readonly string[]): Promise<boolean>;
 	/** Returns the instance id, which is new in each process. */
 	abstract getInstanceId(): string;
 	/** Returns the folded tables and their log offset; undefined before they are loaded. */
@@ -87,7 +87,7 @@
 			});
 		},
 		Confirm(call, done) {
-			void handler.hasFolded(call.request.eviction).then(folded => {
+			void handler.hasFolded(call.request.eviction, call.request.evicted).then(folded => {
 				done(null, {instance: handler.getInstanceId(), folded});
 			});
 		},
