--- a/packages/core/src/ownership/evict-system.ts
+++ b/packages/core/src/ownership/evict-system.ts
@@ -30,9 +30,18 @@
 	dropEndedEvictions(ctx);
 }
 
-/** Records that a peer has folded an eviction. */
-export function handleConfirmation(ctx: Context, peerId: string, eviction: number): void {
-	ctx.local.evictionProgress.get(eviction)?.confirmed.add(peerId);
+/**
+ * Records that a peer has folded an eviction, and with it all earlier records. When another
+ * incarnation answered at its address, records instead that the peer has ended.
+ */
+export function handleConfirmation(ctx: Context, peerId: string, eviction: number, by: string): void {
+	for (const {confirmed, ended} of ctx.local.evictionProgress.values()) {
+		if (by === peerId) {
+			confirmed.set(peerId, Math.max(eviction, confirmed.get(peerId) ?? 0));
+		} else {
+			ended.add(peerId);
+		}
+	}
 }
 
 /**
@@ -144,7 +153,10 @@
 function advanceEviction(ctx: Context, eviction: EvictionRow, now: number): void {
 	const progress = ctx.local.evictionProgress.get(eviction.offset) ?? startEviction(ctx, eviction, now);
 	const needed = neededConfirmations(ctx, eviction);
-	const missing = needed.filter(row => row.id !== ctx.self.id && !progress.confirmed.has(row.id));
+	const offset = offsetToConfirm(ctx, eviction);
+	const missing = needed.filter(row => row.id !== ctx.self.id
+		&& (progress.confirmed.get(row.id) ?? 0) < offset
+		&& !(row.state === InstanceState.Evicting && progress.ended.has(row.id)));
 	if (missing.length > 0 && !ctx.mutations.has(Mutation.EvictWithoutConfirmations)) {
 		progress.confirmedAt = Infinity;
 		if (now >= progress.nextAskAt) {
@@ -155,7 +167,10 @@
 		return;
 	}
 
-	progress.confirmedAt = Math.min(progress.confirmedAt, now);
+	const isMutual = mayVouchMutually(ctx, eviction);
+	// An instance that has just left or come back may have vouched until now for the one that remains.
+	progress.confirmedAt = progress.wasMutual && !isMutual ? now : Math.min(progress.confirmedAt, now);
+	progress.wasMutual = isMutual;
 	if (now >= progress.confirmedAt + rightExpiryMs(ctx, eviction)) {
 		completeEviction(ctx, eviction);
 	}
@@ -163,7 +178,7 @@
 
 function startEviction(ctx: Context, eviction: EvictionRow, now: number): EvictionProgress {
 	const progress: EvictionProgress = {
-		offset: eviction.offset, confirmed: new Set(), nextAskAt: now, confirmedAt: Infinity,
+		offset: eviction.offset, confirmed: new Map(), ended: new Set(), nextAskAt: now, confirmedAt: Infinity, wasMutual: false,
 	};
 	ctx.local.evictionProgress.set(eviction.offset, progress);
 	return progress;
@@ -174,8 +189,8 @@
  * vouch for the evicted instances: the members of the same failure domains. When
  * several evicted instances of one domain might keep vouching for each other, all
  * other members must confirm too, and so must evicted instances of another domain
- * that is in the same situation. Those confirm nothing while they are cut off, so
- * when two domains lose contact with the rest together, neither is evicted for good.
+ * that is in the same situation, unless they have ended. Those confirm nothing while they are cut off,
+ * so when two domains lose contact with the rest together, neither is evicted for good.
  */
 function neededConfirmations(ctx: Context, eviction: EvictionRow): InstanceRow[] {
 	const domains = new Set(eviction.members.map(id => ctx.tables.instances.get(id)?.domain ?? ''));
@@ -199,13 +214,25 @@
 	return evicting.filter(row => isMutual(row) && isInOtherDomain(row));
 }
 
+/**
+ * Returns the offset that must be confirmed for an eviction: that of the newest eviction in its failure domains. An
+ * instance that was evicted later may still pass on its contact with those that have folded the earlier eviction only.
+ */
+function offsetToConfirm(ctx: Context, eviction: EvictionRow): number {
+	return Math.max(eviction.offset, ...evictingAround(ctx, eviction).map(row => row.eviction));
+}
+
 /** Returns whether a failure domain of the evicted instances has several instances whose right may not have expired yet. */
 function mayVouchMutually(ctx: Context, eviction: EvictionRow): boolean {
-	const evicted = eviction.members.map(id => ctx.tables.instances.get(id)).filter(row => row !== undefined);
-	const domains = new Set(evicted.map(row => row.domain));
-	const evicting = [...ctx.tables.instances.values()]
+	const evicting = evictingAround(ctx, eviction);
+	return evicting.length > new Set(evicting.map(row => row.domain)).size;
+}
+
+/** Returns all instances of the failure domains of an eviction that are being evicted. */
+function evictingAround(ctx: Context, eviction: EvictionRow): InstanceRow[] {
+	const domains = new Set(eviction.members.map(id => ctx.tables.instances.get(id)?.domain ?? ''));
+	return [...ctx.tables.instances.values()]
 		.filter(row => row.state === InstanceState.Evicting && domains.has(row.domain));
-	return evicting.length > domains.size;
 }
 
 function rightExpiryMs(ctx: Context, eviction: EvictionRow): number {
@@ -225,9 +252,11 @@
 }
 
 function requestConfirmations(ctx: Context, eviction: EvictionRow, missing: readonly InstanceRow[]): void {
+	const offset = offsetToConfirm(ctx, eviction);
+	const evicted = new Set([...eviction.members, ...evictingAround(ctx, eviction).map(row => row.id)]);
 	for (const row of missing) {
 		ctx.emit({
-			kind: EffectKind.Confirm, peer: row.id, addr: row.peerAddr, eviction: eviction.offset,
+			kind: EffectKind.Confirm, peer: row.id, addr: row.peerAddr, eviction: offset, evicted: [...evicted],
 		});
 	}
 }
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -79,7 +79,9 @@
 			random: options.random,
 			mutations,
 			isLeaving: false,
+			hasProposedLeave: false,
 			idsHandedOver: false,
+			hasLostLog: false,
 			isEvicted: false,
 			emit: effect => {
 				this.effects.push(effect);
@@ -100,6 +102,10 @@
 	/** Runs all systems once and returns the effects that the host must carry out. */
 	tick(now: number): Effect[] {
 		const {ctx} = this;
+		if (ctx.hasLostLog) {
+			return [];
+		}
+
 		if (now - this.lastTickAt > pauseHeartbeats * ctx.timing.heartbeatMs) {
 			restartSilenceTimers(ctx, now);
 		}
@@ -159,6 +165,13 @@
 		this.confirmTail();
 	}
 
+	/** Ends this member for good: the log lost records on which its tables rest, and gives their offsets to others. */
+	handleLogReset(): void {
+		this.ctx.hasLostLog = true;
+		this.ctx.isEvicted = true;
+		this.ctx.right.recordEviction();
+	}
+
 	/** Handles a proposed record that was certainly not appended, or was rejected. */
 	handleAppendRefused(recordId: string): void {
 		this.ctx.local.isLogRefusing = true;
@@ -190,7 +203,7 @@
 		const age = ctx.right.contactAge(now);
 		return {
 			instance: ctx.self.id,
-			vouches: mustVouch ? true : isKnown && !ctx.isEvicted,
+			vouches: mustVouch ? true : isKnown && !ctx.isEvicted && !ctx.hasProposedLeave,
 			mayAct: mustVouch ? true : !ctx.isEvicted && ctx.right.holds(now),
 			contactAgeMs: Number.isFinite(age) ? age : -1,
 			suspects: [...ctx.local.peers.keys()].filter(id => isSuspected(ctx, id, now)),
@@ -203,14 +216,18 @@
 		handleHeartbeatAnswer(this.ctx, sent, answer, now);
 	}
 
-	/** Returns whether this member has folded the eviction at `offset`; the answer to a confirmation request. */
-	hasFolded(offset: number): boolean {
-		return this.ctx.tables.folded >= offset;
+	/**
+	 * Returns whether this member has folded the eviction at `offset` and counts none of `evicted` as a member;
+	 * the answer to a confirmation request. The offset alone proves nothing when the log has given it out twice.
+	 */
+	hasFolded(offset: number, evicted: readonly string[]): boolean {
+		const {hasLostLog, tables} = this.ctx;
+		return !hasLostLog && tables.folded >= offset && evicted.every(id => !isMember(tables, id));
 	}
 
-	/** Handles the confirmation of a peer that it has folded an eviction. */
-	handleConfirmation(peer: string, eviction: number): void {
-		handleConfirmation(this.ctx, peer, eviction);
+	/** Handles the confirmation that an eviction was folded, from the incarnation `by` at the address of a peer. */
+	handleConfirmation(peer: string, eviction: number, by: string): void {
+		handleConfirmation(this.ctx, peer, eviction, by);
 	}
 
 	/** Handles the answer of a target to a grant. */
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -13,7 +13,7 @@
 import {TargetExecutorTable} from '../work/index.js';
 import {countRecord} from './count-record.js';
 import {EffectRunner} from './effect-runner.js';
-import {readMembership} from './membership-reader.js';
+import {MembershipReader} from './membership-reader.js';
 import {fetchNewestState} from './peer-state.js';
 
 /** Interval between two ticks. */
@@ -85,11 +85,14 @@
 	readonly left: Promise<void>;
 	private currentMember: Member;
 	private identity: InstanceIdentity;
+	/** Ids under which this process was evicted before it joined again. */
+	private readonly formerIds = new Set<string>();
 	private readonly log: MeteredLog;
 	private readonly follower: LogFollower<Tables>;
 	private readonly appender: Appender;
 	private readonly effectRunner: EffectRunner;
 	private readonly snapshots: SnapshotWriter;
+	private readonly membershipReader: MembershipReader;
 	/** Whether the tables have at some time reached the end of the log or the state of a peer. */
 	private hasCaughtUp = false;
 	private listedPeers: readonly string[] = [];
@@ -127,10 +130,11 @@
 		this.snapshots = new SnapshotWriter(this.log, clock, {
 			everyRecords: 2000, retentionMs: options.retentionMs, chunkChars: 256 * 1024, delayMs: options.random() * 5000,
 		});
+		this.membershipReader = MembershipReader.forOrigin(options.membershipOrigin);
 		this.executors = new TargetExecutorTable({member: () => this.currentMember, now, connections: options.connections});
 		this.effectRunner = new EffectRunner({
 			appender: this.appender,
-			log: this.log,
+			readLogEnd: async () => this.follower.readEnd(),
 			peers: options.peers,
 			executors: this.executors,
 			counters: options.counters,
@@ -169,6 +173,11 @@
 		return this.log.ageMs;
 	}
 
+	/** Returns whether `id` is the id of this process now or before it joined again. */
+	isOwnId(id: string): boolean {
+		return id === this.currentMember.id || this.formerIds.has(id);
+	}
+
 	/** Sets the addresses that the servers listen on. Must be called before `start`. */
 	setAddresses(addrs: InstanceAddresses): void {
 		this.identity = {...this.identity, ...addrs};
@@ -215,10 +224,10 @@
 		this.listeners.add(listener);
 	}
 
-	/** Returns whether the log is folded up to `offset`; waits a short time for it. */
-	async hasFolded(offset: number): Promise<boolean> {
+	/** Returns whether the log is folded up to `offset` and none of `evicted` is a member; waits a short time for it. */
+	async hasFolded(offset: number, evicted: readonly string[]): Promise<boolean> {
 		const deadline = this.options.clock.now() + confirmTimeoutMs;
-		while (!this.currentMember.hasFolded(offset) && this.options.clock.now() < deadline) {
+		while (!this.currentMember.hasFolded(offset, evicted) && this.options.clock.now() < deadline) {
 			// The follower keeps reading the log while this waits.
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
@@ -226,7 +235,7 @@
 			});
 		}
 
-		return this.currentMember.hasFolded(offset);
+		return this.currentMember.hasFolded(offset, evicted);
 	}
 
 	/** Returns the encoded tables for a peer; undefined while this instance is not ready. */
@@ -246,6 +255,7 @@
 	private rejoin(): void {
 		logger.warn('This instance was evicted and joins again under a new id.', {instance: this.currentMember.id});
 		const {tables, id} = this.currentMember;
+		this.formerIds.add(id);
 		this.currentMember = this.createMember(tables, id);
 		this.executors.prune();
 		this.scheduleTick();
@@ -268,6 +278,11 @@
 			this.hasCaughtUp = true;
 			this.currentMember.handleLogTail(sentAt, this.follower.offset + 1);
 		});
+		this.follower.onReset(err => {
+			logger.error('The log lost records that this instance had read. It stops acting until it is restarted.', {instance: this.currentMember.id, folded: this.folded, err});
+			this.currentMember.handleLogReset();
+			this.notifyListeners();
+		});
 		watchSnapshots(this.follower, chunk => {
 			this.snapshots.observe(chunk);
 		});
@@ -320,9 +335,11 @@
 
 	private async updateMembershipList(): Promise<void> {
 		try {
-			const {targets, instances, peerAddrs} = await readMembership(this.options.membershipOrigin);
-			this.listedPeers = peerAddrs;
-			this.currentMember.applyMembershipList(targets, instances);
+			const listing = await this.membershipReader.readNewest();
+			if (listing !== undefined) {
+				this.listedPeers = listing.peerAddrs;
+				this.currentMember.applyMembershipList(listing.targets, listing.instances);
+			}
 		} catch (err) {
 			logger.debug('Failed to read the membership list.', {err});
 		}
