Test runner keeps and prints the whole output of failed tests

Change: the diagnostic block and the logs of a failure are printed. TAP keeps one line of a stack at most, which lies inside ava for an assertion, so stacks and what a test file wrote are recorded from ava's events (ava.config.js, observeRun) into .test-output/.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,62 +1,65 @@
 /**
  * Runs all tests. A failed test that KNOWN-RED.txt lists under `test:` is printed
- * and ignored; any other failure fails the run.
+ * and ignored; any other failure fails the run. What failed tests and their child
+ * processes wrote stays in a directory of its own under `.test-output`.
  */
 import {spawn} from 'node:child_process';
-import {existsSync, readFileSync} from 'node:fs';
+import {once} from 'node:events';
+import {
+	createWriteStream, mkdirSync, readdirSync, readFileSync, rmSync,
+} from 'node:fs';
+import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
+import {
+	describeKnownRed, findNewFailures, isPassed, readKnownRed,
+} from './known-red.mjs';
+import {recordExtension} from './record-output.mjs';
+import {readTap} from './tap.mjs';
 
 const knownRedFile = 'KNOWN-RED.txt';
-const entryPrefix = 'test: ';
+const tapFile = 'tap.txt';
 
-function readKnownFailures() {
-	if (!existsSync(knownRedFile)) {
-		return new Set();
-	}
-
-	const lines = readFileSync(knownRedFile, 'utf8').split('\n');
-	return new Set(lines.filter(line => line.startsWith(entryPrefix)).map(line => line.slice(entryPrefix.length).trim()));
-}
+const outputDir = path.resolve('.test-output', new Date().toISOString().replaceAll(':', '-'));
+mkdirSync(outputDir, {recursive: true});
 
-const failed = [];
-const counts = {passed: 0, failed: 0};
-const runner = spawn('npx', ['ava', '--tap'], {stdio: ['ignore', 'pipe', 'inherit']});
+const runner = spawn('npx', ['ava', '--tap'], {
+	stdio: ['ignore', 'pipe', 'inherit'],
+	env: {...process.env, TEST_OUTPUT_DIR: outputDir},
+});
+const closed = once(runner, 'close');
+runner.stdout.pipe(createWriteStream(path.join(outputDir, tapFile)));
 
-for await (const line of createInterface({input: runner.stdout})) {
-	const result = /^(?<not>not )?ok \d+ - (?<title>.*)$/v.exec(line);
-	if (result === null) {
-		continue;
+const results = [];
+for await (const result of readTap(createInterface({input: runner.stdout}))) {
+	results.push(result);
+	if (!result.isOk) {
+		console.log(result.lines.join('\n'));
 	}
+}
 
-	if (result.groups.not === undefined) {
-		counts.passed += 1;
-	} else {
-		counts.failed += 1;
-		failed.push(result.groups.title);
+const [exitCode] = await closed;
+const knownRed = readKnownRed(knownRedFile);
+const failures = results.filter(({isOk}) => !isOk);
+
+if (failures.length === 0) {
+	rmSync(outputDir, {recursive: true});
+} else {
+	for (const file of readdirSync(outputDir).filter(name => name.endsWith(recordExtension))) {
+		console.log(`\nOutput of ${file.slice(0, -recordExtension.length)}:`);
+		console.log(readFileSync(path.join(outputDir, file), 'utf8'));
 	}
 
-	process.stdout.write(result.groups.not === undefined ? '' : `${line}\n`);
+	console.log(`Output of failed tests and of their processes: ${outputDir}`);
 }
 
-const exitCode = await new Promise(resolve => {
-	if (runner.exitCode === null) {
-		runner.once('exit', resolve);
-	} else {
-		resolve(runner.exitCode);
-	}
-});
-
-const knownFailures = readKnownFailures();
-const newFailures = failed.filter(title => !knownFailures.has(title));
-for (const title of knownFailures) {
-	console.log(`known red, ${failed.includes(title) ? 'failed' : 'passed this time'}: ${title}`);
+for (const {title, state} of describeKnownRed(knownRed, results)) {
+	console.log(`known red, ${state}: ${title}`);
 }
 
-for (const title of newFailures) {
+for (const title of findNewFailures(knownRed, results)) {
 	console.log(`FAILED: ${title}`);
 }
 
-console.log(`${counts.passed} passed, ${counts.failed} failed`);
-const hasOnlyKnownFailures = newFailures.length === 0 && counts.passed > 0 && (exitCode === 0 || failed.length > 0);
-process.exitCode = hasOnlyKnownFailures ? 0 : 1;
+console.log(`${results.length - failures.length} passed, ${failures.length} failed`);
+process.exitCode = isPassed(knownRed, results, exitCode) ? 0 : 1;
