Logs of failed fault cells are kept

Change: each process of a deployment writes to a log file in its folder, which lies in the output directory of a test run. A cell whose test failed, and a deployment that does not start, leave it behind, with the journals of the targets and the views of the callers. A test file that is killed leaves it, too.

--- a/packages/bench/src/cells/cell-harness.ts
+++ b/packages/bench/src/cells/cell-harness.ts
@@ -43,6 +43,7 @@
 			await harness.waitUntilSettled();
 			return harness;
 		} catch (err) {
+			harness.keepFiles();
 			await harness.stop();
 			throw err;
 		}
@@ -51,14 +52,24 @@
 	readonly views: CallerView[] = [];
 	readonly deployment: Deployment;
 	private seed = 1;
+	private keepsFiles = false;
 
 	private constructor(deployment: Deployment) {
 		this.deployment = deployment;
 	}
 
+	/** Keeps what the processes wrote, and the views of the callers, when the deployment stops. */
+	keepFiles(): void {
+		this.keepsFiles = true;
+	}
+
 	/** Stops all processes of the deployment. */
 	async stop(): Promise<void> {
-		await this.deployment.stop();
+		if (this.keepsFiles) {
+			this.deployment.writeRecord('caller-views.json', this.views);
+		}
+
+		await this.deployment.stop({keepsFiles: this.keepsFiles});
 	}
 
 	/** Waits until every instance is ready and answers the probe paths. */
--- a/packages/bench/src/cells/log.test.ts
+++ b/packages/bench/src/cells/log.test.ts
@@ -18,6 +18,12 @@
 	await harness?.stop();
 });
 
+test.afterEach.always(t => {
+	if (!t.pass) {
+		harness.keepFiles();
+	}
+});
+
 async function stopLog(): Promise<void> {
 	await sleep(beforeFaultMs);
 	await harness.deployment.setLogFaults({down: DownMode.Refused, refusedMs: outageMs});
--- a/packages/bench/src/cells/lost-steward.test.ts
+++ b/packages/bench/src/cells/lost-steward.test.ts
@@ -20,6 +20,12 @@
 	await harness?.stop();
 });
 
+test.afterEach.always(t => {
+	if (!t.pass) {
+		harness.keepFiles();
+	}
+});
+
 test.serial('SIGKILL of a steward under load', async t => {
 	const {name} = await harness.fetchSteward(killedTarget);
 	const {plan} = harness.deployment.instances.get(name)!;
--- a/packages/bench/src/cells/operators.test.ts
+++ b/packages/bench/src/cells/operators.test.ts
@@ -18,6 +18,12 @@
 	rmSync(folder, {recursive: true, force: true});
 });
 
+test.afterEach.always(t => {
+	if (!t.pass) {
+		harness.keepFiles();
+	}
+});
+
 test.serial('only one of two publishes with the same base succeeds', async t => {
 	const [base] = await harness.fetchConfigOffsets();
 	const notes = ['first operator', 'second operator'];
--- a/packages/bench/src/cells/planned.test.ts
+++ b/packages/bench/src/cells/planned.test.ts
@@ -21,6 +21,12 @@
 	await harness?.stop();
 });
 
+test.afterEach.always(t => {
+	if (!t.pass) {
+		harness.keepFiles();
+	}
+});
+
 async function waitForShardsOfDomain(condition: string, isMet: (shards: number) => boolean): Promise<void> {
 	await harness.waitUntil(condition, statuses => statuses.every(status =>
 		status?.targets.filter(row => row.domain === domain).every(row => isMet(row.shards))));
--- a/packages/bench/src/cells/targets.test.ts
+++ b/packages/bench/src/cells/targets.test.ts
@@ -18,6 +18,12 @@
 	await harness?.stop();
 });
 
+test.afterEach.always(t => {
+	if (!t.pass) {
+		harness.keepFiles();
+	}
+});
+
 async function waitUntilTargetServes(): Promise<void> {
 	await harness.waitUntil('the target is live and owns shards', statuses => statuses.every(status =>
 		status?.targets.some(row => row.target === target && row.state === 'live' && row.shards > 0)));
--- a/packages/bench/src/cells/topology.ts
+++ b/packages/bench/src/cells/topology.ts
@@ -24,6 +24,8 @@
 		},
 	}],
 	rules: cellRules('cells'),
+	// The starts and stops of the instances stand in the logs of a failed cell.
+	settings: {log: {level: 'info'}},
 	hasJournals: true,
 };
 
--- a/packages/bench/src/deployment/child.ts
+++ b/packages/bench/src/deployment/child.ts
@@ -1,5 +1,6 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import {createWriteStream, openSync} from 'node:fs';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -29,7 +30,8 @@
 	private readonly exited: Promise<unknown>;
 	private output = '';
 
-	constructor(name: string, script: string, args: readonly string[]) {
+	/** Appends what the process writes to `logFile` if one is given. */
+	constructor(name: string, script: string, args: readonly string[], logFile?: string) {
 		this.name = name;
 		this.process = spawn(process.execPath, [script, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 		running.add(this.process);
@@ -38,6 +40,9 @@
 			const text = new TextDecoder().decode(chunk);
 			this.output = (this.output + text).slice(-keptOutputBytes);
 		});
+		if (logFile !== undefined) {
+			this.copyOutput(logFile);
+		}
 	}
 
 	/** Process id. */
@@ -109,11 +114,23 @@
 			throw new Error(`${this.name} did not become ready: ${this.output}`);
 		}
 	}
+
+	private copyOutput(logFile: string): void {
+		const log = createWriteStream(logFile, {fd: openSync(logFile, 'a')});
+		this.process.stdout!.pipe(log, {end: false});
+		this.process.stderr!.pipe(log, {end: false});
+		this.process.once('close', () => {
+			log.end();
+		});
+	}
 }
 
-/** Starts a script of this repository as a child process. Resolves when it prints that it is ready. */
-export async function startChild(name: string, script: string, args: readonly string[]): Promise<Child> {
-	const child = new Child(name, script, args);
+/**
+ * Starts a script of this repository as a child process. Resolves when it prints that it is ready.
+ * Appends what the process writes to `logFile` if one is given.
+ */
+export async function startChild(name: string, script: string, args: readonly string[], logFile?: string): Promise<Child> {
+	const child = new Child(name, script, args, logFile);
 	await child.waitForReady();
 	return child;
 }
--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -1,6 +1,5 @@
 import {execFile} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
+import {rmSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import process from 'node:process';
 import {
@@ -10,6 +9,7 @@
 import {findFreePorts} from './find-free-ports.js';
 import {formatInstanceSettings, listenKeys} from './instance-settings.js';
 import {LostLedgers} from './lost-ledgers.js';
+import {createOutputFolder} from './output-folder.js';
 import {scripts} from './scripts.js';
 import {buildTargetArgs} from './target-args.js';
 import {
@@ -44,8 +44,9 @@
 export class Deployment {
 	readonly targets = new Map<string, TargetProcess>();
 	readonly instances = new Map<string, InstanceProcess>();
+	/** Folder for settings, the journals of the targets, and what the processes write. */
+	readonly folder = createOutputFolder('deployment');
 	private readonly topology: Topology;
-	private readonly folder = mkdtempSync(join(tmpdir(), 'bluebellyard-'));
 	private readonly lostLedgers = new LostLedgers();
 	private logChild: Child | undefined;
 	private membershipChild: Child | undefined;
@@ -86,15 +87,15 @@
 	/** Starts the log service and the membership list. */
 	async startPlatform(): Promise<void> {
 		const lag = String(this.topology.membershipLagMs ?? 0);
-		this.logChild = await startChild('log', scripts.standins, ['log']);
-		this.membershipChild = await startChild('membership', scripts.standins, ['membership', '--lag-ms', lag]);
+		this.logChild = await this.startProcess('log', scripts.standins, ['log']);
+		this.membershipChild = await this.startProcess('membership', scripts.standins, ['membership', '--lag-ms', lag]);
 	}
 
 	/** Starts a target and adds it to the membership list. */
 	async startTarget(plan: TargetPlan): Promise<TargetProcess> {
 		const journalFile = this.topology.hasJournals ? join(this.folder, `${plan.name}.${this.journalCount++}.ledger`) : '';
 		const options = {...plan.options, name: plan.name, ...(journalFile !== '' && {journalFile})};
-		const child = await startChild(plan.name, scripts.standins, buildTargetArgs(options));
+		const child = await this.startProcess(plan.name, scripts.standins, buildTargetArgs(options));
 		const target = {plan, child, journalFile};
 		this.targets.set(plan.name, target);
 		await this.updateMembership(plan.name, MemberState.Live);
@@ -107,7 +108,7 @@
 		const file = join(this.folder, `${plan.name}.ini`);
 		const ports = await findFreePorts(listenKeys.length);
 		writeFileSync(file, formatInstanceSettings(plan, ports, platform, this.topology.settings));
-		const child = await startChild(plan.name, scripts.router, ['--settings', file]);
+		const child = await this.startProcess(plan.name, scripts.router, ['--settings', file]);
 		const instance = {plan, child, controlAddr: `127.0.0.1:${ports[listenKeys.indexOf('control')]}`};
 		this.instances.set(plan.name, instance);
 		return instance;
@@ -196,13 +197,24 @@
 		return [...runningDumps, ...this.lostLedgers.dumps];
 	}
 
-	/** Stops all processes and removes the temporary folder. */
-	async stop(): Promise<void> {
+	/** Writes a file beside the logs of the processes. */
+	writeRecord(name: string, value: unknown): void {
+		writeFileSync(join(this.folder, name), JSON.stringify(value, undefined, '\t'));
+	}
+
+	/** Stops all processes and removes their folder, unless its files are to be kept. */
+	async stop({keepsFiles = false} = {}): Promise<void> {
 		await Promise.all([...this.instances.values()].map(async ({child}) => child.terminate()));
 		await Promise.all([...this.targets.values()].map(async ({child}) => child.terminate()));
 		await this.membershipChild?.terminate();
 		await this.logChild?.terminate();
-		rmSync(this.folder, {recursive: true, force: true});
+		if (!keepsFiles) {
+			rmSync(this.folder, {recursive: true, force: true});
+		}
+	}
+
+	private async startProcess(name: string, script: string, args: readonly string[]): Promise<Child> {
+		return startChild(name, script, args, join(this.folder, `${name}.log`));
 	}
 
 	private recoverLedger({plan, child, journalFile}: TargetProcess): void {
@@ -230,14 +242,14 @@
 	}
 }
 
-/** Starts a deployment and publishes its rules. Stops all processes if that fails. */
+/** Starts a deployment and publishes its rules. If that fails, stops all processes and keeps their files. */
 export async function startDeployment(topology: Topology): Promise<Deployment> {
 	const deployment = new Deployment(topology);
 	try {
 		await deployment.startAll();
 		return deployment;
 	} catch (err) {
-		await deployment.stop();
-		throw err;
+		await deployment.stop({keepsFiles: true});
+		throw new Error(`The deployment did not start; its files are in ${deployment.folder}: ${String(err)}`, {cause: err});
 	}
 }
