Test of the bounded writer leaves the descriptor to the writer

Cause: the writer closes its descriptor at its end, and the test closed it a second time 100 ms later, in a timer that only fires when another test keeps the file's process alive: EBADF outside of any test. Change: the test no longer closes it. What it asserts is unchanged.

--- a/packages/gateway/src/telemetry/telemetry.test.ts
+++ b/packages/gateway/src/telemetry/telemetry.test.ts
@@ -1,4 +1,4 @@
-import {openSync, closeSync} from 'node:fs';
+import {openSync} from 'node:fs';
 import test from 'ava';
 import {ManualClock} from '@bluebellyard/core';
 import {configureLogging} from '@bluebellyard/router/logging';
@@ -33,8 +33,6 @@
 	}
 
 	t.true(writer.dropped > 0);
+	// The writer closes the descriptor, which it owns from its start.
 	writer.end();
-	setTimeout(() => {
-		closeSync(fd);
-	}, 100).unref();
 });
