A child's report waits until all that it wrote has been read

Cause: the wait for a child ended with 'exit'. Node handles exits last in a turn of its event loop, and then those of children that ended during the turn, too, whose output it has not read: with other children and long callbacks in the process the report was empty. Ruled out: the 10 s for readiness, as the test also failed on a calm machine. Change: wait for 'close'. A new test arranges the order of events: a child ends while the output of another, which has ended, is handled.

--- a/packages/bench/src/deployment/child.ts
+++ b/packages/bench/src/deployment/child.ts
@@ -27,7 +27,8 @@
 	/** Time of `kill` by the machine-wide clock, in milliseconds; undefined if it was not killed. */
 	killedAt: number | undefined;
 	private readonly process: ChildProcess;
-	private readonly exited: Promise<unknown>;
+	/** Resolves when the process has exited and all that it wrote has been read; 'exit' may come before that. */
+	private readonly closed: Promise<unknown>;
 	private output = '';
 
 	/** Appends what the process writes to `logFile` if one is given. */
@@ -35,7 +36,7 @@
 		this.name = name;
 		this.process = spawn(process.execPath, [script, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 		running.add(this.process);
-		this.exited = once(this.process, 'exit').then(() => running.delete(this.process));
+		this.closed = once(this.process, 'close').then(() => running.delete(this.process));
 		this.process.stderr!.on('data', (chunk: Uint8Array) => {
 			const text = new TextDecoder().decode(chunk);
 			this.output = (this.output + text).slice(-keptOutputBytes);
@@ -64,7 +65,7 @@
 	async kill(): Promise<void> {
 		this.process.kill('SIGKILL');
 		this.killedAt = machineClock.now();
-		await this.exited;
+		await this.closed;
 	}
 
 	/** Suspends the process until `resume`. */
@@ -83,7 +84,7 @@
 			this.resume();
 			this.process.kill('SIGTERM');
 			const ctl = new AbortController();
-			await Promise.race([this.exited, sleep(stopTimeoutMs, undefined, {signal: ctl.signal}).catch(() => undefined)]);
+			await Promise.race([this.closed, sleep(stopTimeoutMs, undefined, {signal: ctl.signal}).catch(() => undefined)]);
 			ctl.abort();
 		}
 
@@ -107,7 +108,7 @@
 		});
 		const ctl = new AbortController();
 		const timeout = sleep(readyTimeoutMs, undefined, {signal: ctl.signal}).catch(() => undefined);
-		await Promise.race([ready, this.exited, timeout]);
+		await Promise.race([ready, this.closed, timeout]);
 		ctl.abort();
 		if (this.addr === '') {
 			await this.kill();
--- a/packages/bench/src/deployment/deployment.test.ts
+++ b/packages/bench/src/deployment/deployment.test.ts
@@ -1,12 +1,20 @@
+import {spawn} from 'node:child_process';
+import {
+	readdirSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {join} from 'node:path';
+import process from 'node:process';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	call, OrderEnd, ServiceShape, TargetKind,
 } from '@bluebellyard/standins';
 import test from 'ava';
-import {startChild} from './child.js';
+import {Child, startChild} from './child.js';
 import {readCpuTimeMs} from './cpu-time.js';
 import {Deployment} from './deployment.js';
 import {findFreePorts} from './find-free-ports.js';
 import {formatInstanceSettings} from './instance-settings.js';
+import {createOutputFolder} from './output-folder.js';
 import {scripts} from './scripts.js';
 import {planInstances, planTargets} from './topology.js';
 
@@ -75,3 +83,42 @@
 test('a process that does not become ready is reported with what it wrote', async t => {
 	await t.throwsAsync(startChild('x', scripts.standins, ['nothing']), {message: error => error.startsWith('x did not become ready: ') && error.includes('nothing')});
 });
+
+/** Blocks this process until a child has exited; Node has not yet noticed it then. */
+function blockUntilExited(pid: number): void {
+	// A process with threads that still run is not reported as exited, even if its state is Z, zombie.
+	while (!readFileSync(`/proc/${pid}/stat`, 'utf8').includes(') Z ') || readdirSync(`/proc/${pid}/task`).length > 1) {
+		// The state of the process changes without this one.
+	}
+}
+
+/**
+ * Node handles exits last in a turn of its event loop, those of other children that ended
+ * during the turn included: such a child has exited before any of its output is read.
+ */
+test('a process that ends during the exit of another is reported with what it wrote', async t => {
+	const folder = createOutputFolder('exits');
+	t.teardown(() => {
+		rmSync(folder, {recursive: true});
+	});
+	const script = join(folder, 'write-when-told.mjs');
+	writeFileSync(script, `
+		import {existsSync} from 'node:fs';
+		while (!existsSync(process.argv[2])) {
+			await new Promise(resolve => { setTimeout(resolve, 5); });
+		}
+		console.error('written');
+	`);
+	const [firstGate, secondGate] = [join(folder, 'first'), join(folder, 'second')];
+	const first = spawn(process.execPath, [script, firstGate], {stdio: ['ignore', 'ignore', 'pipe']});
+	const second = new Child('second', script, [secondGate]);
+	first.stderr.once('data', () => {
+		writeFileSync(secondGate, '');
+		blockUntilExited(second.pid);
+	});
+	const ready = second.waitForReady();
+	await nextTurn();
+	writeFileSync(firstGate, '');
+	blockUntilExited(first.pid!);
+	await t.throwsAsync(ready, {message: /written/v});
+});
