--- a/packages/bench/src/deployment/child.ts
+++ b/packages/bench/src/deployment/child.ts
@@ -1,5 +1,6 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import {createWriteStream, openSync} from 'node:fs';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -26,18 +27,23 @@
 	/** Time of `kill` by the machine-wide clock, in milliseconds; undefined if it was not killed. */
 	killedAt: number | undefined;
 	private readonly process: ChildProcess;
-	private readonly exited: Promise<unknown>;
+	/** Resolves when the process has exited and all that it wrote has been read; 'exit' may come before that. */
+	private readonly closed: Promise<unknown>;
 	private output = '';
 
-	constructor(name: string, script: string, args: readonly string[]) {
+	/** Appends what the process writes to `logFile` if one is given. */
+	constructor(name: string, script: string, args: readonly string[], logFile?: string) {
 		this.name = name;
 		this.process = spawn(process.execPath, [script, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 		running.add(this.process);
-		this.exited = once(this.process, 'exit').then(() => running.delete(this.process));
+		this.closed = once(this.process, 'close').then(() => running.delete(this.process));
 		this.process.stderr!.on('data', (chunk: Uint8Array) => {
 			const text = new TextDecoder().decode(chunk);
 			this.output = (this.output + text).slice(-keptOutputBytes);
 		});
+		if (logFile !== undefined) {
+			this.copyOutput(logFile);
+		}
 	}
 
 	/** Process id. */
@@ -59,7 +65,7 @@
 	async kill(): Promise<void> {
 		this.process.kill('SIGKILL');
 		this.killedAt = machineClock.now();
-		await this.exited;
+		await this.closed;
 	}
 
 	/** Suspends the process until `resume`. */
@@ -78,7 +84,7 @@
 			this.resume();
 			this.process.kill('SIGTERM');
 			const ctl = new AbortController();
-			await Promise.race([this.exited, sleep(stopTimeoutMs, undefined, {signal: ctl.signal}).catch(() => undefined)]);
+			await Promise.race([this.closed, sleep(stopTimeoutMs, undefined, {signal: ctl.signal}).catch(() => undefined)]);
 			ctl.abort();
 		}
 
@@ -102,18 +108,30 @@
 		});
 		const ctl = new AbortController();
 		const timeout = sleep(readyTimeoutMs, undefined, {signal: ctl.signal}).catch(() => undefined);
-		await Promise.race([ready, this.exited, timeout]);
+		await Promise.race([ready, this.closed, timeout]);
 		ctl.abort();
 		if (this.addr === '') {
 			await this.kill();
 			throw new Error(`${this.name} did not become ready: ${this.output}`);
 		}
 	}
+
+	private copyOutput(logFile: string): void {
+		const log = createWriteStream(logFile, {fd: openSync(logFile, 'a')});
+		this.process.stdout!.pipe(log, {end: false});
+		this.process.stderr!.pipe(log, {end: false});
+		this.process.once('close', () => {
+			log.end();
+		});
+	}
 }
 
-/** Starts a script of this repository as a child process. Resolves when it prints that it is ready. */
-export async function startChild(name: string, script: string, args: readonly string[]): Promise<Child> {
-	const child = new Child(name, script, args);
+/**
+ * Starts a script of this repository as a child process. Resolves when it prints that it is ready.
+ * Appends what the process writes to `logFile` if one is given.
+ */
+export async function startChild(name: string, script: string, args: readonly string[], logFile?: string): Promise<Child> {
+	const child = new Child(name, script, args, logFile);
 	await child.waitForReady();
 	return child;
 }
