--- a/packages/gateway/src/cluster/registration.test.ts
+++ b/packages/gateway/src/cluster/registration.test.ts
@@ -28,7 +28,7 @@
 
 	async start(): Promise<void> {
 		this.log.era = 1;
-		await this.directory.announce(self);
+		await this.registration.register();
 	}
 
 	/** Loses the entry of the instance, which sees the new era. */
@@ -99,3 +99,14 @@
 	await harness.run(10_000);
 	t.is(harness.log.appends, 0);
 });
+
+test('an instance that starts while the store is away registers once it is back', async t => {
+	const harness = new Harness();
+	harness.log.isDown = true;
+	const registered = harness.registration.register();
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	harness.log.isDown = false;
+	t.deepEqual(await registered, [self]);
+});
--- a/packages/gateway/src/cluster/registration.ts
+++ b/packages/gateway/src/cluster/registration.ts
@@ -1,8 +1,12 @@
 import type {Clock} from '@bluebellyard/core';
+import {sleep} from '../net/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo} from '../view/index.js';
 import type {Directory} from './directory.js';
 
+/** Delay between two attempts to write the first entry, in milliseconds. */
+const retryDelayMs = 800;
+
 /** Longest delay before an entry is written again, in milliseconds. Drawn at random, so that the writes of hundreds of instances leave the store room for those of the leader. */
 const maxDelayMs = 5000;
 
@@ -16,7 +20,7 @@
 	readonly telemetry: Telemetry;
 };
 
-/** Keeps the entry of this instance in the register over returns of the store from an older copy. */
+/** Writes the entry of this instance in the register, and again after returns of the store from an older copy. */
 export class Registration {
 	private readonly options: RegistrationOptions;
 	/** Era for which a write is scheduled; 0 for none. */
@@ -28,6 +32,23 @@
 		this.options = options;
 	}
 
+	/** Writes the first entry, until that succeeds. Resolves to the entries of all instances. */
+	async register(): Promise<NodeInfo[]> {
+		const {self, directory, telemetry} = this.options;
+		for (;;) {
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await directory.announce(self);
+				// eslint-disable-next-line no-await-in-loop
+				return await directory.list();
+			} catch (err) {
+				telemetry.warn('follower', 'This instance could not be registered in the store; trying again.', {err});
+				// eslint-disable-next-line no-await-in-loop
+				await sleep(retryDelayMs);
+			}
+		}
+	}
+
 	/**
 	 * Writes the entry again, once for each era of the store and after a random delay, until the write succeeds. Called
 	 * in each tick with the era that this instance knows of. Does nothing before the first entry is written.
