Instances register again after a return of the store

Callers saw: nothing by itself; an instance that the register lacks is unknown to a new leader, which then neither pings it nor waits for its grants. Cause: each instance wrote its entry once and took it as there for ever. Change: the coordinator uses Registration for the first entry and, in each tick, for the era that the view is based on.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -3,7 +3,6 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {Clock, LeaseTiming} from '@bluebellyard/core';
-import {sleep} from '../net/index.js';
 import type {Message} from '../peers/index.js';
 import {
 	StaleAppendError, type KeyedLog, type OperatorFeed, type TargetControl, type TargetFeed,
@@ -23,6 +22,7 @@
 import {FeedReader} from './feed-reader.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
 import {OwnerLog, type OwnerState} from './owner-log.js';
+import {Registration} from './registration.js';
 
 /** Interval between two ticks, in milliseconds. */
 const tickIntervalMs = 100;
@@ -39,7 +39,7 @@
 /** Time after a change of the leader in which no instance takes over because of its store contact, in milliseconds. */
 const minFollowMs = 2500;
 
-/** Delay between two attempts to become leader, or to register this instance, in milliseconds. */
+/** Delay between two attempts to become leader, in milliseconds. */
 const retryDelayMs = 800;
 
 /** Options of `Coordinator`. */
@@ -58,6 +58,7 @@
 /** Takes part in membership and leader election for one instance, as follower or as leader. */
 export class Coordinator {
 	private readonly directory: Directory;
+	private readonly registration: Registration;
 	private readonly ownerLog: OwnerLog;
 	private readonly reader: FeedReader;
 	private readonly knownInstances: KnownInstances;
@@ -76,13 +77,13 @@
 	private isElecting = false;
 	private nextElectionAt: number;
 	private isLeaving = false;
-	private isAnnounced = false;
 	private storeFailedAt = Number.NEGATIVE_INFINITY;
 	private timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: CoordinatorOptions) {
 		const {log, clock} = options;
 		this.directory = new Directory(log);
+		this.registration = new Registration({...options, directory: this.directory});
 		this.ownerLog = new OwnerLog(log);
 		this.reader = new FeedReader(options);
 		this.knownInstances = new KnownInstances(options);
@@ -110,7 +111,7 @@
 
 	/** Registers this instance and starts to follow a leader. */
 	start(): void {
-		void this.announce();
+		void this.register();
 		this.timer = setInterval(() => {
 			this.tick();
 		}, tickIntervalMs);
@@ -180,7 +181,9 @@
 	}
 
 	private tick(): void {
-		const now = this.options.clock.now();
+		const {clock, view} = this.options;
+		const now = clock.now();
+		this.registration.announceAgain(view.storeEra);
 		if (this.leader !== undefined) {
 			this.leader.tick();
 			this.handOverToLarger(now);
@@ -220,21 +223,9 @@
 		return electionDelayMs(this.options.self, this.knownInstances.all()) + (this.options.random() * maxRandomDelayMs);
 	}
 
-	private async announce(): Promise<void> {
-		const {self, telemetry} = this.options;
-		while (!this.isAnnounced) {
-			try {
-				// eslint-disable-next-line no-await-in-loop
-				await this.directory.announce(self);
-				// eslint-disable-next-line no-await-in-loop
-				await this.knownInstances.loadFrom(this.directory);
-
-				this.isAnnounced = true;
-			} catch (err) {
-				telemetry.warn('follower', 'This instance could not be registered in the store; trying again.', {err});
-				// eslint-disable-next-line no-await-in-loop
-				await sleep(retryDelayMs);
-			}
+	private async register(): Promise<void> {
+		for (const node of await this.registration.register()) {
+			this.knownInstances.add(node);
 		}
 
 		await this.knownInstances.sendHello();
