Evacuations: a leader forgets the end times of its earlier term

Cause: an instance that led while the store returned, lost the lead before an awaited evacuation was written again and leads a second time still had its end time, and ended the evacuation until its first listing. Change: what is loaded from the view has no end time. Result: one of the three tests of evacuations.test.ts failed before; all pass, with those of feed-reader and feed-return.

--- a/packages/gateway/src/cluster/evacuations.ts
+++ b/packages/gateway/src/cluster/evacuations.ts
@@ -18,6 +18,7 @@
 
 	/** Takes over the evacuated failure domains of a former leader. */
 	load(domains: ReadonlySet<string>): void {
+		this.endTimes.clear();
 		const known = this.domains;
 		for (const [key, domain] of this.domainsByKey) {
 			if (!domains.has(domain)) {
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -45,6 +45,7 @@
 	private generation = 0;
 	private readAt = Number.NEGATIVE_INFINITY;
 	private isStoreUnreachable = false;
+	/** Time at which the store was reachable again after its last outage. */
 	private recoveredAt = Number.NEGATIVE_INFINITY;
 	/** Time at which the last return of the store from an older copy was noticed. */
 	private returnedAt = Number.NEGATIVE_INFINITY;
@@ -227,7 +228,6 @@
 		}
 
 		this.records.expire(now);
-
 		const missing = isFull ? [...this.idsByName.keys()].filter(name => !set.has(name)) : removed;
 		const reregisteredAt = Math.max(this.recoveredAt, this.returnedAt) + reregistrationMs;
 		for (const name of missing) {
