The backup of a running request id is renewed

Cause: a backup counted as stored once and for all when another instance had accepted it before the request was sent, but it is dropped 60 s after that. A pool may have a timeout of up to an hour. When the steward of a request that had run for longer was lost, or the holder had been before, nobody knew the id, and a repeat could run beside or after the first. Change: while a request runs its backup is stored again every 10 s, with another instance when the former holder is gone. After the end it lasts for 50 s or more. The dependencies of StewardExecutor are one object now (too many parameters). Measured: 'the backup of a running request is stored again' does not end without the renewal (8 s limit) and passes with it; 57 tests of router/dist/entry pass.

--- a/packages/router/src/entry/steward-executor.test.ts
+++ b/packages/router/src/entry/steward-executor.test.ts
@@ -10,6 +10,8 @@
 class FakeGuard extends AtMostOnceGuard {
 	isStored = true;
 	droppedCount = 0;
+	storedCount = 0;
+	onStored: () => void = () => undefined;
 
 	override getLabel(pool: string, shard: number): string {
 		return `${pool}/${shard}`;
@@ -24,6 +26,8 @@
 	}
 
 	override async backUp(): Promise<boolean> {
+		this.storedCount += 1;
+		this.onStored();
 		return this.isStored;
 	}
 }
@@ -48,7 +52,9 @@
 		},
 	};
 	const executors = {get: (name: string) => name === 't' ? target : undefined};
-	const executor = new StewardExecutor(executors, guard, () => clock.now(), counters);
+	const executor = new StewardExecutor({
+		executors, guard, now: () => clock.now(), counters, backupRenewalIntervalMs: 1,
+	});
 	return {
 		executor, target, sent, guard, counters, clock,
 	};
@@ -140,3 +146,18 @@
 	finishBackup(false);
 	await t.throwsAsync(second);
 });
+
+// The backup counted from the start of the request: when a request ran longer than the ids are
+// stored, nobody knew its id once its steward was lost.
+test('the backup of a running request is stored again', async t => {
+	const {executor, target, guard} = setUp();
+	target.end = async () => new Promise(resolve => {
+		guard.onStored = () => {
+			if (guard.storedCount === 3) {
+				resolve(makeAnswer('done'));
+			}
+		};
+	});
+	const answer = await executor.handle('t', makeOrder(once));
+	t.is(String(answer.body), 'done');
+});
--- a/packages/router/src/entry/steward-executor.ts
+++ b/packages/router/src/entry/steward-executor.ts
@@ -9,6 +9,9 @@
 /** Time for which the id of an ended request is stored, in milliseconds. */
 export const requestWindowMs = 60_000;
 
+/** Interval at which the backup of a running request is stored again, in milliseconds. Its window would otherwise end while the request runs. */
+const defaultBackupRenewalIntervalMs = 10_000;
+
 /** Maximum number of request ids that one instance stores for its own targets. */
 const maxRequestIds = 100_000;
 
@@ -46,29 +49,34 @@
 	get(target: string): Pick<TargetExecutor, 'submit' | 'admission' | 'checkOpen'> | undefined;
 };
 
+/** Dependencies of `StewardExecutor`. */
+export type StewardExecutorOptions = {
+	readonly executors: TargetExecutors;
+	readonly guard: AtMostOnceGuard;
+	readonly now: () => number;
+	readonly counters: Counters;
+	/** Interval at which the backup of a running request is stored again, in milliseconds. */
+	readonly backupRenewalIntervalMs?: number;
+};
+
 /** Executes the orders for targets of which this instance is the steward; runs a non-idempotent request at most once. */
 export class StewardExecutor {
 	readonly ids = new RequestIdTable<Answer>({
 		windowMs: requestWindowMs, maxEntries: maxRequestIds, maxAnswerBytes: maxStoredAnswerBytes,
 	});
 
-	private readonly executors: TargetExecutors;
-	private readonly guard: AtMostOnceGuard;
-	private readonly now: () => number;
-	private readonly counters: Counters;
 	/** Shard labels of the requests that run or are about to run, by request id. */
 	private readonly running = new Map<string, string>();
 
-	constructor(executors: TargetExecutors, guard: AtMostOnceGuard, now: () => number, counters: Counters) {
-		this.executors = executors;
-		this.guard = guard;
-		this.now = now;
-		this.counters = counters;
+	private readonly options: StewardExecutorOptions;
+
+	constructor(options: StewardExecutorOptions) {
+		this.options = options;
 	}
 
 	/** Sends an order to a target of this instance; rejects with a `RequestError`. */
 	async handle(target: string, order: Order): Promise<Answer> {
-		const executor = this.executors.get(target);
+		const executor = this.options.executors.get(target);
 		if (executor === undefined) {
 			throw new RequestError(ErrorKind.NotSteward);
 		}
@@ -78,14 +86,14 @@
 
 	/** Returns the load of a target; undefined when this instance is not its steward. */
 	load(target: string): LoadReport | undefined {
-		return this.executors.get(target)?.admission.load(this.now());
+		return this.options.executors.get(target)?.admission.load(this.options.now());
 	}
 
 	/** Resolves when no request runs under the labels, or after `maxIdleWaitMs`. */
 	async waitUntilIdle(labels: readonly string[]): Promise<void> {
 		const labelSet = new Set(labels);
-		const until = this.now() + maxIdleWaitMs;
-		while (this.now() < until && [...this.running.values()].some(label => labelSet.has(label))) {
+		const until = this.options.now() + maxIdleWaitMs;
+		while (this.options.now() < until && [...this.running.values()].some(label => labelSet.has(label))) {
 			// Requests end on their own, so this only polls.
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(idleCheckIntervalMs);
@@ -93,12 +101,12 @@
 	}
 
 	private async runAtMostOnce(target: string, order: Order): Promise<Answer> {
-		await this.guard.waitForFormerIds(order.pool, order.shard);
+		await this.options.guard.waitForFormerIds(order.pool, order.shard);
 		// Checked before the id is stored: the next steward would treat a stored id as a request that may have run.
-		this.executors.get(target)?.checkOpen(order.shard);
-		const shard = this.guard.getLabel(order.pool, order.shard);
+		this.options.executors.get(target)?.checkOpen(order.shard);
+		const shard = this.options.guard.getLabel(order.pool, order.shard);
 		const fingerprint = computeFingerprint(order);
-		const result = this.ids.begin({id: order.requestId, shard, fingerprint}, this.now());
+		const result = this.ids.begin({id: order.requestId, shard, fingerprint}, this.options.now());
 		switch (result.kind) {
 			case BeginResultKind.Fresh: {
 				return this.runFresh(target, order, {
@@ -115,7 +123,7 @@
 					throw new RequestError(ErrorKind.AlreadyRan);
 				}
 
-				this.counters.count(Counter.Replays);
+				this.options.counters.count(Counter.Replays);
 				return result.answer;
 			}
 
@@ -135,29 +143,33 @@
 
 	private async runFresh(target: string, order: Order, request: RequestBackup): Promise<Answer> {
 		this.running.set(order.requestId, request.shard);
+		const renewal = setInterval(() => {
+			void this.options.guard.backUp(request);
+		}, this.options.backupRenewalIntervalMs ?? defaultBackupRenewalIntervalMs);
 		try {
-			if (!await this.guard.backUp(request)) {
+			if (!await this.options.guard.backUp(request)) {
 				throw new RequestError(ErrorKind.StewardUnreachable, 'No other instance stored a backup of the request id.');
 			}
 
-			const executor = this.executors.get(target);
+			const executor = this.options.executors.get(target);
 			if (executor === undefined) {
 				throw new RequestError(ErrorKind.NotSteward);
 			}
 
 			const answer = await executor.submit(order);
-			this.ids.finish(order.requestId, answer, answer.body.length, this.now());
+			this.ids.finish(order.requestId, answer, answer.body.length, this.options.now());
 			return answer;
 		} catch (err) {
 			if (err instanceof RequestError && err.answer.outcome === Outcome.NotRun) {
 				this.ids.release(order.requestId);
-				this.guard.dropBackup(request);
+				this.options.guard.dropBackup(request);
 			} else {
-				this.ids.finishUnknown(order.requestId, this.now());
+				this.ids.finishUnknown(order.requestId, this.options.now());
 			}
 
 			throw err;
 		} finally {
+			clearInterval(renewal);
 			this.running.delete(order.requestId);
 		}
 	}
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -76,7 +76,9 @@
 		this.guard = new PeerAtMostOnceGuard({
 			member, peers: this.peers, backups, ids: () => stewardExecutor.ids, clock: systemClock,
 		});
-		const stewardExecutor = new StewardExecutor(this.host.executors, this.guard, now, this.counters);
+		const stewardExecutor = new StewardExecutor({
+			executors: this.host.executors, guard: this.guard, now, counters: this.counters,
+		});
 		this.forwarder = new Forwarder(tls, now);
 		const router = new RequestRouter({
 			member, stewardExecutor, forwarder: this.forwarder, counters: this.counters, now, seed,
