--- a/packages/coordination/src/follower/log-follower.test.ts
+++ b/packages/coordination/src/follower/log-follower.test.ts
@@ -267,3 +267,14 @@
 	await log.append([encodeWrite('c', 1, 'z')]);
 	await t.throwsAsync(follower.readEnd(), {instanceOf: LogReset});
 });
+
+test('a snapshot newer than the records before it in the log is not used', async t => {
+	const {log, follower, writer} = setUp();
+	await log.append([encodeWrite('a', 0, 'x'), encodeWrite('b', 1, 'y'), encodeWrite('c', 2, 'z')]);
+	await catchUp(follower, log);
+	log.restore(2);
+	await writer.write(follower.encode());
+	const lateFollower = setUp(log).follower;
+	await catchUp(lateFollower, log);
+	t.is(lateFollower.state.value, 'x');
+});
