OWNER: a range moves off its owner only when no former leader's grant can arrive

Callers saw (shown by a scratch test of the review of the fix): with a leader cut off from the store and from other instances, but not from targets, two holders of a key after a target restarted under its name and address. Cause: once an owner had accepted this leader's token, former leaders' grants counted as void at once, also for the time after the range had moved. The process that restarts has forgotten the token and accepts the renewals that a former leader still sends in its grace of 12 s. Same class: an acceptance that holds for one process was taken as true for ever. Change: such a range is released, and moves, from the time at which no grant of a former leader can arrive any more: half a second after it follows, else 12.5 s after the change of the leader. Without an acceptance it waits for their leases, as before. Evidence: 'a range moved off an owner that restarts later waits until no former leader grants' failed with the former condition and passes now. Price: while a former leader stays cut off, no key moves for 12.5 s instead of at once.

--- a/packages/gateway/src/cluster/former-leaders.ts
+++ b/packages/gateway/src/cluster/former-leaders.ts
@@ -16,34 +16,46 @@
  * `leaderGraceMs` has passed, even if other leaders came after it.
  */
 export class FormerLeaders {
-	private readonly leaseEnds: Map<string, number>;
-	private readonly ownLeaseEnd: number;
+	/** Latest time at which a former leader may send a grant, by its name. */
+	private readonly sendEnds: Map<string, number>;
+	private readonly ownSendEnd: number;
 	private readonly timing: LeaseTiming;
+	private readonly startedAt: number;
 
 	constructor(names: readonly string[], timing: LeaseTiming, {now, hadLeader}: TermStart) {
 		this.timing = timing;
-		this.leaseEnds = new Map(names.map(name => [name, leaseExpiry(now + leaderGraceMs, timing)]));
+		this.startedAt = now;
+		this.sendEnds = new Map(names.map(name => [name, now + leaderGraceMs]));
 		// A former process of this instance sends no more grants, but it may have sent the last ones immediately before this start.
-		this.ownLeaseEnd = hadLeader ? leaseExpiry(now, timing) : Number.NEGATIVE_INFINITY;
+		this.ownSendEnd = hadLeader ? now : Number.NEGATIVE_INFINITY;
 	}
 
 	/** Monotonic time at which all grants of former leaders have certainly expired. */
 	get leaseEnd(): number {
-		return Math.max(this.ownLeaseEnd, ...this.leaseEnds.values());
+		return leaseExpiry(this.sendEnd, this.timing);
 	}
 
-	/** Adds an instance that may have led unless it is known already. */
-	add(name: string, now: number): void {
-		if (!this.leaseEnds.has(name)) {
-			this.leaseEnds.set(name, leaseExpiry(now + leaderGraceMs, this.timing));
+	/** Monotonic time from which no grant of a former leader arrives at a target. */
+	get arrivalEnd(): number {
+		return this.sendEnd + this.timing.transitMs;
+	}
+
+	/** Adds an instance that may have led before the start unless it is known already. */
+	add(name: string): void {
+		if (!this.sendEnds.has(name)) {
+			this.sendEnds.set(name, this.startedAt + leaderGraceMs);
 		}
 	}
 
 	/** Records that an instance follows the present leader or has restarted, so that it sends no grants from now on. */
 	markFollowing(name: string, now: number): void {
-		const end = this.leaseEnds.get(name);
+		const end = this.sendEnds.get(name);
 		if (end !== undefined) {
-			this.leaseEnds.set(name, Math.min(end, leaseExpiry(now, this.timing)));
+			this.sendEnds.set(name, Math.min(end, now));
 		}
 	}
+
+	private get sendEnd(): number {
+		return Math.max(this.ownSendEnd, ...this.sendEnds.values());
+	}
 }
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -70,6 +70,11 @@
 		return this.formers.leaseEnd;
 	}
 
+	/** Monotonic time from which no grant of a former leader arrives at a target. */
+	get formerArrivalEnd(): number {
+		return this.formers.arrivalEnd;
+	}
+
 	/** Whether owners may hold keys that neither the store nor this leader knows of, until `formerLeaseEnd`. */
 	get isRecovering(): boolean {
 		return this.lead.isRecovering;
@@ -125,7 +130,7 @@
 	/** Records an instance that was not known before; it may have led in records that the store has lost. */
 	recordInstance(name: string): void {
 		if (this.isRecovering) {
-			this.formers.add(name, this.options.clock.now());
+			this.formers.add(name);
 		}
 	}
 
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -316,6 +316,7 @@
 			findTarget: owner => this.seenTargets.get(owner),
 			findProcess: owner => findOwnerProcess(this.seenTargets.get(owner), this.seenTargets.values()),
 			inheritedLeaseEnd: () => this.confirmation.formerLeaseEnd,
+			inheritedArrivalEnd: () => this.confirmation.formerArrivalEnd,
 		}, inheritedMap ?? OwnershipMap.empty(), inheritedMap !== undefined);
 		this.managers.set(service.name, manager);
 		if (inheritedMap !== undefined) {
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -61,6 +61,8 @@
 	readonly findProcess: (owner: string) => OwnerProcess;
 	/** Returns the monotonic time at which all grants of former leaders have certainly expired. */
 	readonly inheritedLeaseEnd: () => number;
+	/** Returns the monotonic time from which no grant of a former leader arrives at a target. */
+	readonly inheritedArrivalEnd: () => number;
 };
 
 /** Input of a tick. */
--- a/packages/gateway/src/cluster/restarted-target.test.ts
+++ b/packages/gateway/src/cluster/restarted-target.test.ts
@@ -168,3 +168,16 @@
 	await harness.run(8000, createHolderCheck(t));
 	t.is(harness.openOwner(key), 'b');
 });
+
+test('a range moved off an owner that restarts later waits until no former leader grants', async t => {
+	const harness = await startAfterFormerLeader();
+	harness.owners = [{id: 'a@1', capacity: 4}];
+	harness.manager.renewAllFences();
+	await harness.run(500);
+	harness.owners = [{id: 'b', capacity: 4}];
+	await harness.run(1000);
+	harness.control.restart('a');
+	await grantAsFormerLeader(harness);
+	await harness.run(8000, createHolderCheck(t));
+	t.is(harness.openOwner(key), 'b');
+});
--- a/packages/gateway/src/cluster/revocations.ts
+++ b/packages/gateway/src/cluster/revocations.ts
@@ -30,12 +30,14 @@
 	readonly findProcess: (owner: string) => OwnerProcess;
 	/** Returns the monotonic time at which all grants of former leaders have certainly expired. */
 	readonly inheritedLeaseEnd: () => number;
+	/** Returns the monotonic time from which no grant of a former leader arrives at a target. */
+	readonly inheritedArrivalEnd: () => number;
 };
 
 /** What the leader knows of the last grants to a former owner. */
 export type LastGrants = {
 	readonly now: number;
-	/** Whether it accepted a grant of this leader, so that those of former leaders are void. */
+	/** Whether its process accepted a grant of this leader, so that it rejects those of former leaders. */
 	readonly isFenced: boolean;
 	/** Latest time at which a still unanswered grant may have been sent; negative infinity if there is none. */
 	readonly pendingSince: number;
@@ -47,7 +49,7 @@
 type Revocation = {
 	readonly range: KeyRange;
 	readonly former: string;
-	/** Whether it accepted a grant of this leader, so that those of former leaders are void. */
+	/** Whether its process accepted a grant of this leader, so that it rejects those of former leaders. */
 	readonly isFenced: boolean;
 	/** From this time the former owner holds nothing by a grant of this leader, even without a release. */
 	readonly expiresAt: number;
@@ -114,13 +116,15 @@
 		const revocation = this.revocations.get(revocationKey(range, former))!;
 		// The former leaders may turn out to have ended earlier than was known when the revocation started.
 		const isFenced = revocation.isFenced && process !== OwnerProcess.Restarted;
-		const formerLeadersEnd = isFenced ? Number.NEGATIVE_INFINITY : this.options.inheritedLeaseEnd();
+		const formerLeadersEnd = isFenced ? this.options.inheritedArrivalEnd() : this.options.inheritedLeaseEnd();
 		if (now >= formerLeadersEnd && (now >= revocation.expiresAt || (revocation.isReleased && now >= revocation.releaseValidAt))) {
 			this.recordCompletion(range, former, revocation.isReleased ? 'released' : 'lease-expired');
 			return true;
 		}
 
-		if (!revocation.isReleased && !revocation.isInFlight && now >= revocation.nextAt) {
+		// An owner may restart after its release and has then forgotten that it rejects the grants of former leaders.
+		const mayRelease = !isFenced || now >= formerLeadersEnd;
+		if (mayRelease && !revocation.isReleased && !revocation.isInFlight && now >= revocation.nextAt) {
 			void this.sendRelease(range, former, revocation);
 		}
 
--- a/packages/gateway/src/mocks/ownership-harness.ts
+++ b/packages/gateway/src/mocks/ownership-harness.ts
@@ -1,5 +1,5 @@
 import {
-	OwnershipMap, ManualClock, type KeyRates, type EligibleOwner,
+	leaseExpiry, OwnershipMap, ManualClock, type KeyRates, type EligibleOwner,
 } from '@bluebellyard/core';
 import {OwnerLog, OwnerProcess, OwnershipManager} from '../cluster/index.js';
 import {Telemetry} from '../telemetry/index.js';
@@ -58,6 +58,7 @@
 			},
 			findProcess: owner => this.processes.get(owner) ?? OwnerProcess.Running,
 			inheritedLeaseEnd: () => this.inheritedLeaseEnd,
+			inheritedArrivalEnd: () => this.inheritedLeaseEnd - (leaseExpiry(0, harnessTiming) - harnessTiming.transitMs),
 		}, map, isInherited);
 	}
 
