A process that was seen earlier does not end an owner, whatever its start time

Cause: in the change for restarted targets the owner was compared with all targets seen in the term, by start time alone, also with earlier processes. Change: only targets that were first seen after the owner count. Evidence: 'an earlier process with a later start time does not end the owner' fails without the order and passes with it.

--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -59,7 +59,7 @@
 	private readonly managers = new Map<string, OwnershipManager>();
 	private readonly loads = new Map<string, KeyLoad>();
 	private readonly slowness = new Map<string, number>();
-	/** Each target seen in this term, also after its removal. */
+	/** Each target seen in this term, also after its removal, in the order of the first sight. */
 	private readonly seenTargets = new Map<string, TargetInfo>();
 	private readonly clockStepDetector: ClockStepDetector;
 	private readonly confirmation: LeadConfirmation;
@@ -314,7 +314,7 @@
 				this.confirmation.handleFailedWrite(err);
 			},
 			findTarget: owner => this.seenTargets.get(owner),
-			findProcess: owner => findOwnerProcess(this.seenTargets.get(owner), this.seenTargets.values()),
+			findProcess: owner => findOwnerProcess(owner, this.seenTargets),
 			inheritedLeaseEnd: () => this.confirmation.formerLeaseEnd,
 			inheritedArrivalEnd: () => this.confirmation.formerArrivalEnd,
 		}, inheritedMap ?? OwnershipMap.empty(), inheritedMap !== undefined);
--- a/packages/gateway/src/cluster/owner-process.test.ts
+++ b/packages/gateway/src/cluster/owner-process.test.ts
@@ -10,18 +10,29 @@
 
 const owner = target('a', '10.0.0.1:1', 100);
 
+/** Returns what targets, in the order of their first sight, tell of the owner. */
+function findProcess(...seen: readonly TargetInfo[]): OwnerProcess {
+	return findOwnerProcess(owner.id, new Map(seen.map(row => [row.id, row])));
+}
+
 test('a later incarnation at the same address has replaced the owner and accepts its grants', t => {
-	t.is(findOwnerProcess(owner, [owner, target('a', '10.0.0.1:1', 200)]), OwnerProcess.Restarted);
-	t.is(findOwnerProcess(owner, [target('a', '10.0.0.2:1', 300), target('a', '10.0.0.1:1', 200)]), OwnerProcess.Restarted);
+	t.is(findProcess(owner, target('a', '10.0.0.1:1', 200)), OwnerProcess.Restarted);
+	t.is(findProcess(owner, target('a', '10.0.0.2:1', 300), target('a', '10.0.0.1:1', 200)), OwnerProcess.Restarted);
 });
 
 test('nobody accepts the grants of an owner whose name or address is used elsewhere', t => {
-	t.is(findOwnerProcess(owner, [target('a', '10.0.0.2:1', 200)]), OwnerProcess.Ended);
-	t.is(findOwnerProcess(owner, [target('b', '10.0.0.1:1', 200)]), OwnerProcess.Ended);
+	t.is(findProcess(owner, target('a', '10.0.0.2:1', 200)), OwnerProcess.Ended);
+	t.is(findProcess(owner, target('b', '10.0.0.1:1', 200)), OwnerProcess.Ended);
+});
+
+test('other targets and unknown owners say nothing', t => {
+	t.is(findProcess(owner, target('b', '10.0.0.2:1', 200), target('a', '10.0.0.1:1', 50)), OwnerProcess.Running);
+	t.is(findProcess(target('a', '10.0.0.1:1', 200)), OwnerProcess.Running);
+	const undated = target('a', '10.0.0.1:1', 0);
+	t.is(findOwnerProcess(undated.id, new Map([[undated.id, undated], ['later', target('a', '10.0.0.1:1', 200)]])), OwnerProcess.Running);
 });
 
-test('other targets and earlier incarnations say nothing of an owner', t => {
-	t.is(findOwnerProcess(owner, [owner, target('b', '10.0.0.2:1', 200), target('a', '10.0.0.1:1', 50)]), OwnerProcess.Running);
-	t.is(findOwnerProcess(undefined, [target('a', '10.0.0.1:1', 200)]), OwnerProcess.Running);
-	t.is(findOwnerProcess(target('a', '10.0.0.1:1', 0), [target('a', '10.0.0.1:1', 200)]), OwnerProcess.Running);
+test('an earlier process with a later start time does not end the owner', t => {
+	t.is(findProcess(target('a', '10.0.0.1:1', 200), owner), OwnerProcess.Running);
+	t.is(findProcess(target('b', '10.0.0.1:1', 200), owner), OwnerProcess.Running);
 });
--- a/packages/gateway/src/cluster/owner-process.ts
+++ b/packages/gateway/src/cluster/owner-process.ts
@@ -10,25 +10,32 @@
 	Ended,
 }
 
-/** Returns what the other targets that were seen tell of the process of an owner. */
-export function findOwnerProcess(owner: TargetInfo | undefined, seenTargets: Iterable<TargetInfo>): OwnerProcess {
+/**
+ * Returns what the targets that were seen after an owner tell of its process. `seenTargets` is in the order of the
+ * first sight; start times alone don't order processes, as a target's wall clock may have been set back.
+ */
+export function findOwnerProcess(owner: string, seenTargets: ReadonlyMap<string, TargetInfo>): OwnerProcess {
 	let process = OwnerProcess.Running;
-	if (owner === undefined || owner.bornAt === 0) {
-		return process;
-	}
+	let former: TargetInfo | undefined;
+	for (const target of seenTargets.values()) {
+		if (target.id === owner) {
+			former = target;
+			continue;
+		}
 
-	for (const target of seenTargets) {
-		const hasName = target.name === owner.name;
-		const hasAddr = target.addr === owner.addr;
-		if (target.bornAt <= owner.bornAt || !(hasName || hasAddr)) {
+		if (former === undefined || former.bornAt === 0 || target.bornAt <= former.bornAt) {
 			continue;
 		}
 
+		const hasName = target.name === former.name;
+		const hasAddr = target.addr === former.addr;
 		if (hasName && hasAddr) {
 			return OwnerProcess.Restarted;
 		}
 
-		process = OwnerProcess.Ended;
+		if (hasName || hasAddr) {
+			process = OwnerProcess.Ended;
+		}
 	}
 
 	return process;
