Claims after a return of the store: what the review of the fix found

Cause and change, each shown by a scratch test of the review or certain by reading: - OWNER: a leader that claimed the lead long after its last confirmation went on renewing while a leader of lost records already took its leases for expired. It renews only if it was confirmed less than a lease ago; else it grants nothing until lost grants have expired, like a new leader. - OWNER: the wait named the instances of the view only. The register is read, too. - A claim of the former era that was carried out late made the present leader step down. It is written over, as its writer can't believe that it leads. - Owners of a service that is no longer configured kept an older era, so that each later election was a recovery of 7 to 19 s. They are written again. - A leader that could read but not claim the lead kept its lead and no grant. It counts as without contact to the store, so that another instance takes over. - Each new instance name prolonged the wait by 19 s. They count from its start. - A leader that waits for lost grants does not hand over to a larger instance, which would have to grant nothing for as long.

--- a/packages/core/src/keyspace/ownership-map.ts
+++ b/packages/core/src/keyspace/ownership-map.ts
@@ -1,7 +1,7 @@
 /**
  * Ownership of the keys of one sharded service. Maps are immutable. The store
- * holds the newest one, and the offset of the record that assigned a range is
- * the fencing token of that range.
+ * holds the newest one. The record that assigned a range, by its era and offset,
+ * is the fencing token of that range.
  */
 import {
 	allKeys, intersection, overlaps, type KeyRange,
--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -208,7 +208,7 @@
 	/** Hands over to a much larger instance: leading takes processor time that a small one lacks for its own requests. */
 	private handOverToLarger(now: number): void {
 		const {self} = this.options;
-		if (this.isLeaving || now - this.leadingSince < minLeadMs) {
+		if (this.isLeaving || now - this.leadingSince < minLeadMs || this.leader?.isRecovering === true) {
 			return;
 		}
 
@@ -347,6 +347,7 @@
 			...this.options,
 			record,
 			ownerLog: this.ownerLog,
+			directory: this.directory,
 			reader: this.reader,
 			baseState: this.viewState === undefined ? undefined : {state: this.viewState, seq: view.store.lastSeq},
 			isLeaving: () => this.isLeaving,
--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -1,7 +1,11 @@
 export * from './coordinator.js';
 export * from './ownership-manager.js';
+export type * from './ownership-manager-options.js';
 export * from './messages.js';
 export * from './feed-reader.js';
 export * from './owner-log.js';
 export * from './owner-process.js';
 export * from './steward-plan.js';
+export * from './directory.js';
+export * from './leader.js';
+export * from './leader-record.js';
--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -37,18 +37,18 @@
 			clock: this.clock,
 			telemetry: new Telemetry(this.clock),
 			timing,
-			otherInstances: () => ['e1', 'e2'],
+			listOtherInstances: async () => ['e1', 'e2'],
 			onReload: () => {
 				this.events.push('reload');
 			},
-			onReclaimed: () => {
-				this.events.push('reclaimed');
+			onReclaimed: mayRenew => {
+				this.events.push(mayRenew ? 'reclaimed' : 'reclaimed without renewals');
 			},
 			onSuperseded: () => {
 				this.events.push('superseded');
 			},
 		});
-		this.clock.advance(20_000);
+		this.clock.advance(2000);
 	}
 
 	async writeLeader(name: string, leadership: {era: number; term: number}): Promise<void> {
@@ -75,7 +75,7 @@
 	await confirmation.confirm();
 	t.deepEqual(events, ['reclaimed', 'reload']);
 	t.deepEqual(confirmation.leadership, {era: 2, term: 5});
-	t.true(confirmation.isRecovering);
+	t.true(confirmation.isWaitingForLostGrants(harness.clock.now()));
 	const {leader} = await ownerLog.read();
 	t.like(leader, {
 		era: 2, term: 5, name: 'e0', isRecovering: true,
@@ -84,6 +84,26 @@
 	t.is(confirmation.formerLeaseEnd, leaseExpiry(harness.clock.now() + leaderGraceMs, timing));
 });
 
+test('a leader that was not confirmed for a lease renews nothing after it claimed the lead again', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 1);
+	harness.clock.advance(timing.leaseMs);
+	await harness.confirm();
+	t.deepEqual(harness.events, ['reclaimed without renewals', 'reload']);
+});
+
+test('a claim of an earlier era that is carried out late does not end the term', async t => {
+	const harness = await setUp();
+	harness.store.returnWithout(topic, 1);
+	await harness.confirm();
+	await harness.writeLeader('e1', {era: 1, term: 6});
+	harness.clock.advance(1000);
+	await harness.confirm();
+	t.false(harness.events.includes('superseded'));
+	const {leader} = await harness.ownerLog.read();
+	t.like(leader, {era: 2, term: 5, name: 'e0'});
+});
+
 test('a leader whose record survived the return claims the lead again, too', async t => {
 	const {confirmation, store, events} = await setUp();
 	store.returnWithout(topic, 0);
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -3,7 +3,7 @@
  * instance leads, and claims the lead again when the store has returned from an
  * older copy, which may have lost the record of this leader.
  */
-import type {Clock, LeaseTiming} from '@bluebellyard/core';
+import {leaseExpiry, type Clock, type LeaseTiming} from '@bluebellyard/core';
 import {StaleAppendError} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {FormerLeaders, leaderGraceMs} from './former-leaders.js';
@@ -25,12 +25,15 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly timing: LeaseTiming;
-	/** Returns the names of all other known instances. */
-	readonly otherInstances: () => readonly string[];
+	/** Resolves to the names of all other instances that are known or registered. */
+	readonly listOtherInstances: () => Promise<readonly string[]>;
 	/** Called with the content of the store after a write with an unknown outcome; this instance still leads. */
 	readonly onReload: (state: OwnerState) => void;
-	/** Called when the store has returned from an older copy and this instance has claimed the lead again. */
-	readonly onReclaimed: () => void;
+	/**
+	 * Called when the store has returned from an older copy and this instance has claimed the lead again. `mayRenew`
+	 * states whether its own grants may be renewed meanwhile.
+	 */
+	readonly onReclaimed: (mayRenew: boolean) => void;
 	/** Called when another instance has become leader. */
 	readonly onSuperseded: () => void;
 };
@@ -75,9 +78,9 @@
 		return this.formers.arrivalEnd;
 	}
 
-	/** Whether owners may hold keys that neither the store nor this leader knows of, until `formerLeaseEnd`. */
-	get isRecovering(): boolean {
-		return this.lead.isRecovering;
+	/** Whether the store must be asked before anything is written. */
+	get isInDoubt(): boolean {
+		return this.mustConfirm || this.mustReload || !this.isInPresentEra;
 	}
 
 	/** Whether the store is in the era in which this instance last claimed the lead. */
@@ -85,6 +88,11 @@
 		return this.options.ownerLog.newestEra === this.lead.era;
 	}
 
+	/** Returns whether owners may hold keys by records that the store has lost and this leader does not know. */
+	isWaitingForLostGrants(now: number): boolean {
+		return this.lead.isRecovering && now < this.formerLeaseEnd;
+	}
+
 	/** Returns whether this leader may send grants: it has been confirmed recently enough. */
 	mayGrant(now: number): boolean {
 		return !this.mustConfirm && now - this.lastConfirmedAt < leaderGraceMs;
@@ -129,7 +137,7 @@
 
 	/** Records an instance that was not known before; it may have led in records that the store has lost. */
 	recordInstance(name: string): void {
-		if (this.isRecovering) {
+		if (this.lead.isRecovering) {
 			this.formers.add(name);
 		}
 	}
@@ -138,8 +146,7 @@
 	async confirm(): Promise<void> {
 		const {clock, ownerLog, telemetry} = this.options;
 		const askedAt = clock.now();
-		const isUrgent = this.mustConfirm || this.mustReload || !this.isInPresentEra;
-		const isDue = isUrgent ? askedAt >= this.nextAttemptAt : askedAt - this.lastConfirmedAt >= confirmIntervalMs;
+		const isDue = this.isInDoubt ? askedAt >= this.nextAttemptAt : askedAt - this.lastConfirmedAt >= confirmIntervalMs;
 		if (this.isAsking || !isDue) {
 			return;
 		}
@@ -196,14 +203,16 @@
 			return;
 		}
 
-		const hasReturned = state.era !== this.lead.era;
-		if (hasReturned ? this.isSupersededIn(state) : !this.isNamedIn(state)) {
+		if (this.isSupersededIn(state)) {
 			onSuperseded();
 			return;
 		}
 
-		if (hasReturned) {
-			await this.reclaim(state);
+		if (state.era !== this.lead.era) {
+			await this.reclaim(state, askedAt);
+		} else if (!this.isNamedIn(state)) {
+			// A claim of an earlier era was carried out late. Its writer knows that the store is in another era.
+			await ownerLog.claimLead(this.lead, state);
 		}
 
 		this.mustReload = false;
@@ -219,19 +228,24 @@
 		return leader !== undefined && leader.incarnation !== this.lead.incarnation && compareLeaderships(leader, this.lead) >= 0;
 	}
 
-	/** Claims the lead in the present era; waits for all other instances, since any of them may have led in lost records. */
-	private async reclaim(state: OwnerState): Promise<void> {
-		const {ownerLog, telemetry, otherInstances, onReclaimed} = this.options;
-		const formers = new Set([...this.lead.formers, ...otherInstances()]);
+	/**
+	 * Claims the lead in the present era; waits for all other instances, since any of them may have led in lost records.
+	 * Such a leader waits for this one's grants, but no longer than its grace and a lease. A leader that was confirmed
+	 * less than a lease ago renews its grants before that wait can have ended.
+	 */
+	private async reclaim(state: OwnerState, askedAt: number): Promise<void> {
+		const {ownerLog, telemetry, timing, listOtherInstances, onReclaimed} = this.options;
+		const mayRenew = askedAt - this.lastConfirmedAt < leaseExpiry(0, timing);
+		const formers = new Set([...this.lead.formers, ...await listOtherInstances()]);
 		const record = {
 			...this.lead, era: state.era, formers: [...formers], isRecovering: true,
 		};
 		telemetry.info('leader', 'The store returned from an older copy; claiming the lead again.', {
-			era: state.era, formerEra: this.lead.era, term: record.term, recordedTerm: state.leader?.term, end: state.end,
+			era: state.era, formerEra: this.lead.era, term: record.term, recordedTerm: state.leader?.term, end: state.end, mayRenew,
 		});
 		await ownerLog.claimLead(record, state);
 		this.lead = record;
 		this.formers = this.startWaiting(true);
-		onReclaimed();
+		onReclaimed(mayRenew);
 	}
 }
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -13,6 +13,7 @@
 } from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
+import type {Directory} from './directory.js';
 import type {FeedReader} from './feed-reader.js';
 import {LeadConfirmation} from './lead-confirmation.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
@@ -37,6 +38,7 @@
 	readonly view: View;
 	readonly net: PeerNet;
 	readonly ownerLog: OwnerLog;
+	readonly directory: Directory;
 	readonly reader: FeedReader;
 	readonly control: TargetControl;
 	readonly clock: Clock;
@@ -77,12 +79,12 @@
 		this.confirmation = new LeadConfirmation({
 			...options,
 			hadLeader: initialState.leader !== undefined || options.record.isRecovering,
-			otherInstances: () => options.view.nodes().map(({name}) => name).filter(name => name !== options.self.name),
+			listOtherInstances: async () => this.listOtherInstances(),
 			onReload: state => {
 				this.reloadOwners(state);
 			},
-			onReclaimed: () => {
-				this.suspendMoves();
+			onReclaimed: mayRenew => {
+				this.suspendManagers(mayRenew);
 			},
 		});
 		this.followers = new FollowerSync({
@@ -110,7 +112,14 @@
 	/** Time since the last contact with the store, in milliseconds. */
 	get storeAgeMs(): number {
 		const {clock, reader} = this.options;
-		return clock.now() - Math.max(this.confirmation.confirmedAt, reader.lastReadAt);
+		const {confirmedAt, isInPresentEra} = this.confirmation;
+		// A leader that reads but can't claim the lead in the present era must be replaced.
+		return clock.now() - (isInPresentEra ? Math.max(confirmedAt, reader.lastReadAt) : confirmedAt);
+	}
+
+	/** Whether this leader keeps owners as they are because a return of the store has lost records; only it knows its grants. */
+	get isRecovering(): boolean {
+		return this.confirmation.isWaitingForLostGrants(this.options.clock.now());
 	}
 
 	/** Performs the actions that are due. */
@@ -128,7 +137,6 @@
 
 		void this.confirmation.confirm();
 		this.endRecovery(now);
-		void this.clearFormerLeaders(now);
 		this.applyReport(this.options.report());
 		for (const target of view.targets.values()) {
 			this.seenTargets.set(target.id, target);
@@ -140,6 +148,7 @@
 			this.tickManagers(now);
 		}
 
+		void this.clearFormerLeaders(now);
 		this.publishKeys();
 		if (view.store.lastSeq !== before) {
 			view.notifyListeners();
@@ -187,32 +196,34 @@
 		}
 	}
 
+	private async listOtherInstances(): Promise<string[]> {
+		const {view, directory, self} = this.options;
+		const nodes = [...view.nodes(), ...await directory.list()];
+		return [...new Set(nodes.map(({name}) => name))].filter(name => name !== self.name);
+	}
+
 	/** Keeps owners as they are while others may hold keys by records that the store has lost. */
-	private suspendMoves(): void {
+	private suspendManagers(mayRenew: boolean): void {
 		this.hasClearedFormers = false;
 		for (const manager of this.managers.values()) {
-			manager.suspendMoves();
+			manager.suspend(mayRenew);
 		}
 	}
 
 	/** Writes the owners again, with tokens of the present era, once no other grants can count any more. */
 	private endRecovery(now: number): void {
-		if (this.isRecovering(now)) {
+		if (this.confirmation.isWaitingForLostGrants(now)) {
 			return;
 		}
 
 		for (const [service, manager] of this.managers) {
 			if (manager.isSuspended) {
 				this.options.telemetry.info('leader', 'Grants that the store has lost have expired; moving keys again.', {service, ...this.leadership});
-				manager.resumeMoves();
+				manager.resume();
 			}
 		}
 	}
 
-	private isRecovering(now: number): boolean {
-		return this.confirmation.isRecovering && now < this.confirmation.formerLeaseEnd;
-	}
-
 	private applyReport(report: Report): void {
 		const now = this.options.clock.now();
 		for (const [service, pairs] of Object.entries(report.keys)) {
@@ -264,7 +275,7 @@
 
 	private tickManagers(now: number): void {
 		const {view} = this.options;
-		const isRecovering = this.isRecovering(now);
+		const {isRecovering} = this;
 		const hasStoreContact = now - this.confirmation.confirmedAt < maxMoveStoreAgeMs && this.storeAgeMs < maxMoveStoreAgeMs;
 		for (const service of view.allServices.values()) {
 			const isWaiting = isRecovering && !this.managers.has(service.name);
@@ -353,12 +364,31 @@
 	/** Removes expired former leaders from the record, so that later leaders do not wait for them. */
 	private async clearFormerLeaders(now: number): Promise<void> {
 		const isDue = now >= this.confirmation.formerLeaseEnd && [...this.managers.values()].every(manager => manager.hasOwnFences);
-		if (this.hasClearedFormers || this.isClearingFormers || !isDue || !this.confirmation.mayGrant(now)) {
+		if (this.hasClearedFormers || this.isClearingFormers || !isDue || this.confirmation.isInDoubt) {
 			return;
 		}
 
 		this.isClearingFormers = true;
-		this.hasClearedFormers = await this.confirmation.clearFormerLeaders();
+		this.hasClearedFormers = await this.renewUnmanagedOwners() && await this.confirmation.clearFormerLeaders();
 		this.isClearingFormers = false;
 	}
+
+	/** Writes the owners of services that are not configured in the present era, in which no grant of them counts any more. */
+	private async renewUnmanagedOwners(): Promise<boolean> {
+		const {ownerLog, telemetry} = this.options;
+		try {
+			for (const [service, {era, map}] of this.initialState.owners) {
+				if (!this.managers.has(service) && era < this.leadership.era) {
+					// eslint-disable-next-line no-await-in-loop
+					await ownerLog.write(service, this.leadership, fence => map.renewFences(fence));
+				}
+			}
+
+			return true;
+		} catch (err) {
+			telemetry.warn('leader', 'The owners of a service that is not configured could not be written.', {err});
+			this.confirmation.handleFailedWrite(err);
+			return false;
+		}
+	}
 }
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -4,18 +4,16 @@
  *
  * A range moves in these steps: the record of the new owner is in the store;
  * the former owner released the range, or its last grant has certainly expired,
- * or its process is known to have ended; the new owner receives a grant whose
- * fencing token is the offset of the record.
+ * or no process accepts its grants any more; the new owner receives a grant whose
+ * fencing token is that of the record.
  */
 import {
-	ErrorKind, planKeyMoves, type FormerOwner, type LeaseTiming, type RangeOwnership, type OwnershipMap, type KeyRates, type EligibleOwner, type Clock,
+	ErrorKind, planKeyMoves, type FormerOwner, type OwnershipMap, type RangeOwnership,
 } from '@bluebellyard/core';
-import {
-	GrantReply, StaleAppendError, type TargetControl, type TargetRef,
-} from '../ports/index.js';
-import type {Telemetry} from '../telemetry/index.js';
+import {GrantReply, StaleAppendError} from '../ports/index.js';
 import type {OwnedRange} from '../view/index.js';
 import {OwnerProcess} from './owner-process.js';
+import type {OwnershipManagerOptions, TickInput} from './ownership-manager-options.js';
 import {Revocations} from './revocations.js';
 import {
 	grantKey, createGrantState, inheritGrantState, pendingSince, type GrantState,
@@ -42,39 +40,6 @@
 /** Adjoining ranges of one owner are merged only if fewer ranges than this share remain, because a merge gives all owners new fencing tokens. */
 const maxMergedShare = 0.7;
 
-/** Options of `OwnershipManager`. */
-export type OwnershipManagerOptions = {
-	readonly service: string;
-	readonly control: TargetControl;
-	readonly clock: Clock;
-	readonly timing: LeaseTiming;
-	readonly telemetry: Telemetry;
-	/** Writes a new map of owners. Resolves to it once it is in the store. */
-	readonly write: (change: (fence: number) => OwnershipMap) => Promise<OwnershipMap>;
-	/** Called when the owners to which requests are routed may have changed. */
-	readonly onChange: () => void;
-	/** Called after a write that failed, was outdated or has an unknown outcome; `reload` must follow. */
-	readonly onFailedWrite: (err: unknown) => void;
-	/** Returns the present or last known address of a target. */
-	readonly findTarget: (owner: string) => TargetRef | undefined;
-	/** Returns what is known of the process of an owner. */
-	readonly findProcess: (owner: string) => OwnerProcess;
-	/** Returns the monotonic time at which all grants of former leaders have certainly expired. */
-	readonly inheritedLeaseEnd: () => number;
-	/** Returns the monotonic time from which no grant of a former leader arrives at a target. */
-	readonly inheritedArrivalEnd: () => number;
-};
-
-/** Input of a tick. */
-export type TickInput = {
-	/** Targets that may own keys. */
-	readonly owners: readonly EligibleOwner[];
-	/** Returns the load by key; called only when a plan is due. */
-	readonly rates: () => KeyRates;
-	/** Whether keys may move to other owners; false while the store is unreachable. */
-	readonly mayMove: boolean;
-};
-
 /** Assigns the keys of one service to owners and grants them, on behalf of all instances. */
 export class OwnershipManager {
 	private grants = new Map<string, GrantState>();
@@ -111,7 +76,7 @@
 		return this.rangesRevision;
 	}
 
-	/** Whether only present grants are renewed, from `suspendMoves` to `resumeMoves`. */
+	/** Whether at most present grants are renewed, from `suspend` to `resume`. */
 	get isSuspended(): boolean {
 		return this.areMovesSuspended;
 	}
@@ -141,13 +106,14 @@
 		this.writeNewFences();
 	}
 
-	/** Until `resumeMoves`, only renews grants under the present tokens and completes moves that were written before. */
-	suspendMoves(): void {
+	/** Until `resume`, writes nothing. Renews grants under the present tokens and completes moves that were written, if `mayRenew`. */
+	suspend(mayRenew: boolean): void {
 		this.areMovesSuspended = true;
+		this.areGrantsSuspended ||= !mayRenew;
 	}
 
-	/** Moves keys again once all ranges have a new fencing token; renews grants meanwhile. */
-	resumeMoves(): void {
+	/** Moves keys again once all ranges have a new fencing token. */
+	resume(): void {
 		this.areMovesSuspended = false;
 		this.writeNewFences();
 	}
