A new leader knows restarted instances at their present address

Callers saw: with the killed leader back at another address, keys were refused for good ('the leader is killed and starts again' of store-return-leader-lost). A new leader read the register into the known instances, and then took all of these; that list puts entries of its older view over newer ones, so it pinged the former address. Change: entries of the register are added as they are read, as before. Evidence: the test failed twice before (45 s without recovery) and passes now.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -364,8 +364,8 @@
 		}
 
 		leader.tick();
-		await this.knownInstances.loadFrom(this.directory);
-		for (const node of this.knownInstances.all()) {
+		for (const node of await this.directory.list()) {
+			this.knownInstances.add(node);
 			leader.addNode(node);
 		}
 	}
