OWNER: a write is decided on the end that its leader knew, not on the one just read

Cause: a reading of the topic set the end that later writes state. A write of a superseded leader that waited behind its own reading therefore stated the end after its successor's records, was accepted, and replaced the successor's owners. The successor read the topic again, found itself named, and took the old owners. Change: only a claim, a write, or a reading that was found to name this leader sets the end on which writes are decided. A leader whose term has ended writes nothing. Why it works: whatever another leader wrote in between makes the condition of the append fail. Evidence: 'a write of a superseded leader that waits behind its reading of the store is rejected' fails with the former reading and passes now.

--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -210,7 +210,9 @@
 
 		if (state.era !== this.lead.era) {
 			await this.reclaim(state, askedAt);
-		} else if (!this.isNamedIn(state)) {
+		} else if (this.isNamedIn(state)) {
+			ownerLog.adopt(state);
+		} else {
 			// A claim of an earlier era was carried out late. Its writer knows that the store is in another era.
 			await ownerLog.claimLead(this.lead, state);
 		}
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -6,7 +6,7 @@
 	KeyLoad, OwnershipMap, type Clock, type LeaseTiming, type KeyRates, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import type {PeerNet} from '../peers/index.js';
-import type {TargetControl} from '../ports/index.js';
+import {StaleAppendError, type TargetControl} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
 	sharedQueueId, targetQueueId, type NodeInfo, type View,
@@ -313,6 +313,10 @@
 			timing,
 			telemetry,
 			write: async change => {
+				if (this.isStopped) {
+					throw new StaleAppendError(`term ${this.leadership.term} of this leader has ended`);
+				}
+
 				const at = clock.now();
 				const map = await ownerLog.write(service.name, this.leadership, change);
 				this.confirmation.recordConfirmation(at);
--- a/packages/gateway/src/cluster/owner-log.test.ts
+++ b/packages/gateway/src/cluster/owner-log.test.ts
@@ -45,11 +45,20 @@
 test('a write that was decided before a return of the store is rejected', async t => {
 	const {store, log} = await setUp();
 	store.returnWithout(topic, 1);
-	await log.read();
+	log.adopt(await log.read());
 	await t.throwsAsync(log.write('s', {era: 1, term: 1}, assignAll), {instanceOf: StaleAppendError});
 	t.like(await store.end(topic), {end: 1});
 });
 
+test('a write of a superseded leader that waits behind its reading of the store is rejected', async t => {
+	const {store, log} = await setUp();
+	await store.append(topic, 'leader', JSON.stringify({...leaderRecord(1), term: 2, name: 'e1'}));
+	const reading = log.read();
+	const writing = log.write('s', {era: 1, term: 1}, assignAll);
+	await t.throwsAsync(writing, {instanceOf: StaleAppendError});
+	t.like(await reading, {leader: {name: 'e1'}});
+});
+
 test('tokens rise over a return of the store', async t => {
 	const {store, log} = await setUp();
 	const before = await log.write('s', {era: 1, term: 1}, assignAll);
--- a/packages/gateway/src/cluster/owner-log.ts
+++ b/packages/gateway/src/cluster/owner-log.ts
@@ -54,7 +54,7 @@
  */
 export class OwnerLog {
 	private readonly log: KeyedLog;
-	/** End of the topic as of the last read or write. */
+	/** End of the topic after the last record on which writes may be decided. */
 	private known: TopicEnd = {era: 0, end: 0};
 	private lastCall: Promise<unknown> = Promise.resolve();
 
@@ -67,16 +67,17 @@
 		return this.log.newestEra;
 	}
 
-	/** Reads the whole topic. */
+	/** Reads the whole topic. Writes are still decided on what was known before, until `adopt`. */
 	async read(): Promise<OwnerState> {
-		return this.serialize(async () => {
-			const state = decode(await this.log.list(topic));
-			this.known = {era: state.era, end: state.end};
-			return state;
-		});
+		return this.serialize(async () => decode(await this.log.list(topic)));
+	}
+
+	/** Decides writes on a state that was read; only for the leader that it names. */
+	adopt({era, end}: OwnerState): void {
+		this.known = {era, end};
 	}
 
-	/** Returns whether the topic still ends, in the same era, where the last read or write left it. */
+	/** Returns whether the topic still ends, in the same era, where the last write or adopted state left it. */
 	async isUnchanged(): Promise<boolean> {
 		return this.serialize(async () => {
 			const {era, end} = await this.log.end(topic, this.known.end);
@@ -87,7 +88,7 @@
 	/** Writes a new leader; fails with `StaleAppendError` if the topic changed since `state` was read. */
 	async claimLead(record: LeaderRecord, state: OwnerState): Promise<void> {
 		await this.serialize(async () => {
-			this.known = {era: state.era, end: state.end};
+			this.adopt(state);
 			await this.append(leaderKey, JSON.stringify(record), record.era);
 		});
 	}
--- a/packages/gateway/src/cluster/restarted-target.test.ts
+++ b/packages/gateway/src/cluster/restarted-target.test.ts
@@ -21,7 +21,7 @@
 	});
 	// The record of the former leader, so that the tokens of the new one are higher.
 	await harness.store.append('keyed.bluebellyard-owners', 'keys/s', '[[0,65535,"a@1",0,[]]]');
-	await harness.log.read();
+	harness.log.adopt(await harness.log.read());
 	return harness;
 }
 
--- a/packages/gateway/src/mocks/ownership-harness.ts
+++ b/packages/gateway/src/mocks/ownership-harness.ts
@@ -49,6 +49,7 @@
 			},
 			onFailedWrite: () => {
 				void this.log.read().then(state => {
+					this.log.adopt(state);
 					this.manager.reload(state.owners.get('s')?.map);
 				});
 			},
