OWNER: an owner that gets a range back may still carry out an earlier grant

Callers saw (trial on the fakes): a range that went a, b, a, c within a lease had two holders, a and c, when a grant to a that got no answer was carried out late. Cause: the revocation that remembered the unanswered grant is dropped when its owner gets the range back, and the new grant knew nothing of it. Change: the state of the new grant takes over the unanswered one. Evidence: 'an unanswered grant counts if its owner loses the range and gets it back meanwhile' fails without the line and passes with it.

--- a/packages/gateway/src/cluster/ownership-manager.test.ts
+++ b/packages/gateway/src/cluster/ownership-manager.test.ts
@@ -275,3 +275,28 @@
 	await harness.run(10_000, createHolderCheck(t));
 	t.is(harness.openOwner(5), 'c');
 });
+
+test('an unanswered grant counts if its owner loses the range and gets it back meanwhile', async t => {
+	const harness = new Harness();
+	const [a, b, c] = ['a', 'b', 'c'].map(id => ({id, capacity: 4}));
+	harness.owners = [a];
+	await harness.run(1500);
+	harness.control.delayedTargets.add('a');
+	while (!harness.control.hasDelayed) {
+		// eslint-disable-next-line no-await-in-loop
+		await harness.run(100);
+	}
+
+	const delayed = harness.control.failDelayed();
+	await harness.run(100);
+	for (const owner of [b, a, c]) {
+		harness.owners = [owner];
+		// eslint-disable-next-line no-await-in-loop
+		await harness.run(100);
+	}
+
+	await harness.run(2700, createHolderCheck(t));
+	harness.control.carryOut(delayed);
+	await harness.run(10_000, createHolderCheck(t));
+	t.is(harness.openOwner(5), 'c');
+});
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -261,7 +261,10 @@
 				continue;
 			}
 
-			this.grants.set(grantKey(range), inheritGrantState(range, formerMap.findOverlapping(range), formerGrants, now));
+			const grant = inheritGrantState(range, formerMap.findOverlapping(range), formerGrants, now);
+			// A former owner that gets the range back may still carry out an earlier grant.
+			grant.unansweredSentAt = Math.max(grant.unansweredSentAt, this.revocations.pendingSince(range, range.owner));
+			this.grants.set(grantKey(range), grant);
 			for (const former of range.formers) {
 				this.startRevocation(range, former, {formerMap, formerGrants, now});
 			}
--- a/packages/gateway/src/cluster/revocations.ts
+++ b/packages/gateway/src/cluster/revocations.ts
@@ -53,8 +53,8 @@
 	readonly isFenced: boolean;
 	/** From this time the former owner holds nothing by a grant of this leader, even without a release. */
 	readonly expiresAt: number;
-	/** From this time an answered release suffices: an unanswered grant of this leader that arrived after it has expired. */
-	readonly releaseValidAt: number;
+	/** Latest time at which a still unanswered grant of this leader may have been sent; it may arrive after the release. */
+	readonly pendingSince: number;
 	isInFlight: boolean;
 	isReleased: boolean;
 	/** Time from which the next release may be sent. */
@@ -85,7 +85,7 @@
 			former: former.owner,
 			isFenced,
 			expiresAt: leaseExpiry(now, timing),
-			releaseValidAt: leaseExpiry(pendingSince, timing),
+			pendingSince,
 			isInFlight: false,
 			isReleased: false,
 			nextAt: now,
@@ -93,6 +93,12 @@
 		});
 	}
 
+	/** Returns the latest time at which a still unanswered grant of a range to a former owner may have been sent. */
+	pendingSince(range: KeyRange, former: string): number {
+		const rows = [...this.revocations.values()].filter(row => row.former === former && overlaps(row.range, range));
+		return Math.max(Number.NEGATIVE_INFINITY, ...rows.map(row => row.pendingSince));
+	}
+
 	/** Removes revocations that are not needed for any of the given ranges. */
 	keepOnly(ranges: readonly RangeOwnership[]): void {
 		const keys = new Set(ranges.flatMap(range => range.formers.map(former => revocationKey(range, former))));
@@ -117,7 +123,7 @@
 		// The former leaders may turn out to have ended earlier than was known when the revocation started.
 		const isFenced = revocation.isFenced && process !== OwnerProcess.Restarted;
 		const formerLeadersEnd = isFenced ? this.options.inheritedArrivalEnd() : this.options.inheritedLeaseEnd();
-		if (now >= formerLeadersEnd && (now >= revocation.expiresAt || (revocation.isReleased && now >= revocation.releaseValidAt))) {
+		if (now >= formerLeadersEnd && (now >= revocation.expiresAt || (revocation.isReleased && now >= leaseExpiry(revocation.pendingSince, this.options.timing)))) {
 			this.recordCompletion(range, former, revocation.isReleased ? 'released' : 'lease-expired');
 			return true;
 		}
@@ -156,7 +162,7 @@
 			former,
 			isFenced: parts.every(row => row.isFenced),
 			expiresAt: Math.max(...parts.map(row => row.expiresAt)),
-			releaseValidAt: Math.max(...parts.map(row => row.releaseValidAt)),
+			pendingSince: Math.max(...parts.map(row => row.pendingSince)),
 			isInFlight: false,
 			isReleased: parts.every(row => row.isReleased),
 			nextAt: Math.max(...parts.map(row => row.nextAt)),
