A failing log is logged, also when it ends before what was read from it

Cause: a log that ended before folded records counted as unavailable, but nothing told: its answers are successful, so log.errors and log.age-ms stayed calm and the follower swallowed the error. Change: the follower reports each failed read; the instance logs the first one of a series with the error, and when the end of the log is reached again. Measured: 'a log that ends too early is reported until it is read again' needs the new listener; it and the tests of router/host, instance.test.js and coordination/follower pass.

--- a/packages/coordination/src/follower/log-follower.test.ts
+++ b/packages/coordination/src/follower/log-follower.test.ts
@@ -278,3 +278,16 @@
 	await catchUp(lateFollower, log);
 	t.is(lateFollower.state.value, 'x');
 });
+
+test('a log that ends too early is reported until it is read again', async t => {
+	const {log, follower} = await setUpRestored();
+	const failures: string[] = [];
+	follower.onFailure(err => {
+		failures.push(String(err));
+	});
+	await t.throwsAsync(follower.poll(), {instanceOf: LogUnavailable});
+	await t.throwsAsync(follower.poll(), {instanceOf: LogUnavailable});
+	await log.append([encodeWrite('b', 1, 'y'), encodeWrite('c', 2, 'z')]);
+	await follower.poll();
+	t.deepEqual(failures, Array.from({length: 2}, () => 'LogUnavailable: The log ends at 2, before folded offset 3.'));
+});
--- a/packages/coordination/src/follower/log-follower.ts
+++ b/packages/coordination/src/follower/log-follower.ts
@@ -52,6 +52,7 @@
 	private readonly controlListeners = new Listeners<[offset: number, record: ControlRecord]>();
 	private readonly tailListeners = new Listeners<[sentAt: number]>();
 	private readonly loadListeners = new Listeners<[offset: number, skipped: number]>();
+	private readonly failureListeners = new Listeners<[err: unknown]>();
 	private readonly resetListeners = new Listeners<[err: LogReset]>();
 	private currentState: State;
 	private foldedOffset = 0;
@@ -107,6 +108,11 @@
 		return this.loadListeners.add(listener);
 	}
 
+	/** Calls `listener` after each failed read or load, also when the log ends before records that were read from it. */
+	onFailure(listener: (err: unknown) => void): () => void {
+		return this.failureListeners.add(listener);
+	}
+
 	/** Calls `listener` once if the log turns out to hold another record than the one that was folded. The follower reads nothing from then on. */
 	onReset(listener: (err: LogReset) => void): () => void {
 		return this.resetListeners.add(listener);
@@ -221,6 +227,8 @@
 			this.counters.failures++;
 			this.mustCompare = true;
 		}
+
+		this.failureListeners.emit(err);
 	}
 
 	private async load(signal?: AbortSignal): Promise<void> {
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -15,6 +15,7 @@
 import {EffectRunner} from './effect-runner.js';
 import {MembershipReader} from './membership-reader.js';
 import {fetchNewestState} from './peer-state.js';
+import {reportLogState} from './report-log-state.js';
 
 /** Interval between two ticks. */
 const tickIntervalMs = 20;
@@ -278,6 +279,7 @@
 			this.hasCaughtUp = true;
 			this.currentMember.handleLogTail(sentAt, this.follower.offset + 1);
 		});
+		reportLogState(this.follower);
 		this.follower.onReset(err => {
 			logger.error('The log lost records that this instance had read. It stops acting until it is restarted.', {instance: this.currentMember.id, folded: this.folded, err});
 			this.currentMember.handleLogReset();
