A held lease counts from when its renewal was asked for

Cause: HeldLease.renew took the time of arrival. A holder that was frozen with a renewal in its socket began a whole lease when it thawed, after the grantor had given the resource to another; closing the connection doesn't take back what the holder's kernel has received. The router doesn't use this part. Change: the contract names the time at which the holder asked; README and example follow. Measured: the new property fails when the lease counts from the arrival and passes with the time of the question, with the other 8 tests of lease and example.

--- a/packages/coordination/example/lease-and-fold.mjs
+++ b/packages/coordination/example/lease-and-fold.mjs
@@ -81,11 +81,12 @@
 const owner = workers.find((_, i) => outcomes[i].kind === AppendOutcomeKind.Accepted);
 console.log('claims:', outcomes.map(outcome => outcome.kind).toSorted().join(', '));
 
-// The grantor renews the owner's lease. Each side measures time by its own clock.
+// The owner asks for its lease, and the grantor renews it. Each side measures time by its own clock.
 const granted = new GrantedLease({leaseMs: 1000, transitMs: 100, driftShare});
+const askedAt = clock.now();
 const sentAt = clock.now();
 granted.recordSent(sentAt);
-owner.lease.renew(clock.now(), 1000);
+owner.lease.renew(askedAt, 1000);
 granted.recordAccepted(sentAt, clock.now());
 console.log('owner may act:', owner.lease.holds(clock.now()));
 console.log('job may move:', granted.hasEnded(clock.now()));
--- a/packages/coordination/src/lease/granted-lease.ts
+++ b/packages/coordination/src/lease/granted-lease.ts
@@ -1,6 +1,6 @@
 /** Settings of a granted lease. Times are milliseconds of the grantor's clock. */
 export type GrantedLeaseOptions = {
-	/** Time for which the holder may act after it receives a renewal. */
+	/** Time for which the holder may act after it asked for a renewal. */
 	readonly leaseMs: number;
 	/** Longest time after sending at which an unanswered renewal may still arrive. */
 	readonly transitMs: number;
--- a/packages/coordination/src/lease/held-lease.ts
+++ b/packages/coordination/src/lease/held-lease.ts
@@ -8,9 +8,13 @@
 		this.driftShare = driftShare;
 	}
 
-	/** Extends the lease by a renewal of `leaseMs` received at `receivedAt`. Never shortens the lease. */
-	renew(receivedAt: number, leaseMs: number): void {
-		this.end = Math.max(this.end, receivedAt + (leaseMs * (1 - this.driftShare)));
+	/**
+	 * Extends the lease by a renewal of `leaseMs` that answers a message which the holder sent at `askedAt`. Never
+	 * shortens the lease. The time of arrival must not be used: a holder that was frozen reads a renewal that
+	 * ended long ago as if it had just arrived.
+	 */
+	renew(askedAt: number, leaseMs: number): void {
+		this.end = Math.max(this.end, askedAt + (leaseMs * (1 - this.driftShare)));
 	}
 
 	/** Ends the lease at once, because the holder gave it back. */
--- a/packages/coordination/src/lease/lease.test.ts
+++ b/packages/coordination/src/lease/lease.test.ts
@@ -67,3 +67,17 @@
 		t.true(granted.endsAt() / grantorRate >= holderEnd);
 	}));
 });
+
+// A lease that counted from the arrival of its renewal began anew in a holder that had been frozen with it.
+test('a renewal that a frozen holder reads late gives no longer lease', t => {
+	const rate = fc.double({min: 0.99, max: 1.01, noNaN: true});
+	const delay = fc.double({min: 0, max: 10_000, noNaN: true});
+	fc.assert(fc.property(rate, rate, delay, delay, (grantorRate, holderRate, askMs, frozenMs) => {
+		const granted = new GrantedLease(options);
+		const held = new HeldLease(options.driftShare);
+		granted.recordSent(askMs * grantorRate);
+		held.renew(0, options.leaseMs);
+		const readAt = askMs + frozenMs;
+		t.false(held.holds(readAt * holderRate) && granted.hasEnded(readAt * grantorRate));
+	}));
+});
