--- a/packages/bench/src/cells/log.test.ts
+++ b/packages/bench/src/cells/log.test.ts
@@ -2,6 +2,7 @@
 import {DownMode} from '@bluebellyard/standins';
 import test, {type ExecutionContext} from 'ava';
 import {CellHarness, listFailures, getLastAttempts} from './cell-harness.js';
+import {keepFailedCell} from './keep-failed-cell.js';
 
 const target = 'tickets-3';
 const outageMs = 3000;
@@ -19,9 +20,7 @@
 });
 
 test.afterEach.always(t => {
-	if (!t.pass) {
-		harness.keepFiles();
-	}
+	keepFailedCell(t, harness);
 });
 
 async function stopLog(): Promise<void> {
--- a/packages/bench/src/cells/lost-steward.test.ts
+++ b/packages/bench/src/cells/lost-steward.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {CellHarness} from './cell-harness.js';
 import {assertRecovered} from './assert-recovered.js';
+import {keepFailedCell} from './keep-failed-cell.js';
 
 /** Targets in different failure domains, so that both instances of the second domain run when its steward is paused. */
 const killedTarget = 'tickets-1';
@@ -21,9 +22,7 @@
 });
 
 test.afterEach.always(t => {
-	if (!t.pass) {
-		harness.keepFiles();
-	}
+	keepFailedCell(t, harness);
 });
 
 test.serial('SIGKILL of a steward under load', async t => {
--- a/packages/bench/src/cells/operators.test.ts
+++ b/packages/bench/src/cells/operators.test.ts
@@ -3,6 +3,7 @@
 import {join} from 'node:path';
 import test from 'ava';
 import {CellHarness} from './cell-harness.js';
+import {keepFailedCell} from './keep-failed-cell.js';
 import {cellRules} from './topology.js';
 
 const folder = mkdtempSync(join(tmpdir(), 'bluebellyard-cells-'));
@@ -19,9 +20,7 @@
 });
 
 test.afterEach.always(t => {
-	if (!t.pass) {
-		harness.keepFiles();
-	}
+	keepFailedCell(t, harness);
 });
 
 test.serial('only one of two publishes with the same base succeeds', async t => {
--- a/packages/bench/src/cells/planned.test.ts
+++ b/packages/bench/src/cells/planned.test.ts
@@ -4,6 +4,7 @@
 import type {InstancePlan} from '../deployment/index.js';
 import {CellHarness, listFailures} from './cell-harness.js';
 import {assertRecovered} from './assert-recovered.js';
+import {keepFailedCell} from './keep-failed-cell.js';
 
 const target = 'tickets-1';
 const domain = 'south';
@@ -22,9 +23,7 @@
 });
 
 test.afterEach.always(t => {
-	if (!t.pass) {
-		harness.keepFiles();
-	}
+	keepFailedCell(t, harness);
 });
 
 async function waitForShardsOfDomain(condition: string, isMet: (shards: number) => boolean): Promise<void> {
--- a/packages/bench/src/cells/targets.test.ts
+++ b/packages/bench/src/cells/targets.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {CellHarness, listFailures} from './cell-harness.js';
+import {keepFailedCell} from './keep-failed-cell.js';
 
 const target = 'tickets-2';
 const beforeFaultMs = 400;
@@ -19,9 +20,7 @@
 });
 
 test.afterEach.always(t => {
-	if (!t.pass) {
-		harness.keepFiles();
-	}
+	keepFailedCell(t, harness);
 });
 
 async function waitUntilTargetServes(): Promise<void> {
