A failed start of a deployment waits for the processes that still start

Cause: startAll rejected with the first process that did not start; those that became ready after the others had been stopped ran on. Change: all starts of a step are settled before the first error is thrown.

--- a/packages/bench/src/deployment/deployment.test.ts
+++ b/packages/bench/src/deployment/deployment.test.ts
@@ -68,6 +68,20 @@
 	await deployment.stop();
 });
 
+/** A process that became ready after the others were stopped would run on and keep the test file from ending. */
+test('a failed start waits for the processes that still start', async t => {
+	const [pool] = topology.pools;
+	const badPool = {
+		...pool, name: 'bad', targets: 1, options: {...pool.options, serviceMs: Number.NaN},
+	};
+	const deployment = new Deployment({...topology, pools: [pool, badPool]});
+	t.teardown(async () => {
+		await deployment.stop();
+	});
+	await t.throwsAsync(deployment.startAll(), {message: /^bad-1 did not become ready/v});
+	t.deepEqual([...deployment.targets.keys()].toSorted(), ['p-1', 'p-2', 'p-3']);
+});
+
 test('a paused process continues after resume and exits on request', async t => {
 	const child = await startChild('log', scripts.standins, ['log']);
 	child.pause();
--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -76,11 +76,11 @@
 		return [...this.instances.values()].map(({controlAddr}) => controlAddr);
 	}
 
-	/** Starts all processes and publishes the rules. */
+	/** Starts all processes and publishes the rules. If a process does not start, rejects when no other one is starting any more. */
 	async startAll(): Promise<void> {
 		await this.startPlatform();
-		await Promise.all(planTargets(this.topology).map(async plan => this.startTarget(plan)));
-		await Promise.all(planInstances(this.topology).map(async plan => this.startInstance(plan)));
+		await settleAll(planTargets(this.topology).map(async plan => this.startTarget(plan)));
+		await settleAll(planInstances(this.topology).map(async plan => this.startInstance(plan)));
 		await this.publishRules(this.topology.rules);
 	}
 
@@ -242,6 +242,12 @@
 	}
 }
 
+/** Waits until all promises are settled, then throws the reason of the first rejected one. */
+async function settleAll(promises: ReadonlyArray<Promise<unknown>>): Promise<void> {
+	await Promise.allSettled(promises);
+	await Promise.all(promises);
+}
+
 /** Starts a deployment and publishes its rules. If that fails, stops all processes and keeps their files. */
 export async function startDeployment(topology: Topology): Promise<Deployment> {
 	const deployment = new Deployment(topology);
