A closed instance starts no term and no longer tries to register

Callers saw: nothing; a process that embeds the gateway, as some tests do, did not end after close. Cause: an election, or the first registration, that was under way when the instance closed went on for ever while the store was away. Change: both end with the instance. 'a stopped instance gives up its first entry' hangs without the change. Whether nothing else kept the process is not shown.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -75,6 +75,7 @@
 	/** State of the view; undefined if it does not match any state that a leader sent. */
 	private viewState: ViewState | undefined;
 	private isElecting = false;
+	private isStopped = false;
 	private nextElectionAt: number;
 	private isLeaving = false;
 	private storeFailedAt = Number.NEGATIVE_INFINITY;
@@ -129,7 +130,9 @@
 
 	/** Stops all activities. */
 	stop(): void {
+		this.isStopped = true;
 		clearInterval(this.timer);
+		this.registration.stop();
 		this.reader.stop();
 		this.leader?.stop();
 	}
@@ -304,6 +307,10 @@
 	}
 
 	private async applyElectionResult(result: ElectionResult): Promise<void> {
+		if (this.isStopped) {
+			return;
+		}
+
 		switch (result.outcome) {
 			case ElectionOutcome.Won: {
 				await this.startTerm(result.record, result.state);
--- a/packages/gateway/src/cluster/registration.test.ts
+++ b/packages/gateway/src/cluster/registration.test.ts
@@ -110,3 +110,11 @@
 	harness.log.isDown = false;
 	t.deepEqual(await registered, [self]);
 });
+
+test('a stopped instance gives up its first entry', async t => {
+	const harness = new Harness();
+	harness.log.isDown = true;
+	const registered = harness.registration.register();
+	harness.registration.stop();
+	t.deepEqual(await registered, []);
+});
--- a/packages/gateway/src/cluster/registration.ts
+++ b/packages/gateway/src/cluster/registration.ts
@@ -27,15 +27,16 @@
 	private pendingEra = 0;
 	private dueAt = 0;
 	private isWriting = false;
+	private isStopped = false;
 
 	constructor(options: RegistrationOptions) {
 		this.options = options;
 	}
 
-	/** Writes the first entry, until that succeeds. Resolves to the entries of all instances. */
+	/** Writes the first entry, until that succeeds or `stop` is called. Resolves to the entries of all instances. */
 	async register(): Promise<NodeInfo[]> {
 		const {self, directory, telemetry} = this.options;
-		for (;;) {
+		while (!this.isStopped) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
 				await directory.announce(self);
@@ -47,6 +48,13 @@
 				await sleep(retryDelayMs);
 			}
 		}
+
+		return [];
+	}
+
+	/** Stops the attempts to write the first entry. */
+	stop(): void {
+		this.isStopped = true;
 	}
 
 	/**
