--- a/packages/gateway/src/cluster/former-leaders.ts
+++ b/packages/gateway/src/cluster/former-leaders.ts
@@ -12,7 +12,8 @@
 };
 
 /**
- * Former leaders whose grants may not have expired yet. One that lost its connections may send grants until
+ * Former leaders, and instances that may have led in records that the store has lost, whose grants may not have
+ * expired yet. One that lost its connections may send grants until
  * `leaderGraceMs` has passed, even if other leaders came after it.
  */
 export class FormerLeaders {
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -27,7 +27,7 @@
 	readonly timing: LeaseTiming;
 	/** Resolves to the names of all other instances that are known or registered. */
 	readonly listOtherInstances: () => Promise<readonly string[]>;
-	/** Called with the content of the store after a write with an unknown outcome; this instance still leads. */
+	/** Called with the content of the store each time that it was read again; this instance still leads. */
 	readonly onReload: (state: OwnerState) => void;
 	/**
 	 * Called when the store has returned from an older copy and this instance has claimed the lead again. `mayRenew`
--- a/packages/gateway/src/cluster/leader-record.ts
+++ b/packages/gateway/src/cluster/leader-record.ts
@@ -1,6 +1,9 @@
 import {z} from 'zod';
 
-/** Identifies a leadership; a later one has a higher era, or a higher term in the same era. */
+/**
+ * Identifies a leadership; a later one has a higher era, or a higher term in the same era. A leader that claims the
+ * lead again in a new era keeps its term.
+ */
 export type Leadership = {
 	/** Era of the store in which it was last claimed; see `TopicEnd`. */
 	readonly era: number;
