A target that was silent for a while gets keys again once it answers

Cause: silentSince is cleared by answers to grants only, and a target that has lost all of its keys gets no grants; it stayed without keys for the rest of the leader's term. Silent targets without keys are now sent a release of one key that they had, each second; no target refuses a release, and it changes nothing. Ruled out: probes by the health path (priced, and they tell nothing of the key protocol); forgetting the silence after a time (keys would be closed on a target that does not answer).

--- a/packages/gateway/src/cluster/ownership-manager.test.ts
+++ b/packages/gateway/src/cluster/ownership-manager.test.ts
@@ -72,6 +72,35 @@
 	t.is(harness.openOwner(5), harness.owners[0].id);
 });
 
+// A silent target loses its keys and then gets no grants, whose answers would show that it is back.
+test('a silent target that answers again is no longer silent', async t => {
+	const harness = new Harness();
+	await harness.run(1500);
+	const [first] = harness.control.ownersOfKey(5);
+	harness.control.faults.set(first, ControlFault.Lost);
+	await harness.run(renewalMs + 2000);
+	t.true(harness.manager.silentMs(first) > 0);
+	harness.owners = owners.filter(({id}) => id !== first);
+	await harness.run(12_000);
+	t.true(harness.manager.silentMs(first) > 10_000);
+	harness.control.faults.clear();
+	await harness.run(2000);
+	t.is(harness.manager.silentMs(first), Number.NEGATIVE_INFINITY);
+	harness.owners = owners;
+	await harness.run(3000, createHolderCheck(t));
+	t.true(keys.some(key => harness.openOwner(key) === first));
+});
+
+// A probe must not take away keys that the target got while the probe was on its way.
+test('a target with keys is not probed', async t => {
+	const harness = new Harness();
+	await harness.run(1500);
+	const [first] = harness.control.ownersOfKey(5);
+	harness.control.faults.set(first, ControlFault.Lost);
+	await harness.run(10_000);
+	t.false(harness.control.requests.some(request => request.startsWith(`release ${first}`)));
+});
+
 test('an unanswered release does not count, even if it was executed', async t => {
 	const harness = new Harness();
 	await harness.run(1500);
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -15,6 +15,7 @@
 import {OwnerProcess} from './owner-process.js';
 import type {OwnershipManagerOptions, TickInput} from './ownership-manager-options.js';
 import {Revocations} from './revocations.js';
+import {SilentOwners} from './silent-owners.js';
 import {
 	grantKey, createGrantState, inheritGrantState, pendingSince, type GrantState,
 } from './grant.js';
@@ -59,11 +60,11 @@
 	private firstOwnerAt: number | undefined;
 	private ownerCount = 0;
 	private ownersChangedAt = Number.NEGATIVE_INFINITY;
-	/** Time of the first unanswered grant since an owner last answered one. */
-	private readonly silentSince = new Map<string, number>();
+	private readonly silentOwners: SilentOwners;
 
 	constructor(private readonly options: OwnershipManagerOptions, private map: OwnershipMap, isInherited: boolean) {
 		this.revocations = new Revocations(options);
+		this.silentOwners = new SilentOwners(options);
 		for (const range of map.ranges) {
 			if (range.owner !== '') {
 				this.grants.set(grantKey(range), createGrantState(isInherited));
@@ -145,9 +146,9 @@
 		}
 	}
 
-	/** Returns for how long an owner has not answered grants, in milliseconds; negative infinity if it answers. */
+	/** Returns for how long an owner has not answered, in milliseconds; negative infinity if it answers. */
 	silentMs(owner: string): number {
-		return this.options.clock.now() - (this.silentSince.get(owner) ?? Number.POSITIVE_INFINITY);
+		return this.silentOwners.silentMs(owner);
 	}
 
 	/** Plans moves, sends grants and sends releases, as far as they are due. */
@@ -170,6 +171,8 @@
 				this.renewIfDue(range, now);
 			}
 		}
+
+		this.silentOwners.probe(new Set(this.map.ranges.map(range => range.owner)));
 	}
 
 	private plan({owners, rates}: TickInput, now: number): void {
@@ -332,7 +335,7 @@
 			const reply = await control.grant(target, {
 				from: range.from, to: range.to, fence: range.fence, leaseMs: timing.leaseMs, handover,
 			}, timing.transitMs);
-			this.silentSince.delete(range.owner);
+			this.silentOwners.recordAnswer(range.owner);
 			if (reply === GrantReply.Accepted) {
 				grant.acceptedSentAt = sentAt;
 				grant.isOpen = true;
@@ -343,7 +346,7 @@
 			}
 		} catch (err) {
 			grant.unansweredSentAt = sentAt;
-			this.silentSince.set(range.owner, this.silentSince.get(range.owner) ?? sentAt);
+			this.silentOwners.recordSilence(range, sentAt);
 			telemetry.warn('keeper', 'The target did not answer a grant.', {
 				service, owner: range.owner, from: range.from, to: range.to, fence: range.fence, err,
 			});
