Ports of tests are reserved for the process that looked them up

Cause: both searches for free ports looked a port up and released it before its use, in the same range, so that two test files or two runs on one machine could take the same one (seen once: 127.0.0.1:23033 in use). One search in packages/standins now reserves each port by a file with the id of its process, until that process ends. Ruled out: separate ranges for the two searches (two runs of the suite would still meet).

--- a/packages/bench/src/deployment/deployment.test.ts
+++ b/packages/bench/src/deployment/deployment.test.ts
@@ -12,7 +12,6 @@
 import {Child, startChild} from './child.js';
 import {readCpuTimeMs} from './cpu-time.js';
 import {Deployment} from './deployment.js';
-import {findFreePorts} from './find-free-ports.js';
 import {formatInstanceSettings} from './instance-settings.js';
 import {createOutputFolder} from './output-folder.js';
 import {scripts} from './scripts.js';
@@ -41,11 +40,6 @@
 	}
 });
 
-test('free ports are distinct', async t => {
-	const ports = await Promise.all([findFreePorts(4), findFreePorts(4)]);
-	t.is(new Set(ports.flat()).size, 8);
-});
-
 async function waitForOrder(deployment: Deployment): Promise<void> {
 	const [dump] = await deployment.fetchLedgers();
 	return dump.entries.length === 0 ? waitForOrder(deployment) : undefined;
--- a/packages/bench/src/deployment/deployment.ts
+++ b/packages/bench/src/deployment/deployment.ts
@@ -3,10 +3,9 @@
 import {join} from 'node:path';
 import process from 'node:process';
 import {
-	call, MemberRole, MemberState, readJournal, type LedgerDump, type TargetFaults,
+	call, findFreePorts, MemberRole, MemberState, readJournal, type LedgerDump, type TargetFaults,
 } from '@bluebellyard/standins';
 import {startChild, type Child} from './child.js';
-import {findFreePorts} from './find-free-ports.js';
 import {formatInstanceSettings, listenKeys} from './instance-settings.js';
 import {LostLedgers} from './lost-ledgers.js';
 import {createOutputFolder} from './output-folder.js';
--- a/packages/bench/src/overhead/run-overhead.ts
+++ b/packages/bench/src/overhead/run-overhead.ts
@@ -1,9 +1,11 @@
 import {cpus, loadavg} from 'node:os';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
-import {ServiceShape, TargetKind, type TargetOptions} from '@bluebellyard/standins';
 import {
-	findFreePorts, waitUntilSettled, startChild, startDeployment, type Child, type Deployment, type Topology,
+	findFreePorts, ServiceShape, TargetKind, type TargetOptions,
+} from '@bluebellyard/standins';
+import {
+	waitUntilSettled, startChild, startDeployment, type Child, type Deployment, type Topology,
 } from '../deployment/index.js';
 import {scripts} from '../deployment/scripts.js';
 import {buildTargetArgs} from '../deployment/target-args.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,5 @@
 export * from './host/index.js';
 export * from './log/index.js';
 export * from './membership/index.js';
+export * from './ports/index.js';
 export * from './target/index.js';
--- /dev/null
+++ b/packages/standins/src/ports/index.ts
@@ -0,0 +1,1 @@
+export {findFreePorts, reservePort} from './free-ports.js';
