A target whose entry is gone is removed at once unless an outage explains it

A batch-ledger target left without a word 70 ms before the store turned the leader away. An instance took over 1.3 s later and read that the entry was gone, but kept the target for two more seconds, since it counted the store as having been away: 2.1 to 2.4 s, bound 2 s. Change: entries count as expired only if nobody read the store for 1.8 heartbeats (the store removes an entry after three missed ones) and more than a quarter of the targets are missing. The leader tells in its pings how long ago it read; the interval of heartbeats is a setting.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -51,6 +51,8 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly timing: LeaseTiming;
+	/** Interval at which each target writes its entry again, in milliseconds. */
+	readonly heartbeatMs: number;
 	/** Returns the measurements since the last call. */
 	readonly report: () => Report;
 };
@@ -71,6 +73,8 @@
 	/** Time of the last ping of the leader. */
 	private lastPingAt: number;
 	private leaderStoreAgeMs = 0;
+	/** Time of the leader's last successful read of the targets' records. */
+	private targetsReadAt: number | undefined;
 	private followingSince = Number.NEGATIVE_INFINITY;
 	/** State of the view; undefined if it does not match any state that a leader sent. */
 	private viewState: ViewState | undefined;
@@ -254,6 +258,7 @@
 			this.reader.stop();
 			this.lastPingAt = clock.now();
 			this.leaderStoreAgeMs = ping.storeAgeMs;
+			this.targetsReadAt = clock.now() - ping.targetsAgeMs;
 			if (wasStoreFresh && ping.storeAgeMs > maxLeaderStoreAgeMs) {
 				this.nextElectionAt = clock.now() + (this.drawElectionDelayMs() / 2);
 			}
@@ -327,7 +332,7 @@
 
 			case ElectionOutcome.LeaderUnreachable: {
 				this.viewState = undefined;
-				this.reader.start(false);
+				this.reader.start();
 				break;
 			}
 
@@ -364,7 +369,7 @@
 		}, state);
 		this.leader = leader;
 		this.reader.stop();
-		this.reader.start(wasStoreUnreachable);
+		this.reader.start(wasStoreUnreachable ? this.targetsReadAt : undefined);
 		view.store.set(`node/${self.name}`, self);
 		for (const node of this.knownInstances.all()) {
 			leader.addNode(node);
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -19,12 +19,18 @@
 /** Delay before the next read after a failed one, in milliseconds. */
 const retryDelayMs = 250;
 
-/** Time without a successful read from which the store counts as having been unreachable, in milliseconds. */
-const minOutageMs = 1500;
+/**
+ * Heartbeats that fit into a time without successful reads in which no entry of a running target can expire: the store
+ * removes an entry after three missed heartbeats, and the last one was not much more than one interval old at the last read.
+ */
+const maxHarmlessHeartbeats = 1.8;
 
 /** Time after an outage or a return of the store from a copy within which expired and lost entries are written again, in milliseconds; specified by the platform. */
 const reregistrationMs = 2000;
 
+/** Share of the targets above which entries that are missing after an outage count as expired; an outage makes those of nearly all targets expire within one heartbeat. */
+const maxLeftShare = 0.25;
+
 /** Increase of the remaining cold time above which a target counts as cold again, in milliseconds. */
 const minColdIncreaseMs = 250;
 
@@ -35,6 +41,8 @@
 	readonly view: View;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	/** Interval at which each target writes its entry again, in milliseconds. */
+	readonly heartbeatMs: number;
 };
 
 /** Keeps the view up to date with the store. */
@@ -44,7 +52,8 @@
 	/** Increases with each start, so that read loops of an earlier start end. */
 	private generation = 0;
 	private readAt = Number.NEGATIVE_INFINITY;
-	private isStoreUnreachable = false;
+	/** Whether the next read is the first one since the start. */
+	private isFirstRead = false;
 	/** Time at which the store was reachable again after its last outage. */
 	private recoveredAt = Number.NEGATIVE_INFINITY;
 	/** Time at which the last return of the store from an older copy was noticed. */
@@ -68,16 +77,19 @@
 		return this.readAt;
 	}
 
-	/** Starts reading; `wasUnreachable` states that the store was unreachable immediately before. */
-	start(wasUnreachable: boolean): void {
+	/**
+	 * Starts reading. If the store may have been unreachable, `readAt` is the monotonic time of the last successful
+	 * read before, by this instance or a former leader, in milliseconds.
+	 */
+	start(readAt = this.options.clock.now()): void {
 		if (this.isRunning) {
 			return;
 		}
 
 		this.isRunning = true;
 		this.generation += 1;
-		this.isStoreUnreachable = wasUnreachable;
-		this.readAt = this.options.clock.now();
+		this.isFirstRead = true;
+		this.readAt = readAt;
 		this.idsByName.clear();
 		for (const target of this.options.view.targets.values()) {
 			this.idsByName.set(target.name, target.id);
@@ -187,14 +199,17 @@
 	}
 
 	private recordRead(startedAt: number): void {
-		const {clock, telemetry} = this.options;
+		const {clock, telemetry, heartbeatMs} = this.options;
 		const now = clock.now();
-		if (this.isStoreUnreachable || startedAt - this.readAt > minOutageMs) {
-			this.isStoreUnreachable = false;
+		const awayMs = now - this.readAt;
+		if (awayMs > heartbeatMs * maxHarmlessHeartbeats) {
 			this.recoveredAt = now;
-			telemetry.info('news', 'The store is reachable again.', {awayMs: Math.round(now - this.readAt)});
+			telemetry.info('news', 'The store is reachable again; expired entries have time to be written again.', {awayMs: Math.round(awayMs), reregistrationMs});
+		} else if (this.isFirstRead) {
+			telemetry.info('news', 'The records of targets are read by this instance now.', {awayMs: Math.round(awayMs)});
 		}
 
+		this.isFirstRead = false;
 		this.readAt = startedAt;
 	}
 
@@ -229,7 +244,8 @@
 
 		this.records.expire(now);
 		const missing = isFull ? [...this.idsByName.keys()].filter(name => !set.has(name)) : removed;
-		const reregisteredAt = Math.max(this.recoveredAt, this.returnedAt) + reregistrationMs;
+		const mayHaveExpired = missing.length > this.idsByName.size * maxLeftShare;
+		const reregisteredAt = Math.max(mayHaveExpired ? this.recoveredAt : Number.NEGATIVE_INFINITY, this.returnedAt) + reregistrationMs;
 		for (const name of missing) {
 			if (now < reregisteredAt) {
 				this.pendingRemovals.set(name, reregisteredAt);
--- a/packages/gateway/src/cluster/feed-return.test.ts
+++ b/packages/gateway/src/cluster/feed-return.test.ts
@@ -35,7 +35,7 @@
 		operators.put(key, entry);
 	}
 
-	reader.start(false);
+	reader.start();
 	t.teardown(() => {
 		reader.stop();
 	});
@@ -76,7 +76,7 @@
 	const harness = new FeedHarness(former.view);
 	const {view, reader, targets, clock} = harness;
 	targets.era = 2;
-	reader.start(false);
+	reader.start();
 	t.teardown(() => {
 		reader.stop();
 	});
@@ -121,7 +121,7 @@
 	const {view, reader, operators, targets, clock} = harness;
 	operators.era = 2;
 	targets.era = 2;
-	reader.start(false);
+	reader.start();
 	t.teardown(() => {
 		reader.stop();
 	});
@@ -138,7 +138,7 @@
 	const {view, reader, operators, targets} = harness;
 	operators.era = 1;
 	targets.era = 1;
-	reader.start(true);
+	reader.start(harness.clock.now() - 5000);
 	t.teardown(() => {
 		reader.stop();
 	});
--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -48,6 +48,7 @@
 		clock,
 		telemetry: new Telemetry(clock),
 		baseState,
+		targetsReadAt: () => 0,
 		isLeaving: () => false,
 		onPong() {
 			// The reports are not used here.
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -45,6 +45,8 @@
 	readonly baseState: BaseState | undefined;
 	/** Returns whether this instance is about to stop. */
 	readonly isLeaving: () => boolean;
+	/** Returns the monotonic time at which the last successful read of the targets' records began, in milliseconds. */
+	readonly targetsReadAt: () => number;
 	/** Called for each answer to a ping. */
 	readonly onPong: (node: NodeInfo, pong: Pong) => void;
 };
@@ -147,7 +149,12 @@
 		const {net, view, self, leadership, clock, telemetry, onPong} = this.options;
 		const since = this.findBaseSeq(follower.viewState);
 		const ping: Ping = {
-			...leadership(), leader: self, storeAgeMs: Math.round(storeAgeMs), base: since === undefined ? undefined : follower.viewState, seq: view.store.lastSeq,
+			...leadership(),
+			leader: self,
+			storeAgeMs: Math.round(storeAgeMs),
+			targetsAgeMs: Math.round(clock.now() - this.options.targetsReadAt()),
+			base: since === undefined ? undefined : follower.viewState,
+			seq: view.store.lastSeq,
 		};
 		const bytes = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
 		follower.isInFlight = true;
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -90,6 +90,7 @@
 		this.followers = new FollowerSync({
 			...options,
 			leadership: () => this.leadership,
+			targetsReadAt: () => options.reader.lastReadAt,
 			onPong: (node, pong) => {
 				this.handlePong(node, pong);
 			},
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -38,6 +38,8 @@
 	readonly leader: NodeInfo;
 	/** Time since the leader last reached the store, in milliseconds. */
 	readonly storeAgeMs: number;
+	/** Time since the leader's last successful read of the targets' records began, in milliseconds. */
+	readonly targetsAgeMs: number;
 	/** State to which the changes apply; undefined if they are the whole content or if there are none. */
 	readonly base: ViewState | undefined;
 	/** Sequence number of the view after the changes. */
--- a/packages/gateway/src/cluster/outdated-records.test.ts
+++ b/packages/gateway/src/cluster/outdated-records.test.ts
@@ -17,7 +17,7 @@
 	targets.era = 1;
 	operators.era = 1;
 	targets.put(first.name, first);
-	reader.start(false);
+	reader.start();
 	t.teardown(() => {
 		reader.stop();
 	});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -94,7 +94,7 @@
 			: {value: this.coordinator.handle(op as PeerOp, message), bytes: noBytes}, clock, addr => this.isFar(addr));
 		this.client = new TargetClient(ports.wire, clock);
 		this.coordinator = new Coordinator({
-			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), report: () => this.report(),
+			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
 		this.queues = new DispatchQueues({
 			view,
--- a/packages/gateway/src/mocks/feed-harness.ts
+++ b/packages/gateway/src/mocks/feed-harness.ts
@@ -23,7 +23,7 @@
 		this.view = view;
 		const {operators, targets, clock} = this;
 		this.reader = new FeedReader({
-			operators, targets, view, clock, telemetry: new Telemetry(clock),
+			operators, targets, view, clock, telemetry: new Telemetry(clock), heartbeatMs: 1000,
 		});
 	}
 }
--- a/packages/gateway/src/mocks/leader-harness.ts
+++ b/packages/gateway/src/mocks/leader-harness.ts
@@ -54,7 +54,7 @@
 
 		const telemetry = new Telemetry(clock);
 		const reader = new FeedReader({
-			operators: new MemoryFeed<OperatorEntry>(), targets: new MemoryFeed<TargetInfo>(), view, clock, telemetry,
+			operators: new MemoryFeed<OperatorEntry>(), targets: new MemoryFeed<TargetInfo>(), view, clock, telemetry, heartbeatMs: 1000,
 		});
 		const net: Pick<PeerNet, 'exchange'> = {
 			async exchange() {
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -58,6 +58,10 @@
 		/** Longest lease that targets accept, in seconds. */
 		'hold-max': seconds(10),
 	}).default({'hold-max': 10_000}),
+	targets: z.object({
+		/** Interval at which each target writes its entry in the store again, in seconds. */
+		heartbeat: seconds(1),
+	}).default({heartbeat: 1000}),
 	retries: z.object({
 		/** Retries allowed in relation to the number of requests, over all instances. */
 		ratio: z.coerce.number().min(0).max(1).default(0.2),
