Router: a leaving instance leaves its request ids with a member of another domain, too

The leaving instance now gives its own ids, and those of requests that begin later, to one member of another failure domain, and names that member in its leave record. If that member does not store one of them, the name is withdrawn. Ruled out: shorter quarantine (the copies are really gone). Tests: three in peer-at-most-once-guard.test.ts; the first failed before by construction (no such holder).

--- a/packages/core/src/ownership/context.ts
+++ b/packages/core/src/ownership/context.ts
@@ -40,6 +40,8 @@
 	hasProposedLeave: boolean;
 	/** Whether other instances have taken over the request ids that this process keeps. */
 	idsHandedOver: boolean;
+	/** Member of another failure domain that has all request ids of this process; empty if there is none. */
+	idsHolder: string;
 	/** Whether the log lost records that the tables include. */
 	hasLostLog: boolean;
 	/** Whether a record that ends this incarnation was folded. */
--- a/packages/core/src/ownership/evict-system.test.ts
+++ b/packages/core/src/ownership/evict-system.test.ts
@@ -151,7 +151,9 @@
 	deployment.run(1000);
 	deployment.members.get('a2')!.leave();
 	deployment.members.get('a2')!.tick(deployment.now);
-	deployment.append({kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false}, 'a2');
+	deployment.append({
+		kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false, idsHolder: '',
+	}, 'a2');
 	deployment.cutOff('a1', 'a2');
 	deployment.run(3000);
 	t.deepEqual(deployment.members.get('a0')!.memberIds(), ['a0', 'b0']);
@@ -199,7 +201,9 @@
 	const leaving = deployment.members.get('a2')!;
 	leaving.leave();
 	leaving.tick(deployment.now);
-	deployment.append({kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false}, 'a2');
+	deployment.append({
+		kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false, idsHolder: '',
+	}, 'a2');
 	deployment.run(1000);
 	t.deepEqual(deployment.members.get('a0')!.memberIds(), ['a0', 'b0']);
 	t.deepEqual(deployment.actingAfterEviction, []);
--- a/packages/core/src/ownership/member.test.ts
+++ b/packages/core/src/ownership/member.test.ts
@@ -375,7 +375,9 @@
 	const leave = cluster.effects.find(effect => effect.kind === EffectKind.Append);
 	t.is(leave?.record.kind, RecordKind.Leave);
 	member.handleAppendInDoubt(leave!.record.id);
-	cluster.append({kind: RecordKind.Leave, instance: 'a0', idsHandedOver: false}, 'a0');
+	cluster.append({
+		kind: RecordKind.Leave, instance: 'a0', idsHandedOver: false, idsHolder: '',
+	}, 'a0');
 	cluster.run(100);
 	t.is(cluster.effects.filter(effect => effect.kind === EffectKind.Left).length, 1);
 });
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -81,6 +81,7 @@
 			isLeaving: false,
 			hasProposedLeave: false,
 			idsHandedOver: false,
+			idsHolder: '',
 			hasLostLog: false,
 			isEvicted: false,
 			emit: effect => {
@@ -266,13 +267,20 @@
 
 	/**
 	 * Starts to transfer all targets and then leave the membership. `idsHandedOver`
-	 * states whether other instances have taken over the request ids that this one kept.
+	 * states whether other instances have taken over the request ids that this one kept, `idsHolder` which member of
+	 * another failure domain has all ids of its own.
 	 */
-	leave(idsHandedOver = false): void {
+	leave(idsHandedOver = false, idsHolder = ''): void {
 		this.ctx.idsHandedOver = idsHandedOver;
+		this.ctx.idsHolder = idsHolder;
 		this.ctx.isLeaving = true;
 	}
 
+	/** Records that the member named in `leave` lacks an id. */
+	clearIdsHolder(): void {
+		this.ctx.idsHolder = '';
+	}
+
 	/** Returns the time until which this member may act, on its own clock. */
 	rightUntil(): number {
 		return this.ctx.right.until();
--- a/packages/core/src/ownership/membership-system.ts
+++ b/packages/core/src/ownership/membership-system.ts
@@ -47,7 +47,9 @@
 	const isSteward = [...ctx.tables.targets.values()].some(row => row.steward === ctx.self.id);
 	const isAlone = getMembers(ctx).every(row => row.id === ctx.self.id);
 	if ((!isSteward || isAlone) && isSelfMember(ctx)) {
-		propose(ctx, 'leave', {kind: RecordKind.Leave, instance: ctx.self.id, idsHandedOver: ctx.idsHandedOver});
+		propose(ctx, 'leave', {
+			kind: RecordKind.Leave, instance: ctx.self.id, idsHandedOver: ctx.idsHandedOver, idsHolder: ctx.idsHolder,
+		});
 		// Others may take over as soon as they fold the record, even if this member never reads it back.
 		ctx.hasProposedLeave = true;
 		ctx.right.recordEviction();
--- a/packages/core/src/policy/request-id-table.ts
+++ b/packages/core/src/policy/request-id-table.ts
@@ -144,6 +144,12 @@
 		}));
 	}
 
+	/** Returns all records. */
+	exportAll(now: number): Array<RequestRecord<A>> {
+		const shards = new Set([...this.running.values(), ...this.ended.values()].map(row => row.shard));
+		return [...shards].flatMap(shard => this.exportShard(shard, now));
+	}
+
 	/** Imports records of another steward. A request that was running there counts as possibly run. Ids already in the table are kept as they are. */
 	importRecords(records: ReadonlyArray<RequestRecord<A>>, now: number): void {
 		for (const record of records) {
--- a/packages/core/src/records/record.ts
+++ b/packages/core/src/records/record.ts
@@ -68,6 +68,8 @@
 	instance: name,
 	/** Whether other instances have taken over the request ids that it kept. */
 	idsHandedOver: z.boolean().default(false),
+	/** Member of another failure domain that has all request ids of its own; empty if there is none. */
+	idsHolder: z.string().default(''),
 });
 
 /** Evicts members, which lose their right to act; final once folded. */
--- a/packages/core/src/state/fold-instances.ts
+++ b/packages/core/src/state/fold-instances.ts
@@ -26,6 +26,7 @@
 		state: InstanceState.Member,
 		eviction: 0,
 		idsHandedOver: false,
+		idsHolder: '',
 	});
 	const former = tables.instances.get(record.former ?? '');
 	if (former?.name === record.name) {
@@ -47,6 +48,7 @@
 	}
 
 	row.idsHandedOver = record.idsHandedOver;
+	row.idsHolder = record.idsHolder;
 	row.state = InstanceState.Removed;
 	pruneRemoved(tables);
 	return accepted;
--- a/packages/core/src/state/snapshot.ts
+++ b/packages/core/src/state/snapshot.ts
@@ -14,6 +14,7 @@
 	state: z.enum(InstanceState),
 	eviction: z.number(),
 	idsHandedOver: z.boolean(),
+	idsHolder: z.string().default(''),
 });
 
 const targetSchema = z.object({
--- a/packages/core/src/state/tables.ts
+++ b/packages/core/src/state/tables.ts
@@ -30,6 +30,8 @@
 	eviction: number;
 	/** Whether it handed over the request ids that it kept before it left. */
 	idsHandedOver: boolean;
+	/** Member of another failure domain to which it gave all request ids of its own before it left; empty if there is none. */
+	idsHolder: string;
 };
 
 /** Target and its steward. */
--- a/packages/router/src/entry/peer-at-most-once-guard.test.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.test.ts
@@ -16,6 +16,8 @@
 class FakePeer extends RequestIdPeer {
 	readonly calls: Array<readonly [instance: string, shards: readonly string[]]> = [];
 	isStoring = true;
+	/** Ids that it stored. */
+	readonly stored: string[] = [];
 	/** Id of the incarnation that answers; that of the instance at the address by default. */
 	incarnation = '';
 
@@ -27,7 +29,11 @@
 		// Nothing is stored.
 	}
 
-	override async keepRequests(): Promise<boolean> {
+	override async keepRequests(_instance: string, records: readonly RequestRecord[]): Promise<boolean> {
+		if (this.isStoring) {
+			this.stored.push(...records.map(({id}) => id!));
+		}
+
 		return this.isStoring;
 	}
 
@@ -209,6 +215,44 @@
 	t.is(begin('any'), BeginResultKind.Fresh);
 });
 
+// A replaced instance, its successor and the one other member of its domain: when that successor is killed, both copies of its ids are gone.
+test('the ids of an instance that left are known by a member of another domain', async t => {
+	const tables = makeTablesAfterMove({state: InstanceState.Removed, idsHandedOver: true, idsHolder: 'far'}, removed);
+	const {guard, begin} = setUp(tables, {far: new FakePeer([[record('stored')]])});
+	await guard.waitForFormerIds('p', 0);
+	t.is(begin('stored'), BeginResultKind.Unknown);
+	t.is(begin('new'), BeginResultKind.Fresh);
+	const silent = setUp(tables, {far: new FakePeer()});
+	await silent.guard.waitForFormerIds('p', 0);
+	t.is(silent.begin('new'), BeginResultKind.Unknown);
+	const restarted = setUp(tables, {far: makeRestartedPeer()});
+	await restarted.guard.waitForFormerIds('p', 0);
+	t.is(restarted.begin('new'), BeginResultKind.Unknown);
+});
+
+test('an instance that leaves gives its ids and those of later requests to a member of another domain', async t => {
+	const tables = makeTables([makeInstanceRow('self', 'a'), makeInstanceRow('near', 'a'), makeInstanceRow('far', 'c')], [], []);
+	const near = new FakePeer();
+	const far = new FakePeer();
+	const {guard, begin} = setUp(tables, {near, far});
+	begin('earlier');
+	t.is(await guard.handOverOwnIds(), 'far');
+	t.true(await guard.backUp(request));
+	t.deepEqual(far.stored, ['earlier', 'r']);
+	t.deepEqual(near.stored, []);
+	far.isStoring = false;
+	t.true(await guard.backUp({...request, id: 'later'}));
+	t.deepEqual(near.stored, ['later']);
+});
+
+test('an instance that leaves names no member that did not store its ids', async t => {
+	const rows = [makeInstanceRow('self', 'a'), makeInstanceRow('near', 'a')];
+	t.is(await setUp(makeTables(rows, [], []), {near: new FakePeer()}).guard.handOverOwnIds(), '');
+	const far = new FakePeer();
+	far.isStoring = false;
+	t.is(await setUp(makeTables([...rows, makeInstanceRow('far', 'c')], [], []), {near: new FakePeer(), far}).guard.handOverOwnIds(), '');
+});
+
 /** Returns a peer whose process was started again: another incarnation answers, and knows no ids. */
 function makeRestartedPeer(): FakePeer {
 	const peer = new FakePeer([[]]);
--- a/packages/router/src/entry/peer-at-most-once-guard.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.ts
@@ -59,6 +59,8 @@
 export class PeerAtMostOnceGuard extends AtMostOnceGuard {
 	private readonly acquired = new Map<string, AcquiredShard>();
 	private readonly removalTimes = new RemovalTimes();
+	/** Member of another failure domain that has all ids of this instance, once it leaves. */
+	private holder: InstanceRow | undefined;
 
 	constructor(private readonly options: PeerAtMostOnceGuardOptions) {
 		super();
@@ -106,6 +108,16 @@
 	override async backUp(request: RequestBackup): Promise<boolean> {
 		const {member, peers} = this.options;
 		const record = {...request, state: backupState, ageMs: 0};
+		if (this.holder !== undefined) {
+			if (await peers.get(this.holder.peerAddr).keepRequests(member().id, [record], callTimeoutMs)) {
+				return true;
+			}
+
+			this.holder = undefined;
+			member().clearIdsHolder();
+			logger.warn('The holder of the request ids of this instance does not answer; its ids have no copy in another failure domain.', {id: request.id});
+		}
+
 		for (const backup of this.backupInstances()) {
 			// One backup is enough; the next instance is asked only when this one fails.
 			// eslint-disable-next-line no-await-in-loop
@@ -126,9 +138,33 @@
 		return areStored.every(Boolean);
 	}
 
+	/**
+	 * Gives all ids of this instance, and from now on those of new requests, to a member of another failure domain before
+	 * this instance leaves: its successor and the instance with its backups may be the same process. Resolves to the id
+	 * of that member, empty if there is none.
+	 */
+	async handOverOwnIds(): Promise<string> {
+		const {member, peers, ids, clock} = this.options;
+		const {tables, id} = member();
+		const own = tables.instances.get(id)?.domain;
+		const holder = this.otherMembers().find(({domain}) => domain !== own);
+		if (holder === undefined) {
+			return '';
+		}
+
+		this.holder = holder;
+		const records = ids().exportAll(clock.now()).map(({answer, ...record}) => ({...record, attempt: ''}));
+		const areStored = await peers.get(holder.peerAddr).keepRequests(id, records, callTimeoutMs);
+		if (!areStored) {
+			this.holder = undefined;
+		}
+
+		return this.holder?.id ?? '';
+	}
+
 	override dropBackup({id, attempt}: RequestBackup): void {
 		const {member, peers} = this.options;
-		for (const backup of this.backupInstances()) {
+		for (const backup of this.holder === undefined ? this.backupInstances() : [this.holder, ...this.backupInstances()]) {
 			void peers.get(backup.peerAddr).dropRequest(member().id, id, attempt, callTimeoutMs);
 		}
 	}
@@ -150,16 +186,22 @@
 
 	/** Returns the members that may store backups: those of the own failure domain, or all others when there is none. */
 	private backupInstances(except = ''): InstanceRow[] {
-		const {member, clock} = this.options;
-		const current = member();
-		const now = clock.now();
+		const current = this.options.member();
 		const own = current.tables.instances.get(current.id)?.domain;
-		const others = [...current.tables.instances.values()]
-			.filter(row => row.state === InstanceState.Member && row.id !== current.id && row.id !== except && !current.isSuspected(row.id, now));
+		const others = this.otherMembers().filter(({id}) => id !== except);
 		const inDomain = others.filter(row => row.domain === own);
 		return inDomain.length > 0 ? inDomain : others;
 	}
 
+	/** Returns the other members that are not suspected. */
+	private otherMembers(): InstanceRow[] {
+		const {member, clock} = this.options;
+		const current = member();
+		const now = clock.now();
+		return [...current.tables.instances.values()]
+			.filter(row => row.state === InstanceState.Member && row.id !== current.id && !current.isSuspected(row.id, now));
+	}
+
 	/** Returns the shard if this instance is the steward of its owner. */
 	private findOwnedShard(pool: string, shard: number): OwnedShard | undefined {
 		const {tables, id} = this.options.member();
@@ -249,6 +291,10 @@
 			.filter(other => other.state === InstanceState.Member && other.id !== member().id);
 		const answers = await Promise.all(otherMembers.map(async other => ({other, isFetched: await this.fetchFrom(other, row.id, labels)})));
 		this.importRecords(labels.flatMap(label => backups.findByShard(row.id, label)));
+		if (row.idsHolder === member().id || answers.some(({other, isFetched}) => isFetched && other.id === row.idsHolder)) {
+			return true;
+		}
+
 		const inDomain = answers.filter(({other}) => other.domain === row.domain);
 		const needed = inDomain.length > 0 && !this.mayHaveMovedBackups(row) ? inDomain : answers;
 		return needed.every(({isFetched}) => isFetched) && !this.mayHaveLostBackups(row);
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -205,9 +205,9 @@
 		});
 	}
 
-	/** Starts handing everything over; `left` resolves when that is done. */
-	leave(idsHandedOver: boolean): void {
-		this.currentMember.leave(idsHandedOver);
+	/** Starts handing everything over; `left` resolves when that is done. The parameters are those of `Member.leave`. */
+	leave(idsHandedOver: boolean, idsHolder: string): void {
+		this.currentMember.leave(idsHandedOver, idsHolder);
 		this.scheduleTick();
 	}
 
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -122,7 +122,8 @@
 	async stop(): Promise<void> {
 		logger.info('Stopping.');
 		const drained = this.callerServer.drain();
-		this.host.leave(await this.guard.handOverBackups());
+		const idsHandedOver = await this.guard.handOverBackups();
+		this.host.leave(idsHandedOver, await this.guard.handOverOwnIds());
 		await Promise.race([Promise.all([drained, this.host.left]), sleep(stopTimeoutMs)]);
 		await this.waitUntilIdle();
 		await sleep(lingerMs);
