Late requests wait as long as they can be answered; Retry-After names a time with room

Load: hot keys, noisy machines, two or four slots a target, deadlines of two to six times the objective. Cause: a late request was refused once its expected wait exceeded half of its remaining time, or less than 60% of the time after its objective was left, to leave time for a retry in the same queue; and a caller whose time had run out was told to come back after 50 ms. Change: the wait of a late request is computed from the share of the capacity that requests in time leave; it is refused when that wait ends after its deadline, and told a time at which it could be answered, if need be after its deadline. Also: bluebellyard_returns_total counts what callers get that come back.

--- a/packages/core/src/admission/admission-queue.test.ts
+++ b/packages/core/src/admission/admission-queue.test.ts
@@ -82,6 +82,38 @@
 	t.true(refusal.retryAfterMs >= 300, `${refusal.retryAfterMs}`);
 });
 
+test('a refused caller is told to come back when its request could be answered', t => {
+	const queue = makeQueue(1);
+	for (let i = 0; i < 5; i += 1) {
+		queue.offer(request(0), 0);
+	}
+
+	// Four requests of 100 ms wait; those in time leave at least a part of the capacity to late ones.
+	const early = queue.offer(request(0, {objectiveAt: 100, deadline: 400}), 0).refusals[0];
+	t.true(early.retryAfterMs >= 400, `${early.retryAfterMs}`);
+	t.is(early.error, ErrorKind.DeadlineTooClose);
+});
+
+// It was told to come back after 50 ms, too late for any answer.
+test('a caller whose time has run out is told no time before its deadline', t => {
+	const queue = makeQueue(1);
+	queue.offer(request(0), 0);
+	queue.offer(request(0, {objectiveAt: 300, deadline: 600, workMs: 200}), 0);
+	const {refusals: [refusal]} = queue.tick(520);
+	t.is(refusal.error, ErrorKind.DeadlinePassed);
+	t.true(520 + refusal.retryAfterMs >= 600, `${refusal.retryAfterMs}`);
+});
+
+// Half of its time was kept for a retry in the same queue, although it could be answered late.
+test('a late request waits as long as it can be expected to be answered', t => {
+	const queue = makeQueue(1);
+	for (let i = 0; i < 6; i += 1) {
+		queue.offer(request(0, {objectiveAt: 2500}), 0);
+	}
+
+	t.deepEqual(queue.offer(request(0, {objectiveAt: 300, deadline: 1350}), 0).refusals, []);
+});
+
 test('a request without a usable target is refused', t => {
 	const queue = makeQueue(1);
 	t.is(queue.offer(request(0, {excluded: new Set(['a'])}), 0).refusals[0].error, ErrorKind.NoTarget);
--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -50,14 +50,11 @@
 /** Factor by which a request may take longer than expected and still meet its objective. */
 const workMargin = 1.25;
 
-/**
- * Largest share of the remaining time that a late request may be expected to need; beyond it, the request is refused at once.
- * The expected wait is too short, since requests that can still meet their objective overtake late ones.
- */
-const maxLateWaitShare = 0.5;
+/** Half-life of the measured load of requests in time, in milliseconds; about the time in which a queue drains. */
+const loadHalfLifeMs = 1000;
 
-/** A late request is refused when less than this share of the time between objective and deadline remains, so that its caller has enough time to retry. */
-const minRemainingShare = 0.6;
+/** Least share of the capacity that is assumed to be left for late requests, which those in time overtake. */
+const minLateShare = 0.3;
 
 /** Bounds of the retry delay that callers are given, in milliseconds. */
 const minRetryAfterMs = 50;
@@ -73,6 +70,9 @@
 export class AdmissionQueue {
 	private readonly targets = new Map<string, TargetLimiter>();
 	private readonly waiting = new Map<string, QueuedRequest>();
+	/** Work of the requests in time that were admitted recently, as an exponentially decaying sum in milliseconds. */
+	private recentWorkMs = 0;
+	private recentWorkAt = 0;
 
 	/** Number of waiting requests. */
 	get queued(): number {
@@ -125,6 +125,7 @@
 			return {starts: [], refusals: [refusal]};
 		}
 
+		this.recordAdmission(request, now);
 		this.waiting.set(request.id, request);
 		return this.tick(now);
 	}
@@ -226,13 +227,30 @@
 		}
 
 		const wait = this.estimateWait(other => precedes(other, request, now), now);
-		const left = request.deadline - now;
+		const lateWait = wait / this.lateShare(now);
 		const isInTime = now + wait + quickest <= request.objectiveAt;
-		if (isInTime || (wait + quickest <= left * maxLateWaitShare)) {
+		if (isInTime || now + lateWait + quickest <= request.deadline) {
 			return undefined;
 		}
 
-		return createRefusal(request, ErrorKind.DeadlineTooClose, wait);
+		return createRefusal(request, ErrorKind.DeadlineTooClose, timeToRoom(request, lateWait + quickest, now));
+	}
+
+	private recordAdmission(request: QueuedRequest, now: number): void {
+		this.decayRecentWork(now);
+		this.recentWorkMs += isLate(request, now) ? 0 : request.workMs;
+	}
+
+	private decayRecentWork(now: number): void {
+		this.recentWorkMs *= 0.5 ** ((now - this.recentWorkAt) / loadHalfLifeMs);
+		this.recentWorkAt = now;
+	}
+
+	/** Returns the share of the capacity that requests in time leave for late ones. */
+	private lateShare(now: number): number {
+		this.decayRecentWork(now);
+		const load = this.recentWorkMs * Math.LN2 / loadHalfLifeMs;
+		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, this.capacity())));
 	}
 
 	private nextStart(now: number): RequestStart | undefined {
@@ -258,25 +276,24 @@
 		return {request, limiter: limiters.toSorted((a, b) => targetCost(a) - targetCost(b))[0]};
 	}
 
-	/** Refuses requests that became late while they waited and are unlikely to be answered, early enough for the caller to retry. */
+	/** Refuses requests that became late while they waited and can't be expected to be answered any more. */
 	private refuseUnlikely(now: number): RequestRefusal[] {
 		const refusals: RequestRefusal[] = [];
 		if (this.waiting.size === 0) {
 			return refusals;
 		}
 
-		const capacity = this.capacity();
+		const capacity = Math.max(minCapacity, this.capacity());
+		const lateShare = this.lateShare(now);
 		const queue = [...this.waiting.values()].toSorted((a, b) => precedes(a, b, now) ? -1 : 1);
 		let ahead = 0;
 		for (const request of queue) {
-			const wait = ahead / Math.max(capacity, minCapacity);
+			const wait = ahead / capacity / lateShare;
 			const isTooLate = now + (request.workMs / 2) > request.deadline;
-			const left = request.deadline - now;
-			const hasLittleTime = left < (request.deadline - request.objectiveAt) * minRemainingShare;
-			const isUnlikely = isLate(request, now) && (hasLittleTime || wait + request.workMs > left * maxLateWaitShare);
+			const isUnlikely = isLate(request, now) && now + wait + request.workMs > request.deadline;
 			if (isTooLate || isUnlikely) {
 				this.waiting.delete(request.id);
-				refusals.push(createRefusal(request, ErrorKind.DeadlinePassed, wait));
+				refusals.push(createRefusal(request, ErrorKind.DeadlinePassed, timeToRoom(request, wait + request.workMs, now)));
 			} else {
 				ahead += request.workMs;
 			}
@@ -324,6 +341,12 @@
 	return lateA ? a.deadline < b.deadline : a.objectiveAt < b.objectiveAt;
 }
 
+/** Returns the time after which a refused request could be answered if it came back, in milliseconds: after its deadline if that is not possible before. */
+function timeToRoom(request: QueuedRequest, neededMs: number, now: number): number {
+	const leftMs = request.deadline - now;
+	return neededMs <= leftMs ? neededMs - request.workMs : Math.max(neededMs, leftMs);
+}
+
 function createRefusal(request: QueuedRequest, error: ErrorKind, waitMs: number): RequestRefusal {
 	const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
 	return {request, error, retryAfterMs};
--- /dev/null
+++ b/packages/core/src/mocks/index.ts
@@ -0,0 +1,1 @@
+export * from './keyed-service.js';
--- /dev/null
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -0,0 +1,321 @@
+/**
+ * Plays the load of one sharded service without a network: targets of different speed whose machines are noisy, a
+ * dispatch queue each, callers that come back after a refusal, and a leader that moves keys by the measured load.
+ */
+import {
+	AdmissionQueue, AttemptOutcome, WorkEstimator, type QueueDecision, type RequestStart,
+} from '../admission/index.js';
+import {
+	KeyLoad, keyCount, OwnershipMap, planKeyMoves, type EligibleOwner, type KeyMove, type KeyRates,
+} from '../keyspace/index.js';
+import {seededRandom} from '../random/index.js';
+
+/** A kind of request. Times are milliseconds. */
+export type PlayedRoute = {
+	readonly name: string;
+	readonly perSecond: number;
+	readonly workMs: number;
+	/** Standard deviation of the logarithm of the work. */
+	readonly spread: number;
+	readonly objectiveMs: number;
+	readonly timeoutMs: number;
+	readonly priority: number;
+};
+
+/** A time in which a share of the requests is for a run of adjacent keys. */
+export type HotRun = {
+	readonly fromMs: number;
+	readonly toMs: number;
+	readonly share: number;
+	readonly firstKey: number;
+	readonly keys: number;
+};
+
+/** The load and the targets. */
+export type KeyedServiceCfg = {
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Speed of each target; 1 is normal. */
+	readonly speeds: readonly number[];
+	readonly slots: number;
+	/** Share of the time in which a machine is slow, and by which factor. */
+	readonly noise: {readonly share: number; readonly factor: number; readonly windowMs: number};
+	readonly routes: readonly PlayedRoute[];
+	/** Exponent by which the popularity of keys falls with their rank; busy keys are adjacent. */
+	readonly skew: number;
+	readonly hotRuns: readonly HotRun[];
+	/** Number of times that a caller comes back after a refusal. */
+	readonly retries: number;
+	/** Whether any target may serve any request, as the bound for all placements. */
+	readonly isPooled?: boolean;
+};
+
+/** What callers got, as shares of all callers, and what it cost. */
+export type KeyedServiceResult = {
+	readonly inTime: number;
+	readonly late: number;
+	readonly unserved: number;
+	/** Callers that were refused, came back at the time that they were given, and were refused again, as a share of those that came back. */
+	readonly refusedAgain: number;
+	readonly moves: number;
+	readonly busiestToMean: number;
+};
+
+type Caller = {
+	readonly route: PlayedRoute;
+	readonly key: number;
+	readonly firstAt: number;
+	readonly workMs: number;
+	attempts: number;
+	/** Whether it came back at the time that it was given; it waits no longer than a third of its remaining time. */
+	hasWaited: boolean;
+};
+
+type Server = {
+	readonly id: string;
+	readonly speed: number;
+	readonly queue: AdmissionQueue;
+	readonly slowWindows: Set<number>;
+	arrivals: number;
+};
+
+type Closure = {readonly move: KeyMove; readonly until: number};
+
+const tickMs = 5;
+/** Time after the last arrival until which requests and callers that come back are played. */
+const tailMs = 3000;
+const planIntervalMs = 500;
+/** Interval at which instances report the requested keys to the leader. */
+const reportIntervalMs = 300;
+/** Time in which a moved range is closed. */
+const handoverMs = 150;
+const distinctKeys = 60_000;
+
+/** Plays one load. */
+export class KeyedService {
+	private readonly random: () => number;
+	private readonly servers: Server[];
+	private readonly estimator = new WorkEstimator();
+	private readonly load = new KeyLoad();
+	private map: OwnershipMap;
+	private readonly callers = new Map<string, Caller>();
+	private readonly running: Array<{readonly server: Server; readonly start: RequestStart; readonly startedAt: number; readonly endsAt: number}> = [];
+	private returns: Array<{readonly at: number; readonly caller: Caller}> = [];
+	private closures: Closure[] = [];
+	private reported: Array<readonly [key: number, workMs: number]> = [];
+	private nextId = 1;
+	private moves = 0;
+	private readonly counts = {
+		callers: 0, inTime: 0, late: 0, unserved: 0, cameBack: 0, refusedAgain: 0,
+	};
+
+	constructor(private readonly cfg: KeyedServiceCfg) {
+		this.random = seededRandom(cfg.seed);
+		const shared = new AdmissionQueue();
+		this.servers = cfg.speeds.map((speed, i) => ({
+			id: `t${i}`, speed, queue: cfg.isPooled === true ? shared : new AdmissionQueue(), slowWindows: this.drawSlowWindows(), arrivals: 0,
+		}));
+		for (const {id, queue} of this.servers) {
+			queue.setTarget({id, slots: cfg.slots, coldRate: 1000});
+		}
+
+		this.map = OwnershipMap.empty().assign(planKeyMoves(OwnershipMap.empty(), this.owners(), []), 1);
+	}
+
+	/** Plays the whole duration. */
+	run(): KeyedServiceResult {
+		const {durationMs, routes} = this.cfg;
+		let fence = 2;
+		for (let now = 0; now < durationMs + tailMs; now += tickMs) {
+			this.endRequests(now);
+			if (now < durationMs) {
+				for (const route of routes) {
+					for (let n = this.draw(route.perSecond * tickMs / 1000); n > 0; n -= 1) {
+						this.arrive(route, now);
+					}
+				}
+			}
+
+			const due = this.returns.filter(({at}) => at <= now);
+			this.returns = this.returns.filter(({at}) => at > now);
+			for (const {caller} of due) {
+				this.offer(caller, now);
+			}
+
+			if (now % reportIntervalMs === 0) {
+				for (const [key, workMs] of this.reported) {
+					this.load.add(key, workMs, now);
+				}
+
+				this.reported = [];
+			}
+
+			if (now % planIntervalMs === 0 && now > 0 && this.cfg.isPooled !== true) {
+				this.plan(now, fence);
+				fence += 1;
+			}
+
+			for (const server of this.servers) {
+				this.apply(server, server.queue.tick(now), now);
+			}
+		}
+
+		const {callers, inTime, late, unserved, cameBack, refusedAgain} = this.counts;
+		const arrivals = this.servers.map(server => server.arrivals);
+		return {
+			inTime: inTime / callers,
+			late: late / callers,
+			unserved: unserved / callers,
+			refusedAgain: cameBack === 0 ? 0 : refusedAgain / cameBack,
+			moves: this.moves,
+			busiestToMean: Math.max(...arrivals) / (arrivals.reduce((sum, n) => sum + n, 0) / arrivals.length),
+		};
+	}
+
+	private owners(): EligibleOwner[] {
+		return this.servers.map(({id, queue}) => ({id, capacity: queue.target(id)!.capacity}));
+	}
+
+	private plan(now: number, fence: number): void {
+		const rates: KeyRates = this.load.rates(now);
+		const moves = planKeyMoves(this.map, this.owners(), rates);
+		if (moves.length > 0) {
+			this.moves += moves.length;
+			this.map = this.map.assign(moves, fence);
+			this.closures = [...this.closures.filter(({until}) => until > now), ...moves.map(move => ({move, until: now + handoverMs}))];
+		}
+	}
+
+	private arrive(route: PlayedRoute, now: number): void {
+		const workMs = route.workMs * Math.exp((this.gauss() * route.spread) - ((route.spread ** 2) / 2));
+		const caller = {
+			route, key: this.drawKey(now), firstAt: now, workMs, attempts: 0, hasWaited: false,
+		};
+		this.counts.callers += 1;
+		this.offer(caller, now);
+	}
+
+	private offer(caller: Caller, now: number): void {
+		const {route, key, firstAt} = caller;
+		const closure = this.closures.find(({move, until}) => until > now && key >= move.from && key <= move.to);
+		if (closure !== undefined) {
+			this.returns.push({at: closure.until, caller});
+			return;
+		}
+
+		const id = String(this.nextId++);
+		const expectedMs = this.estimator.estimate(route.name, route.objectiveMs);
+		const {owner} = this.map.findByKey(key);
+		const server = this.servers.find(candidate => candidate.id === owner)!;
+		server.arrivals += 1;
+		this.callers.set(id, caller);
+		this.reported.push([key, expectedMs]);
+		this.apply(server, server.queue.offer({
+			id, priority: route.priority, objectiveAt: firstAt + route.objectiveMs, deadline: firstAt + route.timeoutMs, workMs: expectedMs,
+		}, now), now);
+	}
+
+	private apply(queueServer: Server, {starts, refusals}: QueueDecision, now: number): void {
+		for (const start of starts) {
+			const server = this.cfg.isPooled === true ? this.servers.find(({id}) => id === start.limiter.id)! : queueServer;
+			const {workMs} = this.callers.get(start.request.id)!;
+			this.running.push({
+				server, start, startedAt: now, endsAt: this.findEnd(server, now, workMs / server.speed),
+			});
+		}
+
+		for (const {request: {id}, retryAfterMs} of refusals) {
+			const caller = this.callers.get(id)!;
+			caller.attempts += 1;
+			const leftMs = caller.firstAt + caller.route.timeoutMs - now;
+			if (caller.hasWaited) {
+				this.counts.refusedAgain += 1;
+			}
+
+			if (caller.attempts <= this.cfg.retries && leftMs > 0) {
+				caller.hasWaited = retryAfterMs <= leftMs / 3;
+				this.counts.cameBack += caller.hasWaited ? 1 : 0;
+				this.returns.push({at: now + Math.min(retryAfterMs, leftMs / 3), caller});
+			} else {
+				caller.hasWaited = false;
+				this.counts.unserved += 1;
+			}
+		}
+	}
+
+	private endRequests(now: number): void {
+		for (const run of this.running.filter(({endsAt}) => endsAt <= now)) {
+			this.running.splice(this.running.indexOf(run), 1);
+			const {server, start: {request: {id, workMs}, limiter}, startedAt, endsAt} = run;
+			const {route, firstAt} = this.callers.get(id)!;
+			const tookMs = endsAt - startedAt;
+			limiter.slowness.setReportedSlowdown(this.slowdown(server, now));
+			const isAnswered = endsAt <= firstAt + route.timeoutMs;
+			if (isAnswered) {
+				this.counts[endsAt <= firstAt + route.objectiveMs ? 'inTime' : 'late'] += 1;
+				this.estimator.record(route.name, route.objectiveMs, tookMs / limiter.slowness.factor);
+			} else {
+				this.counts.unserved += 1;
+			}
+
+			this.apply(server, server.queue.finish(limiter, isAnswered ? AttemptOutcome.Answered : AttemptOutcome.TimedOut, tookMs / workMs, now), now);
+		}
+	}
+
+	/** Returns when a request ends that needs the given time on a machine without noise. */
+	private findEnd(server: Server, now: number, neededMs: number): number {
+		let left = neededMs;
+		let at = now;
+		while (left > 0) {
+			const slowdown = this.slowdown(server, at);
+			const windowEnd = (Math.floor(at / this.cfg.noise.windowMs) + 1) * this.cfg.noise.windowMs;
+			const done = (windowEnd - at) / slowdown;
+			if (done >= left) {
+				return at + (left * slowdown);
+			}
+
+			left -= done;
+			at = windowEnd;
+		}
+
+		return at;
+	}
+
+	private slowdown({slowWindows}: Server, now: number): number {
+		return slowWindows.has(Math.floor(now / this.cfg.noise.windowMs)) ? this.cfg.noise.factor : 1;
+	}
+
+	private drawSlowWindows(): Set<number> {
+		const {durationMs, noise} = this.cfg;
+		const windows = Array.from({length: Math.ceil((durationMs + 10_000) / noise.windowMs)}, (_, i) => i);
+		return new Set(windows.filter(() => this.random() < noise.share));
+	}
+
+	private drawKey(now: number): number {
+		const {hotRuns, skew} = this.cfg;
+		const hot = hotRuns.find(({fromMs, toMs}) => now >= fromMs && now < toMs);
+		if (hot !== undefined && this.random() < hot.share) {
+			return hot.firstKey + Math.floor(this.random() * hot.keys);
+		}
+
+		// The sum of the weights of the first n ranks grows with n ** (1 - skew).
+		const rank = Math.floor(distinctKeys * (this.random() ** (1 / (1 - skew))));
+		return Math.min(keyCount - 1, Math.floor(rank * keyCount / distinctKeys));
+	}
+
+	/** Draws a number of arrivals by the Poisson distribution. */
+	private draw(mean: number): number {
+		let product = this.random();
+		let n = 0;
+		while (product > Math.exp(-mean)) {
+			product *= this.random();
+			n += 1;
+		}
+
+		return n;
+	}
+
+	private gauss(): number {
+		return Math.sqrt(-2 * Math.log(this.random())) * Math.cos(2 * Math.PI * this.random());
+	}
+}
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -26,6 +26,13 @@
 /** Retry delay reported while this instance has no configuration, in milliseconds. */
 const startingRetryMs = 400;
 
+type Outcome = {
+	readonly result: OrderResult;
+	readonly route?: HostRoute;
+	/** Whether the caller had been refused before, as far as the remaining time tells. */
+	readonly hasReturned?: boolean;
+};
+
 /** Options of the server. */
 export type CallerServerOptions = {
 	readonly view: View;
@@ -111,9 +118,12 @@
 		this.openRequests += 1;
 		const headers = wire.readCaller(req.headers);
 		try {
-			const {result, route} = await this.answer(req, headers, arrivedAt, abort);
+			const {result, route, hasReturned} = await this.answer(req, headers, arrivedAt, abort);
 			this.send(res, req, result);
 			this.recordResult(headers, route, result, clock.now() - arrivedAt);
+			if (hasReturned === true) {
+				telemetry.metrics.returns.inc({result: describeReturn(result)});
+			}
 		} catch (err) {
 			telemetry.error('front', 'Request failed inside the gateway.', {id: headers.requestId, err});
 			sendFailure(res, failure(ErrorKind.Internal, {isNotRun: false}));
@@ -123,7 +133,7 @@
 		}
 	}
 
-	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: AbortController): Promise<{result: OrderResult; route?: HostRoute}> {
+	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: AbortController): Promise<Outcome> {
 		const {view, dispatcher, clock} = this.options;
 		const {signal} = abort;
 		if (view.configVersion === undefined) {
@@ -159,7 +169,7 @@
 				resolve(outcome);
 			});
 		});
-		return {route, result};
+		return {route, result, hasReturned: order.objectiveAt - order.arrivedAt < order.objectiveMs};
 	}
 
 	private toOrder(req: IncomingMessage, {headers, route, body, arrivedAt}: {headers: CallerHeaders; route: HostRoute; body: Buffer; arrivedAt: number}): Order {
@@ -248,6 +258,15 @@
 	}
 }
 
+/** Returns the label of the result of a request whose caller had been refused before. */
+function describeReturn(result: OrderResult): string {
+	if (result.kind === 'answer') {
+		return 'answered';
+	}
+
+	return result.isNotRun ? 'refused' : 'failed';
+}
+
 function targetField({target}: FailedResult): {target: string | undefined} {
 	return {target};
 }
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -23,6 +23,13 @@
 		registers: [this.registry],
 	});
 
+	readonly returns = new Counter({
+		name: 'bluebellyard_returns_total',
+		help: 'Requests of callers that had been refused before, by result: answered, refused or failed.',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
