A leader that was lost for good is waited for once, not anew by each later leader

The leader was removed for good at 3 s. Each later leader counted 12 s and a lease for it from its own start, and the terms after it (restarts, a cut domain, all instances killed) were shorter than that or met a store that was away when the wait ended: no key that was on its way could be granted for 30 s. Change: a leader tells in its pings until when the leaders before it may send grants; a candidate uses what it was told by the recorded leader, or asks the other instances if it has restarted, and leaves those out of its record whose last grants have expired. Nothing is used of any other leader than the recorded one, nor after a return of the store. Ruled out: a shorter grace for cut-off leaders (the wait itself is needed once); the register as a sign that a leader has ended (it keeps the entries of removed machines).

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -11,17 +11,18 @@
 import type {NodeInfo} from '../view/index.js';
 import {Directory} from './directory.js';
 import {
-	ElectionOutcome, LeaderElection, leaderTimeoutMs, maxLeaderStoreAgeMs, type ElectionResult,
+	ElectionOutcome, LeaderElection, leaderTimeoutMs, maxLeaderStoreAgeMs, type ElectionResult, type WonElection,
 } from './leader-election.js';
 import {electionDelayMs} from './election-delay.js';
+import {FollowedLeader} from './followed-leader.js';
 import {Leader} from './leader.js';
 import {
-	isSameState, PeerOp, unpackDelta, type LeaderQueryReply, type NotOwnerReport, type Ping, type Pong, type Report, type ViewState,
+	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type NotOwnerReport, type Ping, type Pong, type Report, type ViewState,
 } from './messages.js';
 import {KnownInstances, type KnownInstancesOptions} from './known-instances.js';
 import {FeedReader} from './feed-reader.js';
-import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
-import {OwnerLog, type OwnerState} from './owner-log.js';
+import {compareLeaderships, type Leadership} from './leader-record.js';
+import {OwnerLog} from './owner-log.js';
 import {Registration} from './registration.js';
 
 /** Interval between two ticks, in milliseconds. */
@@ -67,15 +68,7 @@
 	private readonly election: LeaderElection;
 	private leader: Leader | undefined;
 	private leadingSince = Number.NEGATIVE_INFINITY;
-	/** Leadership that this instance last followed; term 0 before the first one. */
-	private followed: Leadership = {era: 0, term: 0};
-	private leaderNode: NodeInfo | undefined;
-	/** Time of the last ping of the leader. */
-	private lastPingAt: number;
-	private leaderStoreAgeMs = 0;
-	/** Time of the leader's last successful read of the targets' records. */
-	private targetsReadAt: number | undefined;
-	private followingSince = Number.NEGATIVE_INFINITY;
+	private readonly followed: FollowedLeader;
 	/** State of the view; undefined if it does not match any state that a leader sent. */
 	private viewState: ViewState | undefined;
 	private isElecting = false;
@@ -95,7 +88,7 @@
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
 		});
-		this.lastPingAt = clock.now();
+		this.followed = new FollowedLeader(clock.now());
 		this.nextElectionAt = clock.now() + this.drawElectionDelayMs();
 	}
 
@@ -106,12 +99,12 @@
 
 	/** Leadership that this instance holds or follows; term 0 before the first one. */
 	private get leadership(): Leadership {
-		return this.leader?.leadership ?? this.followed;
+		return this.leader?.leadership ?? this.followed.leadership;
 	}
 
 	/** Time since the last ping of the leader, in milliseconds; 0 on the leader. */
 	get leaderContactAgeMs(): number {
-		return this.isLeader ? 0 : this.options.clock.now() - this.lastPingAt;
+		return this.isLeader ? 0 : this.options.clock.now() - this.followed.lastPingAt;
 	}
 
 	/** Registers this instance and starts to follow a leader. */
@@ -145,8 +138,8 @@
 	reportNotOwner(report: NotOwnerReport): void {
 		if (this.leader !== undefined) {
 			this.leader.handleNotOwner(report);
-		} else if (this.leaderNode !== undefined) {
-			this.options.net.call(this.leaderNode.addr, PeerOp.Disowned, report).catch((err: unknown) => {
+		} else if (this.followed.node !== undefined) {
+			this.options.net.call(this.followed.node.addr, PeerOp.Disowned, report).catch((err: unknown) => {
 				this.options.telemetry.warn('follower', 'A key that its owner does not hold could not be reported to the leader.', {...report, err});
 			});
 		}
@@ -197,8 +190,8 @@
 			return;
 		}
 
-		const hasLeaderTimedOut = now - this.lastPingAt > leaderTimeoutMs || this.leadership.term === 0;
-		const hasStaleLeader = this.leaderStoreAgeMs > maxLeaderStoreAgeMs && now - this.followingSince > minFollowMs;
+		const hasLeaderTimedOut = now - this.followed.lastPingAt > leaderTimeoutMs || this.leadership.term === 0;
+		const hasStaleLeader = this.followed.storeAgeMs > maxLeaderStoreAgeMs && now - this.followed.since > minFollowMs;
 		if (!this.isLeaving && (hasLeaderTimedOut || hasStaleLeader) && now >= this.nextElectionAt) {
 			void this.elect(false);
 		}
@@ -243,22 +236,16 @@
 		const {era, term} = ping;
 		const order = compareLeaderships(ping, this.leadership);
 		if (order >= 0) {
-			if (order > 0 || this.leaderNode?.name !== ping.leader.name) {
+			const wasStoreFresh = this.followed.storeAgeMs <= maxLeaderStoreAgeMs;
+			if (this.followed.recordPing(ping, clock.now())) {
 				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, era, term});
-				this.followingSince = clock.now();
 			}
 
-			const wasStoreFresh = this.leaderStoreAgeMs <= maxLeaderStoreAgeMs;
-			this.followed = {era, term};
-			this.leaderNode = ping.leader;
 			if (this.leader !== undefined) {
 				this.stepDown('another instance leads');
 			}
 
 			this.reader.stop();
-			this.lastPingAt = clock.now();
-			this.leaderStoreAgeMs = ping.storeAgeMs;
-			this.targetsReadAt = clock.now() - ping.targetsAgeMs;
 			if (wasStoreFresh && ping.storeAgeMs > maxLeaderStoreAgeMs) {
 				this.nextElectionAt = clock.now() + (this.drawElectionDelayMs() / 2);
 			}
@@ -282,7 +269,8 @@
 			...this.leadership,
 			isLeader: this.isLeader,
 			heardAgeMs: this.leaderContactAgeMs,
-			storeAgeMs: this.leader?.storeAgeMs ?? this.leaderStoreAgeMs,
+			storeAgeMs: this.leader?.storeAgeMs ?? this.followed.storeAgeMs,
+			formerEndsMs: toFormerEnds(this.leader?.formerSendEnds ?? this.followed.formerSendEnds, this.options.clock.now()),
 		};
 	}
 
@@ -297,7 +285,7 @@
 		this.nextElectionAt = clock.now() + retryDelayMs + this.drawElectionDelayMs();
 		try {
 			const result = await this.election.stand({
-				isSuccessor, leadership: this.leadership, leaderName: this.leaderNode?.name, contactAgeMs: this.leaderContactAgeMs,
+				isSuccessor, leadership: this.leadership, leaderName: this.followed.node?.name, contactAgeMs: this.leaderContactAgeMs, knownEnds: this.followed.formerSendEnds,
 			});
 			await this.applyElectionResult(result);
 		} catch (err) {
@@ -318,15 +306,13 @@
 
 		switch (result.outcome) {
 			case ElectionOutcome.Won: {
-				await this.startTerm(result.record, result.state);
+				await this.startTerm(result);
 				break;
 			}
 
 			case ElectionOutcome.OtherElected: {
 				// The new leader will send a ping.
-				this.followed = result.leadership;
-				this.lastPingAt = this.options.clock.now();
-				this.leaderStoreAgeMs = 0;
+				this.followed.recordElected(result.leadership, this.options.clock.now());
 				break;
 			}
 
@@ -340,7 +326,7 @@
 		}
 	}
 
-	private async startTerm(record: LeaderRecord, state: OwnerState): Promise<void> {
+	private async startTerm({record, state, knownEnds}: WonElection): Promise<void> {
 		const {self, view, clock, telemetry} = this.options;
 		telemetry.info('leader', 'This instance became leader.', {
 			era: record.era,
@@ -352,12 +338,13 @@
 			end: state.end,
 			isRecovering: record.isRecovering,
 		});
-		const wasStoreUnreachable = clock.now() - this.storeFailedAt < leaderTimeoutMs || this.leaderStoreAgeMs > maxLeaderStoreAgeMs;
+		const wasStoreUnreachable = clock.now() - this.storeFailedAt < leaderTimeoutMs || this.followed.storeAgeMs > maxLeaderStoreAgeMs;
 		this.leadingSince = clock.now();
-		this.leaderNode = self;
+		this.followed.node = self;
 		const leader = new Leader({
 			...this.options,
 			record,
+			knownEnds,
 			ownerLog: this.ownerLog,
 			directory: this.directory,
 			reader: this.reader,
@@ -369,7 +356,7 @@
 		}, state);
 		this.leader = leader;
 		this.reader.stop();
-		this.reader.start(wasStoreUnreachable ? this.targetsReadAt : undefined);
+		this.reader.start(wasStoreUnreachable ? this.followed.targetsReadAt : undefined);
 		view.store.set(`node/${self.name}`, self);
 		for (const node of this.knownInstances.all()) {
 			leader.addNode(node);
@@ -387,12 +374,16 @@
 		if (this.leader !== undefined) {
 			const {leadership} = this.leader;
 			this.viewState = {leader: this.options.self.incarnation, term: leadership.term, seq: this.options.view.store.lastSeq};
-			this.followed = compareLeaderships(this.followed, leadership) > 0 ? this.followed : leadership;
+			if (compareLeaderships(leadership, this.followed.leadership) > 0) {
+				this.followed.leadership = leadership;
+				this.followed.formerSendEnds = this.leader.formerSendEnds;
+			}
+
 			this.leader.stop();
 		}
 
 		this.leader = undefined;
 		this.reader.stop();
-		this.lastPingAt = this.options.clock.now();
+		this.followed.lastPingAt = this.options.clock.now();
 	}
 }
--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -49,6 +49,7 @@
 		telemetry: new Telemetry(clock),
 		baseState,
 		targetsReadAt: () => 0,
+		formerSendEnds: () => new Map(),
 		isLeaving: () => false,
 		onPong() {
 			// The reports are not used here.
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -6,9 +6,10 @@
 import {noBytes, type PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo, View} from '../view/index.js';
+import type {SendEnds} from './former-leaders.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {
-	isSameState, packDelta, PeerOp, type Ping, type Pong, type ViewState,
+	isSameState, packDelta, toFormerEnds, PeerOp, type Ping, type Pong, type ViewState,
 } from './messages.js';
 
 /** Interval between two pings to an instance while nothing changes, in milliseconds. */
@@ -47,6 +48,8 @@
 	readonly isLeaving: () => boolean;
 	/** Returns the monotonic time at which the last successful read of the targets' records began, in milliseconds. */
 	readonly targetsReadAt: () => number;
+	/** Returns the latest times at which former leaders may send a grant. */
+	readonly formerSendEnds: () => SendEnds;
 	/** Called for each answer to a ping. */
 	readonly onPong: (node: NodeInfo, pong: Pong) => void;
 };
@@ -153,6 +156,7 @@
 			leader: self,
 			storeAgeMs: Math.round(storeAgeMs),
 			targetsAgeMs: Math.round(clock.now() - this.options.targetsReadAt()),
+			formerEndsMs: toFormerEnds(this.options.formerSendEnds(), clock.now()),
 			base: since === undefined ? undefined : follower.viewState,
 			seq: view.store.lastSeq,
 		};
--- a/packages/gateway/src/cluster/former-leaders.test.ts
+++ b/packages/gateway/src/cluster/former-leaders.test.ts
@@ -22,6 +22,16 @@
 	t.is(formers.leaseEnd, leaseExpiry(1200, timing));
 });
 
+// The wait for a leader that was removed for good started anew with each later leader.
+test('a leader of two terms ago is not waited for longer than the last leader did', t => {
+	const knownEnds = new Map([['a', -3000], ['b', 40_000]]);
+	const formers = new FormerLeaders(['a', 'b', 'c'], timing, {...start, knownEnds});
+	t.deepEqual([...formers.sendEnds], [['a', -3000], ['b', 1000 + leaderGraceMs], ['c', 1000 + leaderGraceMs]]);
+	formers.markFollowing('b', 1200);
+	formers.markFollowing('c', 1200);
+	t.is(formers.leaseEnd, leaseExpiry(1200, timing));
+});
+
 test('a leader of two terms ago may still send grants', t => {
 	const formers = new FormerLeaders(['a', 'b'], timing, start);
 	formers.markFollowing('b', 1200);
--- a/packages/gateway/src/cluster/former-leaders.ts
+++ b/packages/gateway/src/cluster/former-leaders.ts
@@ -3,12 +3,17 @@
 /** Time for which a leader that can't reach the store still renews existing grants, in milliseconds. */
 export const leaderGraceMs = 12_000;
 
+/** Latest times at which former leaders may send a grant, by their names, as monotonic times of this process in milliseconds. */
+export type SendEnds = ReadonlyMap<string, number>;
+
 /** Circumstances in which a term began. */
 export type TermStart = {
 	/** Monotonic time of the start. */
 	readonly now: number;
 	/** Whether there was a leader before, which may have been a former process of this instance. */
 	readonly hadLeader: boolean;
+	/** What the last leader told of the leaders before it. Without it, all of them may send grants as long as the last one. */
+	readonly knownEnds?: SendEnds;
 };
 
 /**
@@ -18,15 +23,15 @@
  */
 export class FormerLeaders {
 	/** Latest time at which a former leader may send a grant, by its name. */
-	private readonly sendEnds: Map<string, number>;
+	private readonly ends: Map<string, number>;
 	private readonly ownSendEnd: number;
 	private readonly timing: LeaseTiming;
 	private readonly startedAt: number;
 
-	constructor(names: readonly string[], timing: LeaseTiming, {now, hadLeader}: TermStart) {
+	constructor(names: readonly string[], timing: LeaseTiming, {now, hadLeader, knownEnds}: TermStart) {
 		this.timing = timing;
 		this.startedAt = now;
-		this.sendEnds = new Map(names.map(name => [name, now + leaderGraceMs]));
+		this.ends = new Map(names.map(name => [name, Math.min(now + leaderGraceMs, knownEnds?.get(name) ?? Number.POSITIVE_INFINITY)]));
 		// A former process of this instance sends no more grants, but it may have sent the last ones immediately before this start.
 		this.ownSendEnd = hadLeader ? now : Number.NEGATIVE_INFINITY;
 	}
@@ -41,22 +46,27 @@
 		return this.sendEnd + this.timing.transitMs;
 	}
 
+	/** Latest times at which the former leaders may send a grant. */
+	get sendEnds(): SendEnds {
+		return this.ends;
+	}
+
 	/** Adds an instance that may have led before the start unless it is known already. */
 	add(name: string): void {
-		if (!this.sendEnds.has(name)) {
-			this.sendEnds.set(name, this.startedAt + leaderGraceMs);
+		if (!this.ends.has(name)) {
+			this.ends.set(name, this.startedAt + leaderGraceMs);
 		}
 	}
 
 	/** Records that an instance follows the present leader or has restarted, so that it sends no grants from now on. */
 	markFollowing(name: string, now: number): void {
-		const end = this.sendEnds.get(name);
+		const end = this.ends.get(name);
 		if (end !== undefined) {
-			this.sendEnds.set(name, Math.min(end, now));
+			this.ends.set(name, Math.min(end, now));
 		}
 	}
 
 	private get sendEnd(): number {
-		return Math.max(this.ownSendEnd, ...this.sendEnds.values());
+		return Math.max(this.ownSendEnd, ...this.ends.values());
 	}
 }
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -6,7 +6,7 @@
 import {leaseExpiry, type Clock, type LeaseTiming} from '@bluebellyard/core';
 import {StaleAppendError} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {FormerLeaders, leaderGraceMs} from './former-leaders.js';
+import {FormerLeaders, leaderGraceMs, type SendEnds} from './former-leaders.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
 import type {OwnerLog, OwnerState} from './owner-log.js';
 
@@ -21,6 +21,8 @@
 	readonly record: LeaderRecord;
 	/** Whether there was a leader before, which may have been a former process of this instance. */
 	readonly hadLeader: boolean;
+	/** What the last leader told of the leaders before it. */
+	readonly knownEnds?: SendEnds;
 	readonly ownerLog: OwnerLog;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -54,7 +56,7 @@
 	constructor(private readonly options: LeadConfirmationOptions) {
 		this.lead = options.record;
 		this.lastConfirmedAt = options.clock.now();
-		this.formers = this.startWaiting(options.hadLeader);
+		this.formers = this.startWaiting(options.hadLeader, options.knownEnds);
 	}
 
 	/** Leadership in the present era of the store. */
@@ -73,6 +75,11 @@
 		return this.formers.leaseEnd;
 	}
 
+	/** Latest times at which the former leaders may send a grant. */
+	get formerSendEnds(): SendEnds {
+		return this.formers.sendEnds;
+	}
+
 	/** Monotonic time from which no grant of a former leader arrives at a target. */
 	get formerArrivalEnd(): number {
 		return this.formers.arrivalEnd;
@@ -189,9 +196,9 @@
 		this.isStopped = true;
 	}
 
-	private startWaiting(hadLeader: boolean): FormerLeaders {
+	private startWaiting(hadLeader: boolean, knownEnds?: SendEnds): FormerLeaders {
 		const {clock, timing} = this.options;
-		return new FormerLeaders(this.lead.formers, timing, {now: clock.now(), hadLeader});
+		return new FormerLeaders(this.lead.formers, timing, {now: clock.now(), hadLeader, knownEnds});
 	}
 
 	/** Reads leader and owners again. */
--- a/packages/gateway/src/cluster/leader-election.test.ts
+++ b/packages/gateway/src/cluster/leader-election.test.ts
@@ -7,7 +7,9 @@
 import {Directory} from './directory.js';
 import {KnownInstances} from './known-instances.js';
 import {ElectionOutcome, LeaderElection, type Candidacy} from './leader-election.js';
+import type {SendEnds} from './former-leaders.js';
 import type {LeaderRecord} from './leader-record.js';
+import type {LeaderQueryReply} from './messages.js';
 import {OwnerLog} from './owner-log.js';
 
 const topic = 'keyed.bluebellyard-owners';
@@ -18,18 +20,24 @@
 	};
 }
 
-/** Instance e0 follows the leader e1, of term 5 in era 1; it does not know e2, which is registered, too. No instance answers queries. */
+/** Instance e0 follows the leader e1, of term 5 in era 1; it does not know e2, which is registered, too. By default, no instance answers queries. */
 class Harness {
 	readonly clock = new ManualClock(100_000);
 	readonly store = new MemoryLog();
 	readonly ownerLog = new OwnerLog(this.store);
+	/** Answer of other instances to queries; undefined if none answers. */
+	answer: LeaderQueryReply | undefined;
 	private readonly election: LeaderElection;
 
 	constructor() {
 		const self = node('e0');
 		const net: Pick<PeerNet, 'call'> = {
-			async call() {
-				throw new Error('no answer');
+			call: async () => {
+				if (this.answer === undefined) {
+					throw new Error('no answer');
+				}
+
+				return this.answer;
 			},
 		};
 		this.store.era = 1;
@@ -44,6 +52,7 @@
 			knownInstances,
 			clock: this.clock,
 			telemetry: new Telemetry(this.clock),
+			timing: {leaseMs: 6000, transitMs: 500},
 		});
 	}
 
@@ -57,12 +66,27 @@
 	}
 
 	async stand(candidacy: Partial<Candidacy> = {}): Promise<ElectionOutcome> {
-		const {outcome} = await this.election.stand({
-			isSuccessor: false, leadership: {era: 1, term: 5}, leaderName: 'e1', contactAgeMs: 5000, ...candidacy,
-		});
+		const {outcome} = await this.elect(candidacy);
 		return outcome;
 	}
 
+	async elect(candidacy: Partial<Candidacy> = {}): Promise<{outcome: ElectionOutcome; knownEnds?: SendEnds}> {
+		return this.election.stand({
+			isSuccessor: false, leadership: {era: 1, term: 5}, leaderName: 'e1', contactAgeMs: 5000, knownEnds: new Map(), ...candidacy,
+		});
+	}
+
+	/** Replaces the record of the leader e1. */
+	async recordLeader(changes: Partial<LeaderRecord>): Promise<void> {
+		const state = await this.ownerLog.read();
+		await this.ownerLog.claimLead({...state.leader!, ...changes}, state);
+	}
+
+	async formers(): Promise<readonly string[] | undefined> {
+		const leader = await this.recorded();
+		return leader?.formers;
+	}
+
 	async recorded(): Promise<LeaderRecord | undefined> {
 		const {leader} = await this.ownerLog.read();
 		return leader;
@@ -83,6 +107,46 @@
 	t.deepEqual(leader?.formers, ['e1']);
 });
 
+// E9 led before e1 and was removed for good; only e1 knows for how long e9 may still have sent grants.
+test('what the recorded leader told of the leaders before it counts', async t => {
+	const harness = await setUp();
+	await harness.recordLeader({formers: ['e8', 'e9']});
+	const now = harness.clock.now();
+	const knownEnds = new Map([['e8', now + 1000], ['e9', now - 10_000]]);
+	const result = await harness.elect({knownEnds});
+	t.is(result.outcome, ElectionOutcome.Won);
+	t.deepEqual(result.knownEnds, knownEnds);
+	t.deepEqual(await harness.formers(), ['e8', 'e1']);
+});
+
+test('what another leader told of the leaders before it does not count', async t => {
+	const harness = await setUp();
+	await harness.recordLeader({term: 4, formers: ['e9']});
+	const knownEnds = new Map([['e9', harness.clock.now() - 10_000]]);
+	const result = await harness.elect({knownEnds});
+	t.is(result.outcome, ElectionOutcome.Won);
+	t.is(result.knownEnds?.size, 0);
+	t.deepEqual(await harness.formers(), ['e9', 'e1']);
+});
+
+test('an instance that restarted asks others what the recorded leader told', async t => {
+	const harness = await setUp();
+	await harness.recordLeader({formers: ['e9']});
+	harness.answer = {
+		era: 1, term: 5, isLeader: false, heardAgeMs: 5000, storeAgeMs: 0, formerEndsMs: {e9: -10_000},
+	};
+	const result = await harness.elect({leadership: {era: 0, term: 0}});
+	t.deepEqual(result.knownEnds, new Map([['e9', harness.clock.now() - 10_000]]));
+	t.deepEqual(await harness.formers(), ['e1']);
+});
+
+test('after a return of the store nothing that was told counts', async t => {
+	const harness = await setUp();
+	await harness.recordLeader({formers: ['e9'], isRecovering: true});
+	const result = await harness.elect({knownEnds: new Map([['e9', harness.clock.now() - 10_000]])});
+	t.is(result.knownEnds?.size, 0);
+});
+
 test('after a return of the store any known instance may have led', async t => {
 	const harness = await setUp();
 	harness.store.returnWithout(topic, 0);
--- a/packages/gateway/src/cluster/leader-election.ts
+++ b/packages/gateway/src/cluster/leader-election.ts
@@ -1,12 +1,14 @@
 /**
  * Decides whether this instance becomes leader, and claims the lead in the store.
  */
-import type {Clock} from '@bluebellyard/core';
+import {leaseExpiry, type Clock, type LeaseTiming} from '@bluebellyard/core';
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo} from '../view/index.js';
 import type {Directory} from './directory.js';
+import type {SendEnds} from './former-leaders.js';
 import type {KnownInstances} from './known-instances.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import {toSendEnds} from './messages.js';
 import {hasLostRecords, type OwnerLog, type OwnerState} from './owner-log.js';
 
 /** Time without a ping of the leader after which an election starts, in milliseconds; two pings are lost by then. */
@@ -36,9 +38,19 @@
 	Postponed,
 }
 
+/** A won election. */
+export type WonElection = {
+	readonly outcome: ElectionOutcome.Won;
+	readonly record: LeaderRecord;
+	/** The store before the election. */
+	readonly state: OwnerState;
+	/** What the leader before told of those before it. */
+	readonly knownEnds: SendEnds;
+};
+
 /** Result of an election, with what it found. */
 export type ElectionResult
-	= | {readonly outcome: ElectionOutcome.Won; readonly record: LeaderRecord; readonly state: OwnerState}
+	= | WonElection
 		| {readonly outcome: ElectionOutcome.OtherElected; readonly leadership: Leadership}
 		| {readonly outcome: ElectionOutcome.LeaderUnreachable | ElectionOutcome.Postponed};
 
@@ -51,6 +63,8 @@
 	readonly leaderName: string | undefined;
 	/** Time since the last ping of the leader, in milliseconds. */
 	readonly contactAgeMs: number;
+	/** What the leader with that leadership told of the leaders before it. */
+	readonly knownEnds: SendEnds;
 };
 
 /** Options of `LeaderElection`. */
@@ -61,11 +75,14 @@
 	readonly knownInstances: KnownInstances;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	readonly timing: LeaseTiming;
 };
 
 /** Elections of one instance. */
 export class LeaderElection {
 	private readonly options: LeaderElectionOptions;
+	/** Answers of other instances in this election. */
+	private answers: ReadonlyArray<Leadership & {readonly sendEnds: SendEnds}> = [];
 	/** Newest era of the store that an election has met, and when. */
 	private newEra = {era: 0, seenAt: Number.NEGATIVE_INFINITY};
 
@@ -77,6 +94,7 @@
 	async stand(candidacy: Candidacy): Promise<ElectionResult> {
 		const {ownerLog, clock} = this.options;
 		const askedAt = clock.now();
+		this.answers = [];
 		const state = await ownerLog.read();
 		if (!candidacy.isSuccessor) {
 			const isStoreSlow = clock.now() - askedAt > maxTakeoverReadMs && candidacy.contactAgeMs < leaderTimeoutMs;
@@ -86,9 +104,12 @@
 			}
 		}
 
-		const record = await this.createRecord(state, candidacy.leadership);
+		const knownEnds = this.selectKnownEnds(state, candidacy);
+		const record = await this.createRecord(state, candidacy.leadership, knownEnds);
 		await ownerLog.claimLead(record, state);
-		return {outcome: ElectionOutcome.Won, record, state};
+		return {
+			outcome: ElectionOutcome.Won, record, state, knownEnds,
+		};
 	}
 
 	/** Returns why this instance must not become leader; undefined if it may. */
@@ -109,6 +130,7 @@
 
 		const asked = knownInstances.selectForQuery(leader?.name);
 		const answers = await knownInstances.queryLeader(asked);
+		this.answers = answers.map(answer => ({...answer, sendEnds: toSendEnds(answer.formerEndsMs, this.options.clock.now())}));
 		const hasLeader = answers.some(answer => answer.storeAgeMs < maxLeaderStoreAgeMs
 			&& (answer.isLeader || answer.heardAgeMs < leaderTimeoutMs) && answer.term > 0);
 		const isIsolated = asked.length > 0 && answers.length === 0;
@@ -133,19 +155,35 @@
 		return era > leadership.era && now - this.newEra.seenAt < leaderReclaimMs;
 	}
 
+	/**
+	 * Returns what the recorded leader told this instance, or those that answered, of the leaders before it. Earlier and
+	 * later leaders don't count: one of those named may have led again since, or another one instead.
+	 */
+	private selectKnownEnds({era, leader}: OwnerState, {leadership, knownEnds}: Candidacy): SendEnds {
+		if (leader === undefined || leader.isRecovering || leader.era !== era) {
+			return new Map();
+		}
+
+		const sources = [{...leadership, sendEnds: knownEnds}, ...this.answers].filter(source => compareLeaderships(source, leader) === 0);
+		const names = new Set(sources.flatMap(({sendEnds}) => [...sendEnds.keys()]));
+		// Each of them is later than the time that the leader knew; the earliest one is the most exact.
+		return new Map([...names].map(name => [name, Math.min(...sources.flatMap(({sendEnds}) => sendEnds.get(name) ?? []))]));
+	}
+
 	/**
 	 * Returns the record of this instance as leader, with the former leaders that may not know yet that they are
 	 * superseded. If the store has lost records, any other instance may have led in them.
 	 */
-	private async createRecord(state: OwnerState, followed: Leadership): Promise<LeaderRecord> {
-		const {self, knownInstances, directory} = this.options;
+	private async createRecord(state: OwnerState, followed: Leadership, knownEnds: SendEnds): Promise<LeaderRecord> {
+		const {self, knownInstances, directory, clock, timing} = this.options;
 		const isRecovering = hasLostRecords(state);
 		if (isRecovering) {
 			await knownInstances.loadFrom(directory);
 		}
 
 		const {leader} = state;
-		const recorded = leader === undefined ? [] : [...leader.formers, leader.name];
+		const isExpired = (name: string) => leaseExpiry(knownEnds.get(name) ?? Number.POSITIVE_INFINITY, timing) < clock.now();
+		const recorded = leader === undefined ? [] : [...leader.formers.filter(name => !isExpired(name)), leader.name];
 		const others = isRecovering ? knownInstances.all().map(({name}) => name) : [];
 		return {
 			era: state.era,
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -3,7 +3,7 @@
  * publishes the view to all instances.
  */
 import {
-	KeyLoad, OwnershipMap, type Clock, type LeaseTiming, type KeyRates, type EligibleOwner, type Service, type TargetInfo,
+	KeyLoad, OwnershipMap, type Clock, type LeaseTiming, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import type {PeerNet} from '../peers/index.js';
 import {StaleAppendError, type TargetControl} from '../ports/index.js';
@@ -15,6 +15,7 @@
 import {FollowerSync, type BaseState} from './follower-sync.js';
 import type {Directory} from './directory.js';
 import type {FeedReader} from './feed-reader.js';
+import type {SendEnds} from './former-leaders.js';
 import {LeadConfirmation} from './lead-confirmation.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
 import type {NotOwnerReport, Pong, Report} from './messages.js';
@@ -35,6 +36,8 @@
 	readonly self: NodeInfo;
 	/** Record of this term in the store. */
 	readonly record: LeaderRecord;
+	/** What the last leader told of the leaders before it. */
+	readonly knownEnds: SendEnds;
 	readonly view: View;
 	readonly net: PeerNet;
 	readonly ownerLog: OwnerLog;
@@ -91,6 +94,7 @@
 			...options,
 			leadership: () => this.leadership,
 			targetsReadAt: () => options.reader.lastReadAt,
+			formerSendEnds: () => this.formerSendEnds,
 			onPong: (node, pong) => {
 				this.handlePong(node, pong);
 			},
@@ -105,6 +109,11 @@
 		}
 	}
 
+	/** Latest times at which former leaders may send a grant. */
+	get formerSendEnds(): SendEnds {
+		return this.confirmation.formerSendEnds;
+	}
+
 	/** Leadership of this instance in the present era of the store. */
 	get leadership(): Leadership {
 		return this.confirmation.leadership;
@@ -284,17 +293,13 @@
 				const manager = this.managers.get(service.name) ?? this.addManager(service);
 				manager.tick({
 					owners: this.findOwners(service.name, manager, now),
-					rates: () => this.rates(service.name, now),
+					rates: () => this.loads.get(service.name)?.rates(now) ?? [],
 					mayMove: hasStoreContact && !isRecovering && this.confirmation.isInPresentEra,
 				});
 			}
 		}
 	}
 
-	private rates(service: string, now: number): KeyRates {
-		return this.loads.get(service)?.rates(now) ?? [];
-	}
-
 	private findOwners(service: string, manager: OwnershipManager, now: number): EligibleOwner[] {
 		const {view, reader} = this.options;
 		return findUsableOwners(view.usableTargets(service), {
@@ -382,13 +387,7 @@
 	private async renewUnmanagedOwners(): Promise<boolean> {
 		const {ownerLog, telemetry} = this.options;
 		try {
-			for (const [service, {era, map}] of this.initialState.owners) {
-				if (!this.managers.has(service) && era < this.leadership.era) {
-					// eslint-disable-next-line no-await-in-loop
-					await ownerLog.write(service, this.leadership, fence => map.renewFences(fence));
-				}
-			}
-
+			await ownerLog.renewEarlierOwners(this.initialState, this.leadership, this.managers);
 			return true;
 		} catch (err) {
 			telemetry.warn('leader', 'The owners of a service that is not configured could not be written.', {err});
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -6,6 +6,7 @@
 import {Packr} from 'msgpackr';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
+import type {SendEnds} from './former-leaders.js';
 import type {Leadership} from './leader-record.js';
 
 /** Operations that an instance accepts from other instances. */
@@ -33,6 +34,9 @@
 	readonly seq: number;
 };
 
+/** Times until which former leaders may send grants, in milliseconds from the time of the message, by their names. */
+export type FormerEnds = Readonly<Record<string, number>>;
+
 /** Heartbeat of the leader; the changes of the view are sent with it as bytes. */
 export type Ping = Leadership & {
 	readonly leader: NodeInfo;
@@ -40,6 +44,8 @@
 	readonly storeAgeMs: number;
 	/** Time since the leader's last successful read of the targets' records began, in milliseconds. */
 	readonly targetsAgeMs: number;
+	/** For each former leader, the time until which it may send grants, in milliseconds from now; negative if that is over. */
+	readonly formerEndsMs: FormerEnds;
 	/** State to which the changes apply; undefined if they are the whole content or if there are none. */
 	readonly base: ViewState | undefined;
 	/** Sequence number of the view after the changes. */
@@ -70,6 +76,8 @@
 	readonly heardAgeMs: number;
 	/** Time since its leader reached the store, in milliseconds, as of the last heartbeat. */
 	readonly storeAgeMs: number;
+	/** What the leader that it follows told of the leaders before it. */
+	readonly formerEndsMs: FormerEnds;
 };
 
 /** A key that its recorded owner refused because it holds no grant of it. */
@@ -84,6 +92,16 @@
 
 const packr = new Packr({useRecords: false, moreTypes: false});
 
+/** Converts monotonic times of this process to durations from now, since the clocks of instances differ. */
+export function toFormerEnds(ends: SendEnds, now: number): FormerEnds {
+	return Object.fromEntries([...ends].map(([name, end]) => [name, Math.ceil(end - now)]));
+}
+
+/** Converts durations in a message to monotonic times of this process. The message took some time, so they are not too early. */
+export function toSendEnds(ends: FormerEnds, now: number): SendEnds {
+	return new Map(Object.entries(ends).map(([name, ms]) => [name, now + ms]));
+}
+
 /** Packs changes; empty if nothing changed. Followers at the same sequence number share the result. */
 export function packDelta(delta: Delta): Buffer {
 	const isEmpty = !delta.isFull && delta.set.length === 0 && delta.gone.length === 0;
--- a/packages/gateway/src/cluster/owner-log.ts
+++ b/packages/gateway/src/cluster/owner-log.ts
@@ -111,6 +111,16 @@
 	}
 
 	/** Appends a record that was decided in `era`. */
+	/** Writes the owners of services in `state` again with new fencing tokens, if they are of an earlier era and the service is not in `except`. */
+	async renewEarlierOwners(state: OwnerState, leadership: Leadership, except: {has(service: string): boolean}): Promise<void> {
+		for (const [service, {era, map}] of state.owners) {
+			if (!except.has(service) && era < leadership.era) {
+				// eslint-disable-next-line no-await-in-loop
+				await this.write(service, leadership, fence => map.renewFences(fence));
+			}
+		}
+	}
+
 	private async append(key: string, value: string, era: number): Promise<void> {
 		if (this.known.era !== era) {
 			throw new StaleAppendError(`append of ${key} rejected: decided in era ${era} of the store, which is now in era ${this.known.era}`);
--- a/packages/gateway/src/mocks/leader-harness.ts
+++ b/packages/gateway/src/mocks/leader-harness.ts
@@ -64,6 +64,7 @@
 		this.leader = new Leader({
 			self,
 			record,
+			knownEnds: new Map(),
 			view,
 			net: net as PeerNet,
 			ownerLog,
