--- a/packages/core/src/admission/keyed-load.test.ts
+++ b/packages/core/src/admission/keyed-load.test.ts
@@ -54,7 +54,7 @@
 /** Largest share of callers that a service with enough capacity may leave unserved beyond those that no placement could serve. */
 const maxUnservedShare = 0.01;
 
-/** Largest share of the callers that come back at the time that they were given and may be refused again. */
+/** Largest share of the callers that come back and may be refused again. */
 const maxRefusedAgainShare = 0.1;
 
 /** Returns the mean results of four seeds. */
@@ -78,7 +78,8 @@
 	t.true(unserved <= bound.unserved + maxUnservedShare, `${unserved} ${bound.unserved}`);
 });
 
-test('load: callers that come back when they were told to are rarely refused again', t => {
+// In a queue of one target there is often no room before the deadline; the callers come back all the same.
+test('load: callers that come back are rarely refused again', t => {
 	const {refusedAgain} = play(hasty);
 	t.true(refusedAgain <= maxRefusedAgainShare, `${refusedAgain}`);
 });
--- a/packages/core/src/mocks/keyed-service.ts
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -55,7 +55,7 @@
 	readonly inTime: number;
 	readonly late: number;
 	readonly unserved: number;
-	/** Callers that were refused, came back at the time that they were given, and were refused again, as a share of those that came back. */
+	/** Refusals of callers that came back, as a share of the times that callers came back: when they were told to, or once a third of their remaining time has passed. */
 	readonly refusedAgain: number;
 	readonly moves: number;
 	readonly busiestToMean: number;
@@ -67,8 +67,6 @@
 	readonly firstAt: number;
 	readonly workMs: number;
 	attempts: number;
-	/** Whether it came back at the time that it was given; it waits no longer than a third of its remaining time. */
-	hasWaited: boolean;
 };
 
 type Server = {
@@ -189,7 +187,7 @@
 	private arrive(route: PlayedRoute, now: number): void {
 		const workMs = route.workMs * Math.exp((this.gauss() * route.spread) - ((route.spread ** 2) / 2));
 		const caller = {
-			route, key: this.drawKey(now), firstAt: now, workMs, attempts: 0, hasWaited: false,
+			route, key: this.drawKey(now), firstAt: now, workMs, attempts: 0,
 		};
 		this.counts.callers += 1;
 		this.offer(caller, now);
@@ -228,16 +226,14 @@
 			const caller = this.callers.get(id)!;
 			caller.attempts += 1;
 			const leftMs = caller.firstAt + caller.route.timeoutMs - now;
-			if (caller.hasWaited) {
+			if (caller.attempts > 1) {
 				this.counts.refusedAgain += 1;
 			}
 
 			if (caller.attempts <= this.cfg.retries && leftMs > 0) {
-				caller.hasWaited = retryAfterMs <= leftMs / 3;
-				this.counts.cameBack += caller.hasWaited ? 1 : 0;
+				this.counts.cameBack += 1;
 				this.returns.push({at: now + Math.min(retryAfterMs, leftMs / 3), caller});
 			} else {
-				caller.hasWaited = false;
 				this.counts.unserved += 1;
 			}
 		}
