--- a/packages/bench/src/cells/planned.test.ts
+++ b/packages/bench/src/cells/planned.test.ts
@@ -68,9 +68,10 @@
 		await sleep(beforeFaultMs);
 		codes.push(await harness.deployment.stopInstance(name));
 	});
+	// The next test needs all instances, also if this one fails.
+	await harness.deployment.startInstance(plan);
 	t.deepEqual(codes, [0]);
 	t.deepEqual(listFailures(views), []);
-	await harness.deployment.startInstance(plan);
 	await assertRecovered(t, harness);
 });
 
