Probes of a silent target become rarer the longer it is silent

Found by reading the diff: a target that is lost for good was probed, and each probe logged, once a second until the end of the leader's term. The interval is now a quarter of the silence, 30 s at most.

--- a/packages/gateway/src/cluster/silent-owners.ts
+++ b/packages/gateway/src/cluster/silent-owners.ts
@@ -3,8 +3,14 @@
 import type {Telemetry} from '../telemetry/index.js';
 import {OwnerProcess} from './owner-process.js';
 
-/** Interval between two probes of a silent target without keys, in milliseconds; bounds for how long its capacity is missing. */
-const probeIntervalMs = 1000;
+/** Shortest interval between two probes of a silent target without keys, in milliseconds. */
+const minProbeIntervalMs = 1000;
+
+/** Longest such interval, in milliseconds; targets that are lost for good are probed until the leader's term ends. */
+const maxProbeIntervalMs = 30_000;
+
+/** Share of the time since a target fell silent after which it is probed again. */
+const probeIntervalShare = 0.25;
 
 /** Timeout of a probe, in milliseconds. */
 const probeTimeoutMs = 500;
@@ -47,7 +53,7 @@
 	recordSilence(range: RangeOwnership, sentAt: number): void {
 		if (!this.silences.has(range.owner)) {
 			this.silences.set(range.owner, {
-				since: sentAt, range, nextProbeAt: sentAt + probeIntervalMs, isProbing: false,
+				since: sentAt, range, nextProbeAt: sentAt + minProbeIntervalMs, isProbing: false,
 			});
 		}
 	}
@@ -76,7 +82,8 @@
 		} = this.options;
 		const target = findTarget(owner);
 		const {range: {from, fence}, since} = silence;
-		silence.nextProbeAt = clock.now() + probeIntervalMs;
+		const intervalMs = (clock.now() - since) * probeIntervalShare;
+		silence.nextProbeAt = clock.now() + Math.min(maxProbeIntervalMs, Math.max(minProbeIntervalMs, intervalMs));
 		if (target === undefined) {
 			return;
 		}
