An instance that restarted while the store was away asks the registered instances before it leads

It now reads the register before it asks. This also lets it notice a leader that others hear. Test: an instance that knows no others asks those that are registered; failed before, passes now.

--- a/packages/gateway/src/cluster/leader-election.test.ts
+++ b/packages/gateway/src/cluster/leader-election.test.ts
@@ -29,7 +29,8 @@
 	answer: LeaderQueryReply | undefined;
 	private readonly election: LeaderElection;
 
-	constructor() {
+	/** The instances that e0 knows at its start may be given. */
+	constructor(known: readonly string[] = ['e1']) {
 		const self = node('e0');
 		const net: Pick<PeerNet, 'call'> = {
 			call: async () => {
@@ -44,7 +45,10 @@
 		const knownInstances = new KnownInstances({
 			self, view: new View(), net: net as PeerNet, random: () => 0,
 		});
-		knownInstances.add(node('e1'));
+		for (const name of known) {
+			knownInstances.add(node(name));
+		}
+
 		this.election = new LeaderElection({
 			self,
 			ownerLog: this.ownerLog,
@@ -93,8 +97,8 @@
 	}
 }
 
-async function setUp(): Promise<Harness> {
-	const harness = new Harness();
+async function setUp(known?: readonly string[]): Promise<Harness> {
+	const harness = new Harness(known);
 	await harness.start();
 	return harness;
 }
@@ -140,6 +144,24 @@
 	t.deepEqual(await harness.formers(), ['e1']);
 });
 
+// It restarted while the store was away, and stood for election as soon as the store was back without asking anyone.
+test('an instance that knows no others asks those that are registered', async t => {
+	const harness = await setUp([]);
+	await harness.recordLeader({formers: ['e9']});
+	harness.answer = {
+		era: 1, term: 5, isLeader: false, heardAgeMs: 5000, storeAgeMs: 0, formerEndsMs: {e9: -10_000},
+	};
+	const result = await harness.elect({leadership: {era: 0, term: 0}});
+	t.is(result.outcome, ElectionOutcome.Won);
+	t.deepEqual(result.knownEnds, new Map([['e9', harness.clock.now() - 10_000]]));
+	harness.answer = {
+		era: 1, term: 6, isLeader: false, heardAgeMs: 100, storeAgeMs: 0, formerEndsMs: {},
+	};
+	const other = await setUp([]);
+	other.answer = harness.answer;
+	t.is(await other.stand({leadership: {era: 0, term: 0}}), ElectionOutcome.LeaderUnreachable);
+});
+
 test('after a return of the store nothing that was told counts', async t => {
 	const harness = await setUp();
 	await harness.recordLeader({formers: ['e9'], isRecovering: true});
--- a/packages/gateway/src/cluster/leader-election.ts
+++ b/packages/gateway/src/cluster/leader-election.ts
@@ -114,7 +114,7 @@
 
 	/** Returns why this instance must not become leader; undefined if it may. */
 	private async findObstacle(state: OwnerState, {leadership, leaderName, contactAgeMs}: Candidacy): Promise<ElectionResult | undefined> {
-		const {knownInstances, telemetry} = this.options;
+		const {knownInstances, directory, telemetry} = this.options;
 		const {leader} = state;
 		const hasFollowed = leadership.term > 0;
 		if (leader !== undefined && hasFollowed && compareLeaderships(leader, leadership) > 0) {
@@ -128,6 +128,11 @@
 			return {outcome: ElectionOutcome.Postponed};
 		}
 
+		if (knownInstances.all().length === 0) {
+			// This instance has restarted while the store was away.
+			await knownInstances.loadFrom(directory);
+		}
+
 		const asked = knownInstances.selectForQuery(leader?.name);
 		const answers = await knownInstances.queryLeader(asked);
 		this.answers = answers.map(answer => ({...answer, sendEnds: toSendEnds(answer.formerEndsMs, this.options.clock.now())}));
