Limits that targets name are decoded and logged

Logged: a limit that is named or ends, with the role of the instance that learned it, and the requests sent while it holds; counted: bluebellyard_limited_sends_total. A plan that moves keys logs the capacities of the receivers.

--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -3,3 +3,4 @@
 export * from './target-limiter.js';
 export * from './work-estimator.js';
 export * from './admission-queue.js';
+export * from './target-conditions.js';
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -41,6 +41,9 @@
 /** Adjoining ranges of one owner are merged only if fewer ranges than this share remain, because a merge gives all owners new fencing tokens. */
 const maxMergedShare = 0.7;
 
+/** Largest number of moves that a log line lists. */
+const maxLoggedMoves = 8;
+
 /** Assigns the keys of one service to owners and grants them, on behalf of all instances. */
 export class OwnershipManager {
 	private grants = new Map<string, GrantState>();
@@ -203,8 +206,14 @@
 			return;
 		}
 
+		const capacities = new Map(owners.map(({id, capacity}) => [id, capacity]));
+		const loggedMoves = moves.slice(0, maxLoggedMoves);
 		this.options.telemetry.info('keeper', 'Moving keys to other owners.', {
-			service: this.options.service, moves: moves.map(({from, to, owner}) => `${from}-${to}>${owner}`).slice(0, 8), count: moves.length, isHomeless: hasUnusableOwner,
+			service: this.options.service,
+			moves: loggedMoves.map(({from, to, owner}) => `${from}-${to}>${owner}`),
+			capacities: loggedMoves.map(({owner}) => Math.round((capacities.get(owner) ?? 0) * 100) / 100),
+			count: moves.length,
+			isHomeless: hasUnusableOwner,
 		});
 		this.options.telemetry.recordMoves(moves.length);
 		this.write(fence => this.map.assign(moves, fence));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -97,6 +97,7 @@
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
 		this.queues = new DispatchQueues({
+			selfName: name,
 			view,
 			client: this.client,
 			clock,
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -35,6 +35,10 @@
 	readonly load: TargetLoad | undefined;
 	/** How much longer the target is cold, in milliseconds; undefined if absent. */
 	readonly coldLeftMs: number | undefined;
+	/** Requests per second that the target takes from all instances together; undefined if absent or invalid. */
+	readonly limit: number | undefined;
+	/** Whether the answer names a limit, valid or not. */
+	readonly hasLimit: boolean;
 };
 
 /** Values that the gateway adds to the headers of a request to a target. */
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -9,6 +9,7 @@
 } from '@bluebellyard/core';
 import {failure, type Order, type OrderResult} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
+import {SenderRole, type ConditionTracker} from './condition-tracker.js';
 import type {TargetClient, TargetResult} from './target-client.js';
 
 /** Connections kept to a target beyond its slots, for requests whose answer is still being transferred. */
@@ -29,6 +30,9 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly estimator: WorkEstimator;
+	readonly tracker: ConditionTracker;
+	/** Returns whether this instance is the steward of the queue. */
+	readonly isSteward: () => boolean;
 	/** Called when a target answers that it does not own the key of an order. */
 	readonly onNotOwner: (target: string, order: Order) => void;
 };
@@ -192,6 +196,8 @@
 		const {order, signal, queuedAt} = pending;
 		const waitMs = startedAt - queuedAt;
 		telemetry.metrics.queueWait.observe(waitMs / 1000);
+		const role = this.options.isSteward() ? SenderRole.Steward : SenderRole.Other;
+		this.options.tracker.recordSend(target.id, role);
 		const result = await client.send({
 			addr: target.addr,
 			target: target.name,
@@ -206,6 +212,9 @@
 			signal,
 		});
 		const now = clock.now();
+		this.options.tracker.recordResult(target.id, {
+			result, name: target.name, sentAt: startedAt, role,
+		});
 		this.recordFeedback(order, limiter, result, now - startedAt);
 		const expectedMs = Math.max(1, request.workMs);
 		const decision = this.admission.finish(limiter, result.outcome, (now - startedAt) / expectedMs, now);
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -2,11 +2,14 @@
 import type {Order, OrderResult} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {sharedQueueId, targetQueueId, type View} from '../view/index.js';
+import {ConditionTracker} from './condition-tracker.js';
 import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
 import type {TargetClient} from './target-client.js';
 
 /** Options of the dispatch queues. */
 export type DispatchQueuesOptions = {
+	/** Name of this instance. */
+	readonly selfName: string;
 	readonly view: View;
 	readonly client: TargetClient;
 	readonly clock: Clock;
@@ -18,10 +21,12 @@
 export class DispatchQueues {
 	private readonly queues = new Map<string, DispatchQueue>();
 	private readonly estimator = new WorkEstimator();
+	private readonly tracker: ConditionTracker;
 	/** Versions of the parts of the view that the queues were last updated from. */
 	private viewVersion = '';
 
 	constructor(private readonly options: DispatchQueuesOptions) {
+		this.tracker = new ConditionTracker(options);
 		options.view.onChange(() => {
 			this.updateFromView();
 		});
@@ -59,7 +64,9 @@
 			return known;
 		}
 
-		const queue = new DispatchQueue({...this.options, estimator: this.estimator});
+		const queue = new DispatchQueue({
+			...this.options, estimator: this.estimator, tracker: this.tracker, isSteward: () => this.options.view.findSteward(id) === this.options.selfName,
+		});
 		this.queues.set(id, queue);
 		queue.setTargets(this.targetsByQueue().get(id) ?? []);
 		return queue;
--- a/packages/gateway/src/queue/index.ts
+++ b/packages/gateway/src/queue/index.ts
@@ -1,3 +1,4 @@
+export * from './condition-tracker.js';
 export * from './dispatch-queue.js';
 export * from './dispatch-queues.js';
 export * from './target-client.js';
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -30,6 +30,13 @@
 		registers: [this.registry],
 	});
 
+	readonly limitedSends = new Counter({
+		name: 'bluebellyard_limited_sends_total',
+		help: 'Requests sent to targets while a limit that they named is known, by the role of this instance: steward or other.',
+		labelNames: ['role'],
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
