A steward keeps to the limit that a target names

Callers saw nothing; the target in need got all requests that its steward had: 120 in 4 s of 15.2 allowed (shared service), 48 of 15.2 (sharded one).

Cause: nothing acted on Server-Limit. Now the admission queue has a token bucket for each target that names a limit. It starts empty, since a former sender may have used what was allowed, follows a lower value at once, and after the end of the limit the rate doubles each half second instead of jumping back. Only the steward sends to such a target, as with cold ones; it uses half of the limit without contact to the leader and in its first 1.1 s, when a former or a later steward may send, so that both together stay below one and a half times. What can't be sent in time is refused on arrival, by the room that the limit leaves; a queue that loses its steward refuses what waits for such targets, so that it goes to the new one. Targets with room go first, but one that names a limit still gets a request a second, so that its end is heard.

Ruled out: more than one sender; the logs name the steward alone.

--- a/packages/core/src/admission/admission-queue.test.ts
+++ b/packages/core/src/admission/admission-queue.test.ts
@@ -1,9 +1,8 @@
 import test from 'ava';
 import {ErrorKind} from '../errors/index.js';
 import {AttemptOutcome} from './target-limiter.js';
-import {
-	AdmissionQueue, type QueuedRequest, type RequestStart, type QueueDecision,
-} from './admission-queue.js';
+import {AdmissionQueue, type RequestStart, type QueueDecision} from './admission-queue.js';
+import type {QueuedRequest} from './queued-request.js';
 
 let nextId = 0;
 
--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -7,61 +7,51 @@
  * so that a burst does not make every request late.
  */
 import {ErrorKind} from '../errors/index.js';
+import {
+	createRefusal, isLate, minRetryAfterMs, precedes, timeToRoom, type QueuedRequest, type RequestRefusal,
+} from './queued-request.js';
 import {TargetLimiter, type TargetLimiterCfg, type AttemptOutcome} from './target-limiter.js';
 
-/** A request offered to the queue. All times are monotonic milliseconds. */
-export type QueuedRequest = {
-	/** Unique among the requests in the queue. */
-	readonly id: string;
-	/** 0 is the most urgent. */
-	readonly priority: number;
-	/** Time until which an answer meets the objective of the route. */
-	readonly objectiveAt: number;
-	/** Time after which an answer is useless to the caller. */
-	readonly deadline: number;
-	/** Expected duration on an idle target of normal speed, in milliseconds. */
-	readonly workMs: number;
-	/** Ids of targets that must not receive it. */
-	readonly excluded?: ReadonlySet<string>;
-	/** Whether cold targets must not receive it, because another instance enforces their rate limit. */
-	readonly isWarmOnly?: boolean;
-};
-
 /** A request to send now, with the limiter of its target. */
 export type RequestStart = {
 	readonly request: QueuedRequest;
 	readonly limiter: TargetLimiter;
 };
 
-/** A request that will not be sent. */
-export type RequestRefusal = {
-	readonly request: QueuedRequest;
-	readonly error: ErrorKind;
-	/** Expected time until there is capacity, in milliseconds. */
-	readonly retryAfterMs: number;
-};
-
 /** Requests to start and to refuse after an event. */
 export type QueueDecision = {
 	readonly starts: readonly RequestStart[];
 	readonly refusals: readonly RequestRefusal[];
 };
 
-/** Factor by which a request may take longer than expected and still meet its objective. */
-const workMargin = 1.25;
-
 /** Half-life of the measured load of requests in time, in milliseconds; about the time in which a queue drains. */
 const loadHalfLifeMs = 1000;
 
 /** Least share of the capacity that is assumed to be left for late requests, which those in time overtake. */
 const minLateShare = 0.3;
 
-/** Bounds of the retry delay that callers are given, in milliseconds. */
-const minRetryAfterMs = 50;
-const maxRetryAfterMs = 2000;
-
 /** Lower bound of the capacity used to estimate waits, in slots of normal speed. */
-const minCapacity = 0.1;
+const minCapacity = 0.01;
+
+/** Work of a request that is assumed before any was admitted, in milliseconds. */
+const assumedWorkMs = 100;
+
+/** Weight of one request in the mean work. */
+const workWeight = 0.1;
+
+/** Factor on the cost of a target that names a limit, so that targets with room receive requests first. */
+const limitedCostFactor = 2;
+
+/** Time without a request after which a target that names a limit is treated like others, in milliseconds, so that the end of its limit is noticed. */
+const limitRefreshMs = 1000;
+
+/** Share of the limits on requests per second that is used while another instance may use the rest of what the limits tolerate. */
+const doubtfulShare = 0.5;
+
+/** Time from becoming steward in which the former steward may still send, or has just sent, in milliseconds. */
+const takeOverMs = 1100;
+
+const msPerSecond = 1000;
 
 /** Longest time between two ticks while requests wait, in milliseconds. */
 const maxTickMs = 50;
@@ -73,6 +63,9 @@
 	/** Work of the requests in time that were admitted recently, as an exponentially decaying sum in milliseconds. */
 	private recentWorkMs = 0;
 	private recentWorkAt = 0;
+	private meanWorkMs: number | undefined;
+	private isSteward = true;
+	private stewardSince = Number.NEGATIVE_INFINITY;
 
 	/** Number of waiting requests. */
 	get queued(): number {
@@ -99,6 +92,23 @@
 		return this.targets.values();
 	}
 
+	/** Sets whether this instance is the steward of the queue; only the steward sends to targets with a limit on requests per second. */
+	setSteward(isSteward: boolean, now: number): void {
+		if (isSteward && !this.isSteward) {
+			this.stewardSince = now;
+		}
+
+		this.isSteward = isSteward;
+	}
+
+	/** Updates the share of the limits on requests per second. `hasContact` is whether this instance would know of a successor as steward. */
+	updateRateShare(hasContact: boolean, now: number): void {
+		const share = hasContact && now - this.stewardSince >= takeOverMs ? 1 : doubtfulShare;
+		for (const limiter of this.targets.values()) {
+			limiter.setRateShare(share, now);
+		}
+	}
+
 	/** Adds a target or changes its settings. */
 	setTarget(cfg: TargetLimiterCfg): TargetLimiter {
 		const known = this.targets.get(cfg.id);
@@ -165,7 +175,7 @@
 		}
 
 		let next = now + maxTickMs;
-		for (const limiter of this.targets.values()) {
+		for (const limiter of this.permittedTargets(now)) {
 			next = Math.min(next, limiter.nextStartAt(now));
 		}
 
@@ -182,11 +192,11 @@
 	}
 
 	private estimateWait(isAhead: (request: QueuedRequest) => boolean, now: number): number {
-		const capacity = this.capacity();
+		const capacity = this.capacity(now);
 		let running = 0;
 		let slots = 0;
 		let nextStartAt = Number.POSITIVE_INFINITY;
-		for (const limiter of this.targets.values()) {
+		for (const limiter of this.permittedTargets(now)) {
 			running += limiter.inFlight;
 			slots += limiter.limit;
 			nextStartAt = Math.min(nextStartAt, limiter.nextStartAt(now));
@@ -206,17 +216,18 @@
 		}
 
 		// On average, half of the work of a request in flight is done.
-		const inService = running >= slots ? (mean || this.defaultWorkMs()) / 2 / Math.max(1, slots) : 0;
+		const inService = running >= slots ? (mean || assumedWorkMs) / 2 / Math.max(1, slots) : 0;
 		const delay = Number.isFinite(nextStartAt) ? Math.max(0, nextStartAt - now) : 0;
 		return delay + (ahead / capacity) + inService;
 	}
 
-	private defaultWorkMs(): number {
-		return 100;
+	/** Returns the targets that this instance may send to. */
+	private permittedTargets(now: number): TargetLimiter[] {
+		return [...this.targets.values()].filter(limiter => this.isSteward || !limiter.isRateLimited(now));
 	}
 
 	private findRefusal(request: QueuedRequest, now: number): RequestRefusal | undefined {
-		const usable = [...this.targets.values()].filter(limiter => isEligible(limiter, request, now));
+		const usable = this.permittedTargets(now).filter(limiter => isEligible(limiter, request, now));
 		if (usable.length === 0) {
 			return createRefusal(request, ErrorKind.NoTarget, minRetryAfterMs * 4);
 		}
@@ -239,6 +250,8 @@
 	private recordAdmission(request: QueuedRequest, now: number): void {
 		this.decayRecentWork(now);
 		this.recentWorkMs += isLate(request, now) ? 0 : request.workMs;
+		this.meanWorkMs ??= request.workMs;
+		this.meanWorkMs += (request.workMs - this.meanWorkMs) * workWeight;
 	}
 
 	private decayRecentWork(now: number): void {
@@ -250,11 +263,11 @@
 	private lateShare(now: number): number {
 		this.decayRecentWork(now);
 		const load = this.recentWorkMs * Math.LN2 / loadHalfLifeMs;
-		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, this.capacity())));
+		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, this.capacity(now))));
 	}
 
 	private nextStart(now: number): RequestStart | undefined {
-		const open = [...this.targets.values()].filter(limiter => limiter.mayStart(now));
+		const open = this.permittedTargets(now).filter(limiter => limiter.mayStart(now));
 		if (open.length === 0 || this.waiting.size === 0) {
 			return undefined;
 		}
@@ -273,7 +286,7 @@
 
 		const request = best;
 		const limiters = open.filter(limiter => isEligible(limiter, request, now));
-		return {request, limiter: limiters.toSorted((a, b) => targetCost(a) - targetCost(b))[0]};
+		return {request, limiter: limiters.toSorted((a, b) => targetCost(a, now) - targetCost(b, now))[0]};
 	}
 
 	/** Refuses requests that became late while they waited and can't be expected to be answered any more. */
@@ -283,11 +296,18 @@
 			return refusals;
 		}
 
-		const capacity = Math.max(minCapacity, this.capacity());
+		const capacity = Math.max(minCapacity, this.capacity(now));
 		const lateShare = this.lateShare(now);
+		const permitted = this.permittedTargets(now);
 		const queue = [...this.waiting.values()].toSorted((a, b) => precedes(a, b, now) ? -1 : 1);
 		let ahead = 0;
 		for (const request of queue) {
+			if (!permitted.some(limiter => isEligible(limiter, request, now))) {
+				this.waiting.delete(request.id);
+				refusals.push(createRefusal(request, ErrorKind.NoTarget, minRetryAfterMs * 4));
+				continue;
+			}
+
 			const wait = ahead / capacity / lateShare;
 			const isTooLate = now + (request.workMs / 2) > request.deadline;
 			const isUnlikely = isLate(request, now) && now + wait + request.workMs > request.deadline;
@@ -303,10 +323,11 @@
 	}
 
 	/** Returns the work that all targets together do per millisecond, in milliseconds of normal speed. */
-	private capacity(): number {
+	private capacity(now: number): number {
 		let capacity = 0;
-		for (const limiter of this.targets.values()) {
-			capacity += limiter.limit / limiter.slowness.factor;
+		for (const limiter of this.permittedTargets(now)) {
+			const workPerSecond = limiter.rate(now) * (this.meanWorkMs ?? assumedWorkMs);
+			capacity += Math.min(limiter.limit / limiter.slowness.factor, workPerSecond / msPerSecond);
 		}
 
 		return capacity;
@@ -314,40 +335,11 @@
 }
 
 function isEligible(limiter: TargetLimiter, {excluded, isWarmOnly}: QueuedRequest, now: number): boolean {
-	return excluded?.has(limiter.id) !== true && !(isWarmOnly === true && limiter.coldLimiter.isCold(now));
+	return excluded?.has(limiter.id) !== true && !(isWarmOnly === true && limiter.isRateLimited(now));
 }
 
 /** Returns the cost of sending one more request to a target; it is low for fast targets with few requests. */
-function targetCost(limiter: TargetLimiter): number {
-	return limiter.slowness.factor * (1 + (limiter.inFlight / Math.max(1, limiter.limit)));
-}
-
-/** Returns whether a request that starts now is expected to miss its objective. */
-function isLate(request: QueuedRequest, now: number): boolean {
-	return now + (request.workMs * workMargin) > request.objectiveAt;
-}
-
-/** Returns whether request `a` starts before `b`: requests in time before late ones, then by priority, then by objective, or by deadline when late. */
-function precedes(a: QueuedRequest, b: QueuedRequest, now: number): boolean {
-	const lateA = isLate(a, now);
-	if (lateA !== isLate(b, now)) {
-		return !lateA;
-	}
-
-	if (a.priority !== b.priority) {
-		return a.priority < b.priority;
-	}
-
-	return lateA ? a.deadline < b.deadline : a.objectiveAt < b.objectiveAt;
-}
-
-/** Returns the time after which a refused request could be answered if it came back, in milliseconds: after its deadline if that is not possible before. */
-function timeToRoom(request: QueuedRequest, neededMs: number, now: number): number {
-	const leftMs = request.deadline - now;
-	return neededMs <= leftMs ? neededMs - request.workMs : Math.max(neededMs, leftMs);
-}
-
-function createRefusal(request: QueuedRequest, error: ErrorKind, waitMs: number): RequestRefusal {
-	const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
-	return {request, error, retryAfterMs};
+function targetCost(limiter: TargetLimiter, now: number): number {
+	const isAvoided = limiter.namedLimiter.isLimited && limiter.idleMs(now) < limitRefreshMs;
+	return limiter.slowness.factor * (1 + (limiter.inFlight / Math.max(1, limiter.limit))) * (isAvoided ? limitedCostFactor : 1);
 }
--- /dev/null
+++ b/packages/core/src/admission/queued-request.ts
@@ -0,0 +1,67 @@
+/**
+ * Requests as the admission queue sees them: their order, and when a refused one may come back.
+ */
+import type {ErrorKind} from '../errors/index.js';
+
+/** A request offered to the queue. All times are monotonic milliseconds. */
+export type QueuedRequest = {
+	/** Unique among the requests in the queue. */
+	readonly id: string;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Time until which an answer meets the objective of the route. */
+	readonly objectiveAt: number;
+	/** Time after which an answer is useless to the caller. */
+	readonly deadline: number;
+	/** Expected duration on an idle target of normal speed, in milliseconds. */
+	readonly workMs: number;
+	/** Ids of targets that must not receive it. */
+	readonly excluded?: ReadonlySet<string>;
+	/** Whether targets with a limit on requests per second (cold ones, and those that name one) must not receive it, because another instance enforces the limit. */
+	readonly isWarmOnly?: boolean;
+};
+
+/** A request that will not be sent. */
+export type RequestRefusal = {
+	readonly request: QueuedRequest;
+	readonly error: ErrorKind;
+	/** Expected time until there is capacity, in milliseconds. */
+	readonly retryAfterMs: number;
+};
+
+/** Factor by which a request may take longer than expected and still meet its objective. */
+const workMargin = 1.25;
+
+/** Bounds of the retry delay that callers are given, in milliseconds. */
+export const minRetryAfterMs = 50;
+const maxRetryAfterMs = 2000;
+
+/** Returns whether a request that starts now is expected to miss its objective. */
+export function isLate(request: QueuedRequest, now: number): boolean {
+	return now + (request.workMs * workMargin) > request.objectiveAt;
+}
+
+/** Returns whether request `a` starts before `b`: requests in time before late ones, then by priority, then by objective, or by deadline when late. */
+export function precedes(a: QueuedRequest, b: QueuedRequest, now: number): boolean {
+	const lateA = isLate(a, now);
+	if (lateA !== isLate(b, now)) {
+		return !lateA;
+	}
+
+	if (a.priority !== b.priority) {
+		return a.priority < b.priority;
+	}
+
+	return lateA ? a.deadline < b.deadline : a.objectiveAt < b.objectiveAt;
+}
+
+/** Returns the time after which a refused request could be answered if it came back, in milliseconds: after its deadline if that is not possible before. */
+export function timeToRoom(request: QueuedRequest, neededMs: number, now: number): number {
+	const leftMs = request.deadline - now;
+	return neededMs <= leftMs ? neededMs - request.workMs : Math.max(neededMs, leftMs);
+}
+
+export function createRefusal(request: QueuedRequest, error: ErrorKind, waitMs: number): RequestRefusal {
+	const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
+	return {request, error, retryAfterMs};
+}
--- a/packages/core/src/admission/request-age-estimator.test.ts
+++ b/packages/core/src/admission/request-age-estimator.test.ts
@@ -2,7 +2,8 @@
 import {seededRandom} from '../random/index.js';
 import {RequestAgeEstimator} from './request-age-estimator.js';
 import {AttemptOutcome} from './target-limiter.js';
-import {AdmissionQueue, type QueuedRequest} from './admission-queue.js';
+import {AdmissionQueue} from './admission-queue.js';
+import type {QueuedRequest} from './queued-request.js';
 
 test('the first request of a route has age 0', t => {
 	t.is(new RequestAgeEstimator().estimate('r', 100), 0);
--- a/packages/core/src/admission/target-limiter.ts
+++ b/packages/core/src/admission/target-limiter.ts
@@ -1,4 +1,5 @@
 import {ColdRateLimiter} from './cold-rate-limiter.js';
+import {NamedRateLimiter} from './named-rate-limiter.js';
 import {SlownessEstimate} from './work-estimator.js';
 
 /** Pause after the second consecutive failure of a target, in milliseconds; doubles with each further failure. */
@@ -43,10 +44,12 @@
 	readonly coldRate: number;
 };
 
-/** Decides when one target may receive a request, by its slots, its cold-start rate and its failures. */
+/** Decides when one target may receive a request, by its slots, its cold-start rate, the limit that it names and its failures. */
 export class TargetLimiter {
 	readonly slowness = new SlownessEstimate();
 	readonly coldLimiter: ColdRateLimiter;
+	readonly namedLimiter = new NamedRateLimiter();
+	private lastStartAt = Number.NEGATIVE_INFINITY;
 	private running = 0;
 	private consecutiveFailures = 0;
 	private failureShare = 0;
@@ -86,6 +89,26 @@
 		return this.isClosed ? 0 : this.limit / this.slowness.longTerm;
 	}
 
+	/** Returns whether a limit on requests per second holds for all instances together, so that only the steward may send. */
+	isRateLimited(now: number): boolean {
+		return this.namedLimiter.isLimited || this.coldLimiter.isCold(now);
+	}
+
+	/** Returns the limit on requests per second that applies now; infinite without one. */
+	rate(now: number): number {
+		return this.namedLimiter.rate(now);
+	}
+
+	/** Sets the share of the limits on requests per second that this instance uses, from 0 to 1. */
+	setRateShare(share: number, now: number): void {
+		this.namedLimiter.setShare(share, now);
+	}
+
+	/** Returns the time since the last start of a request, in milliseconds. */
+	idleMs(now: number): number {
+		return now - this.lastStartAt;
+	}
+
 	/** Applies changed settings. */
 	configure(cfg: TargetLimiterCfg): void {
 		this.cfg = cfg;
@@ -99,7 +122,7 @@
 
 	/** Returns whether a request may start now. */
 	mayStart(now: number): boolean {
-		return !this.isClosed && this.running < this.limit && now >= this.pausedUntil && this.coldLimiter.mayStart(now);
+		return !this.isClosed && this.running < this.limit && now >= this.pausedUntil && this.coldLimiter.mayStart(now) && this.namedLimiter.mayStart(now);
 	}
 
 	/** Returns the earliest monotonic time at which a request may start if none ends before; infinite when one has to end first. */
@@ -108,13 +131,15 @@
 			return Number.POSITIVE_INFINITY;
 		}
 
-		return Math.max(this.pausedUntil, this.coldLimiter.nextStartAt(now));
+		return Math.max(this.pausedUntil, this.coldLimiter.nextStartAt(now), this.namedLimiter.nextStartAt(now));
 	}
 
 	/** Records the start of a request. */
 	recordStart(now: number): void {
 		this.running += 1;
+		this.lastStartAt = now;
 		this.coldLimiter.recordStart(now);
+		this.namedLimiter.recordStart(now);
 	}
 
 	/** Records the end of a request. `ratio` is its duration divided by its expected work. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,9 @@
 /** Fraction of the allowed retries that the instances use, so that uneven load does not exceed the limit. */
 const retryShareUsed = 0.75;
 
+/** Time since the leader was heard from which it may have named another steward, in milliseconds; it waits at least as long for an instance that does not answer. */
+const stewardContactMs = 1000;
+
 /** Largest number of list entries per service in a report; each key takes two, itself and its expected run time. */
 const maxReportedEntries = 4000;
 
@@ -102,6 +105,7 @@
 			client: this.client,
 			clock,
 			telemetry,
+			hasLeaderContact: () => this.coordinator.leaderContactAgeMs < stewardContactMs,
 			onNotOwner: (target: string, order: Order) => {
 				if (order.key !== undefined) {
 					this.coordinator.reportNotOwner({service: order.service, owner: target, key: order.key});
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -33,6 +33,8 @@
 	readonly tracker: ConditionTracker;
 	/** Returns whether this instance is the steward of the queue. */
 	readonly isSteward: () => boolean;
+	/** Returns whether this instance would know by now if it were no longer the steward. */
+	readonly hasLeaderContact: () => boolean;
 	/** Called when a target answers that it does not own the key of an order. */
 	readonly onNotOwner: (target: string, order: Order) => void;
 };
@@ -68,6 +70,7 @@
 
 	constructor(options: DispatchQueueOptions) {
 		this.options = options;
+		this.admission.setSteward(false, options.clock.now());
 	}
 
 	/** Number of queued requests. */
@@ -111,6 +114,7 @@
 			this.refuseAll();
 		}
 
+		this.refreshLimits(now);
 		this.applyDecision(this.admission.tick(now));
 	}
 
@@ -144,10 +148,21 @@
 					resolve(result);
 				},
 			});
+			this.refreshLimits(now);
 			this.applyDecision(this.admission.offer(request, now));
 		});
 	}
 
+	/** Applies what is known about the limits of the targets, and whether this instance may use them. */
+	private refreshLimits(now: number): void {
+		const {isSteward, hasLeaderContact, tracker} = this.options;
+		this.admission.setSteward(isSteward(), now);
+		this.admission.updateRateShare(hasLeaderContact(), now);
+		for (const limiter of this.admission.allTargets()) {
+			limiter.namedLimiter.setLimit(tracker.conditions.limit(limiter.id, now), now);
+		}
+	}
+
 	private refuseAll(): void {
 		for (const [id] of this.pending) {
 			if (this.admission.cancel(id)) {
@@ -177,7 +192,9 @@
 		const next = this.admission.nextTick(now);
 		if (next !== undefined) {
 			this.timer = setTimeout(() => {
-				this.applyDecision(this.admission.tick(this.options.clock.now()));
+				const tickAt = this.options.clock.now();
+				this.refreshLimits(tickAt);
+				this.applyDecision(this.admission.tick(tickAt));
 			}, next);
 		}
 	}
@@ -215,6 +232,7 @@
 		this.options.tracker.recordResult(target.id, {
 			result, name: target.name, sentAt: startedAt, role,
 		});
+		this.refreshLimits(now);
 		this.recordFeedback(order, limiter, result, now - startedAt);
 		const expectedMs = Math.max(1, request.workMs);
 		const decision = this.admission.finish(limiter, result.outcome, (now - startedAt) / expectedMs, now);
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -14,6 +14,8 @@
 	readonly client: TargetClient;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	/** Returns whether the leader was heard recently enough that this instance would know of a new steward. */
+	readonly hasLeaderContact: () => boolean;
 	readonly onNotOwner: (target: string, order: Order) => void;
 };
 
@@ -74,7 +76,7 @@
 
 	private updateFromView(): void {
 		const {store} = this.options.view;
-		const viewVersion = ['target', 'service', 'evacuated'].map(part => store.lastSeqOfPart(part)).join('/');
+		const viewVersion = ['target', 'service', 'evacuated', 'steward'].map(part => store.lastSeqOfPart(part)).join('/');
 		if (viewVersion === this.viewVersion) {
 			return;
 		}
