What a target says about itself is known to all instances

After the loss of a steward five of five instances sent a request each to a target that had named a limit, since only the process that had heard it knew it. Cause: what a target says in an answer stayed in one process (class: a limit over all instances that each keeps for itself).

Each instance reports what it heard from targets in its answer to the leader's ping, with its age; the leader keeps the newest statement of each target (ConditionBoard), of about the same time the stricter one, and publishes the limits in the view. A new leader starts from the view.

A limit ends when an answer to a later request names none, or when nobody has heard the target for 10 s. A limit that changes with each answer is published once a second; a much stricter one at once.

--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -3,13 +3,13 @@
  * publishes the view to all instances.
  */
 import {
-	KeyLoad, OwnershipMap, type Clock, type LeaseTiming, type EligibleOwner, type Service, type TargetInfo,
+	OwnershipMap, type Clock, type LeaseTiming, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import type {PeerNet} from '../peers/index.js';
 import {StaleAppendError, type TargetControl} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
-	sharedQueueId, targetQueueId, type NodeInfo, type View,
+	limitPart, sharedQueueId, targetQueueId, type NodeInfo, type View,
 } from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
@@ -18,6 +18,7 @@
 import type {SendEnds} from './former-leaders.js';
 import {LeadConfirmation} from './lead-confirmation.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import {Measurements} from './measurements.js';
 import type {NotOwnerReport, Pong, Report} from './messages.js';
 import type {OwnerLog, OwnerState} from './owner-log.js';
 import {findOwnerProcess} from './owner-process.js';
@@ -62,8 +63,7 @@
 	/** Replication of the view to the other instances. */
 	readonly followers: FollowerSync;
 	private readonly managers = new Map<string, OwnershipManager>();
-	private readonly loads = new Map<string, KeyLoad>();
-	private readonly slowness = new Map<string, number>();
+	private readonly measurements: Measurements;
 	/** Each target seen in this term, also after its removal, in the order of the first sight. */
 	private readonly seenTargets = new Map<string, TargetInfo>();
 	private readonly clockStepDetector: ClockStepDetector;
@@ -78,6 +78,7 @@
 
 	constructor(private readonly options: LeaderOptions, private readonly initialState: OwnerState) {
 		this.clockStepDetector = new ClockStepDetector(options.clock);
+		this.measurements = new Measurements(options.view.namedLimits, options.clock.now());
 		this.hasClearedFormers = options.record.formers.length === 0 && !options.record.isRecovering;
 		this.confirmation = new LeadConfirmation({
 			...options,
@@ -147,7 +148,8 @@
 
 		void this.confirmation.confirm();
 		this.endRecovery(now);
-		this.applyReport(this.options.report());
+		this.measurements.apply(this.options.self.name, this.options.report(), now);
+		this.publishLimits();
 		for (const target of view.targets.values()) {
 			this.seenTargets.set(target.id, target);
 		}
@@ -234,19 +236,13 @@
 		}
 	}
 
-	private applyReport(report: Report): void {
-		const now = this.options.clock.now();
-		for (const [service, pairs] of Object.entries(report.keys)) {
-			const load = this.loads.get(service) ?? new KeyLoad();
-			this.loads.set(service, load);
-			for (let i = 0; i + 1 < pairs.length; i += 2) {
-				load.add(pairs[i], pairs[i + 1], now);
-			}
-		}
-
-		for (const [target, factor] of report.slowness) {
-			this.slowness.set(target, factor);
-		}
+	/** Publishes the limits that targets name. Returns whether they changed. */
+	private publishLimits(): boolean {
+		const {view, clock} = this.options;
+		const before = view.store.lastSeqOfPart(limitPart);
+		const limits = this.measurements.limits(target => view.targets.has(target), clock.now());
+		view.replacePrefix(`${limitPart}/`, new Map([...limits].map(([target, limit]) => [`${limitPart}/${target}`, limit])));
+		return view.store.lastSeqOfPart(limitPart) !== before;
 	}
 
 	/** Assigns dispatch queues to stewards when targets, services or live instances have changed. */
@@ -293,7 +289,7 @@
 				const manager = this.managers.get(service.name) ?? this.addManager(service);
 				manager.tick({
 					owners: this.findOwners(service.name, manager, now),
-					rates: () => this.loads.get(service.name)?.rates(now) ?? [],
+					rates: () => this.measurements.rates(service.name, now),
 					mayMove: hasStoreContact && !isRecovering && this.confirmation.isInPresentEra,
 				});
 			}
@@ -304,7 +300,7 @@
 		const {view, reader} = this.options;
 		return findUsableOwners(view.usableTargets(service), {
 			silentMs: target => manager.silentMs(target),
-			slowness: target => this.slowness.get(target) ?? 1,
+			slowness: target => this.measurements.slowness(target),
 			coldLeftMs: target => reader.remainingColdMs(target, now),
 		});
 	}
@@ -367,7 +363,11 @@
 			return;
 		}
 
-		this.applyReport(pong.report);
+		this.measurements.apply(node.name, pong.report, this.options.clock.now());
+		if (this.publishLimits()) {
+			this.schedulePublish();
+		}
+
 		this.confirmation.recordFollower(node.name, pong);
 	}
 
--- /dev/null
+++ b/packages/gateway/src/cluster/measurements.ts
@@ -0,0 +1,47 @@
+import {KeyLoad, type KeyRates} from '@bluebellyard/core';
+import {ConditionBoard} from './condition-board.js';
+import type {Report} from './messages.js';
+
+/** What the instances measured and what targets told them, as the leader collects it. */
+export class Measurements {
+	private readonly conditions: ConditionBoard;
+	private readonly loads = new Map<string, KeyLoad>();
+	private readonly slownessByTarget = new Map<string, number>();
+
+	/** Begins with the limits that the former leader published, by target id. */
+	constructor(limits: ReadonlyMap<string, number>, now: number) {
+		this.conditions = new ConditionBoard(limits, now);
+	}
+
+	/** Applies the report of an instance. */
+	apply(reporter: string, {keys, slowness, conditions}: Report, now: number): void {
+		for (const [service, pairs] of Object.entries(keys)) {
+			const load = this.loads.get(service) ?? new KeyLoad();
+			this.loads.set(service, load);
+			for (let i = 0; i + 1 < pairs.length; i += 2) {
+				load.add(pairs[i], pairs[i + 1], now);
+			}
+		}
+
+		for (const [target, factor] of slowness) {
+			this.slownessByTarget.set(target, factor);
+		}
+
+		this.conditions.apply(reporter, conditions ?? [], now);
+	}
+
+	/** Returns the load of a service by key. */
+	rates(service: string, now: number): KeyRates {
+		return this.loads.get(service)?.rates(now) ?? [];
+	}
+
+	/** Returns the long-term slowness factor of a target; 1 is normal. */
+	slowness(target: string): number {
+		return this.slownessByTarget.get(target) ?? 1;
+	}
+
+	/** Returns the limits that targets name, by target id, in requests per second. */
+	limits(isKnown: (target: string) => boolean, now: number): Map<string, number> {
+		return this.conditions.limits(isKnown, now);
+	}
+}
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -4,6 +4,7 @@
 import type {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
+import type {ConditionReport} from '@bluebellyard/core';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
@@ -58,6 +59,8 @@
 	readonly keys: Readonly<Record<string, readonly number[]>>;
 	/** Long-term slowness of the targets that it sends work to; 1 is normal. */
 	readonly slowness: ReadonlyArray<readonly [target: string, factor: number]>;
+	/** What targets said about themselves in recent answers; absent from instances of an earlier version. */
+	readonly conditions?: readonly ConditionReport[];
 	readonly isLeaving: boolean;
 };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -204,7 +204,12 @@
 	private report(): Report {
 		const keys = Object.fromEntries(this.requestedKeys);
 		this.requestedKeys.clear();
-		return {keys, slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const), isLeaving: this.isStopping};
+		return {
+			keys,
+			slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const),
+			conditions: this.queues.reportConditions(),
+			isLeaving: this.isStopping,
+		};
 	}
 
 	private updateGauges(): void {
--- a/packages/gateway/src/queue/condition-tracker.ts
+++ b/packages/gateway/src/queue/condition-tracker.ts
@@ -1,5 +1,6 @@
 import {AttemptOutcome, TargetConditions, type Clock} from '@bluebellyard/core';
 import type {Telemetry} from '../telemetry/index.js';
+import type {View} from '../view/index.js';
 import type {TargetResult} from './target-client.js';
 
 /** Interval between two log lines about a target whose limit holds, in milliseconds; the requests sent in it are counted. */
@@ -67,6 +68,13 @@
 		}
 	}
 
+	/** Applies the limits that the instances together know, and forgets targets that are gone. */
+	applyReported(view: Pick<View, 'namedLimits' | 'targets'>): void {
+		const now = this.options.clock.now();
+		this.conditions.applyReported(view.namedLimits, now);
+		this.conditions.prune(target => view.targets.has(target), now);
+	}
+
 	/** Records the result of a request to a target. */
 	recordResult(target: string, {result, name, sentAt, role}: ObservedResult): void {
 		const {clock, telemetry} = this.options;
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -1,7 +1,9 @@
-import {WorkEstimator, type Clock} from '@bluebellyard/core';
+import {WorkEstimator, type Clock, type ConditionReport} from '@bluebellyard/core';
 import type {Order, OrderResult} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {sharedQueueId, targetQueueId, type View} from '../view/index.js';
+import {
+	limitPart, sharedQueueId, targetQueueId, type View,
+} from '../view/index.js';
 import {ConditionTracker} from './condition-tracker.js';
 import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
 import type {TargetClient} from './target-client.js';
@@ -55,6 +57,11 @@
 		return stewarded.flatMap(([, queue]) => queue.targetSlowness());
 	}
 
+	/** Returns what targets said about themselves in recent answers to this instance. */
+	reportConditions(): ConditionReport[] {
+		return this.tracker.conditions.report(this.options.clock.now());
+	}
+
 	/** Runs an order through a dispatch queue. Never rejects. */
 	async run(id: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
 		return this.getQueue(id).run(order, signal);
@@ -76,12 +83,13 @@
 
 	private updateFromView(): void {
 		const {store} = this.options.view;
-		const viewVersion = ['target', 'service', 'evacuated', 'steward'].map(part => store.lastSeqOfPart(part)).join('/');
+		const viewVersion = ['target', 'service', 'evacuated', 'steward', limitPart].map(part => store.lastSeqOfPart(part)).join('/');
 		if (viewVersion === this.viewVersion) {
 			return;
 		}
 
 		this.viewVersion = viewVersion;
+		this.tracker.applyReported(this.options.view);
 		const targets = this.targetsByQueue();
 		for (const [id, queue] of this.queues) {
 			const own = targets.get(id);
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -40,6 +40,9 @@
 	headerBytes: 16_384, bodyBytes: 67_108_864, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
 
+/** Part of the view with the limits that targets name, by target id, in requests per second. */
+export const limitPart = 'limit';
+
 /** Returns the id of the dispatch queue of a keyed target; one instance, its steward, sends the target work. */
 export function targetQueueId(target: string): string {
 	return `target:${target}`;
@@ -59,6 +62,7 @@
 	private servicesByName = new Map<string, Service>();
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
+	private limitsById = new Map<string, number>();
 	private nodeList: NodeInfo[] = [];
 	private nodesByAddr = new Map<string, NodeInfo>();
 	private rangesByService = new Map<string, Array<{from: number} & OwnedRange>>();
@@ -90,6 +94,14 @@
 		return this.targetsById;
 	}
 
+	/** Limits that targets name, by target id, in requests per second for all instances together. */
+	get namedLimits(): ReadonlyMap<string, number> {
+		this.rebuildIfChanged(limitPart, () => {
+			this.limitsById = new Map([...this.store.withPrefix<number>(`${limitPart}/`)].map(([key, limit]) => [key.slice(limitPart.length + 1), limit]));
+		});
+		return this.limitsById;
+	}
+
 	/** Failure domains that operators took out of service. */
 	get evacuated(): ReadonlySet<string> {
 		this.rebuildIfChanged('evacuated', () => {
