Keys move away from targets that name a limit

Cause: the leader took capacity from slots and speed alone. A limit now bounds it: limit x mean work of the service's requests. Two faults of the plan showed with small capacities: a donor from which nothing can move ended the plan for all others, and loads under 0.15 slots never moved, however small the donor.

Pure tests for both faults of the plan failed on the former plan and pass.

--- a/packages/core/src/keyspace/key-load.test.ts
+++ b/packages/core/src/keyspace/key-load.test.ts
@@ -31,3 +31,13 @@
 	load.add(1, 50, 0);
 	t.deepEqual(load.rates(10_000), []);
 });
+
+test('the mean work follows the requests', t => {
+	const load = new KeyLoad();
+	t.is(load.meanWorkMs, undefined);
+	for (let i = 0; i < 500; i += 1) {
+		load.add(i, i < 100 ? 50 : 100, i);
+	}
+
+	t.true(Math.abs(load.meanWorkMs! - 100) < 1);
+});
--- a/packages/core/src/keyspace/key-load.ts
+++ b/packages/core/src/keyspace/key-load.ts
@@ -9,6 +9,9 @@
 /** Shortest time between two decays, in milliseconds. */
 const decayIntervalMs = 200;
 
+/** Weight of one request in the mean work. */
+const meanWeight = 0.02;
+
 /**
  * Requested work by key, as an exponentially decaying sum. Counts each key on
  * its own, since adjacent busy keys may have to move to different owners.
@@ -18,14 +21,22 @@
 	private readonly work = new Map<number, number>();
 	private decayedAt: number | undefined;
 	private startedAt: number | undefined;
+	private mean: number | undefined;
 
 	constructor(halfLifeMs = defaultHalfLifeMs) {
 		this.halfLifeMs = halfLifeMs;
 	}
 
+	/** Mean work of a request, in milliseconds; undefined before the first request. */
+	get meanWorkMs(): number | undefined {
+		return this.mean;
+	}
+
 	/** Records a request for a key. `workMs` is its expected duration on an idle target of normal speed. */
 	add(key: number, workMs: number, now: number): void {
 		this.startedAt ??= now;
+		this.mean ??= workMs;
+		this.mean += (workMs - this.mean) * meanWeight;
 		this.decay(now);
 		this.work.set(key, (this.work.get(key) ?? 0) + workMs);
 	}
--- a/packages/core/src/keyspace/plan-key-moves.test.ts
+++ b/packages/core/src/keyspace/plan-key-moves.test.ts
@@ -125,3 +125,23 @@
 test('no moves are planned without targets', t => {
 	t.deepEqual(planKeyMoves(OwnershipMap.empty(), [], []), []);
 });
+
+test('a target from which nothing can move does not keep keys on others that are overloaded', t => {
+	const map = initialMap();
+	const keyOf = (owner: string) => map.findByOwner(owner)[0].from;
+	// One key that is too hot for any target, and a run of busy keys of another owner.
+	const hotKey: KeyRates[number] = [keyOf('a'), 9];
+	const run: KeyRates = Array.from({length: 40}, (_, i) => [keyOf('b') + i, 0.15] as const);
+	const moves = planKeyMoves(map, owners, [hotKey, ...run].toSorted((a, b) => a[0] - b[0]));
+	t.true(moves.length > 0);
+	t.true(moves.every(({from}) => map.findByKey(from).owner === 'b'));
+});
+
+test('little load moves off a target that can serve less than that', t => {
+	const map = initialMap();
+	const limited = owners.map(owner => owner.id === 'a' ? {id: 'a', capacity: 0.05} : owner);
+	const {from} = map.findByOwner('a')[0];
+	const rates: KeyRates = Array.from({length: 50}, (_, i) => [from + (i * 300), 0.0024] as const);
+	const {map: settled} = settle(map, rates, limited);
+	t.true(loads(settled, rates).get('a')! <= 0.05, `${loads(settled, rates).get('a')}`);
+});
--- a/packages/core/src/keyspace/plan-key-moves.ts
+++ b/packages/core/src/keyspace/plan-key-moves.ts
@@ -28,6 +28,9 @@
 /** Smallest load worth moving, in busy slots. */
 const minMovedLoad = 0.15;
 
+/** Share of a small donor's capacity that is worth moving, too. */
+const minMovedShare = 0.3;
+
 /** Lower bound of the move limit of one rebalancing plan; the next plan continues. */
 const minMovesPerPlan = 10;
 
@@ -219,9 +222,11 @@
 	const high = Math.max(highUtilization, mean * highRatio);
 	const maxMoves = Math.max(minMovesPerPlan, owners.length * movesPerOwner);
 	const moves: KeyMove[] = [];
+	/** Donors from which no move helps; others may still be overloaded. */
+	const stuck = new Set<OwnerLoad>();
 	let current = map;
-	while (moves.length < maxMoves) {
-		const donor = findHighest(loads, row => row.busy / row.owner.capacity);
+	while (moves.length < maxMoves && stuck.size < loads.size) {
+		const donor = findHighest(loads, row => stuck.has(row) ? Number.NEGATIVE_INFINITY : row.busy / row.owner.capacity);
 		const receiver = findHighest(loads, row => -row.busy / row.owner.capacity);
 		if (donor === receiver || (donor.busy - (minDeviations * standardDeviation(donor.busy))) / donor.owner.capacity <= high) {
 			break;
@@ -230,13 +235,11 @@
 		const excess = donor.busy - (mean * donor.owner.capacity);
 		const limit = Math.max(receiverUtilization, mean) * receiver.owner.capacity;
 		const run = findBestRun(current, donor.owner.id, rates, Math.min(excess, limit - receiver.busy));
-		if (run === undefined || run.load < minMovedLoad) {
-			break;
-		}
-
+		const isWorthwhile = run !== undefined && run.load >= Math.min(minMovedLoad, donor.owner.capacity * minMovedShare);
 		// The move does not help when the receiver would be as overloaded as the donor.
-		if ((receiver.busy + run.load) / receiver.owner.capacity >= donor.busy / donor.owner.capacity) {
-			break;
+		if (!isWorthwhile || (receiver.busy + run.load) / receiver.owner.capacity >= donor.busy / donor.owner.capacity) {
+			stuck.add(donor);
+			continue;
 		}
 
 		donor.busy -= run.load;
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -302,6 +302,7 @@
 			silentMs: target => manager.silentMs(target),
 			slowness: target => this.measurements.slowness(target),
 			coldLeftMs: target => reader.remainingColdMs(target, now),
+			limitedSlots: target => this.measurements.toSlots(service, view.namedLimits.get(target)),
 		});
 	}
 
--- a/packages/gateway/src/cluster/measurements.ts
+++ b/packages/gateway/src/cluster/measurements.ts
@@ -2,6 +2,14 @@
 import {ConditionBoard} from './condition-board.js';
 import type {Report} from './messages.js';
 
+/** Work of a request that is assumed before any was measured, in milliseconds. */
+const assumedWorkMs = 100;
+
+/** Smallest limit that counts as capacity, in requests per second; a target that takes nothing has some room, too, so that shares can be formed. */
+const minLimit = 0.1;
+
+const msPerSecond = 1000;
+
 /** What the instances measured and what targets told them, as the leader collects it. */
 export class Measurements {
 	private readonly conditions: ConditionBoard;
@@ -40,6 +48,12 @@
 		return this.slownessByTarget.get(target) ?? 1;
 	}
 
+	/** Converts a limit in requests per second of a service to slots of normal speed; infinite without a limit. */
+	toSlots(service: string, limit: number | undefined): number {
+		const workMs = this.loads.get(service)?.meanWorkMs ?? assumedWorkMs;
+		return limit === undefined ? Number.POSITIVE_INFINITY : Math.max(minLimit, limit) * workMs / msPerSecond;
+	}
+
 	/** Returns the limits that targets name, by target id, in requests per second. */
 	limits(isKnown: (target: string) => boolean, now: number): Map<string, number> {
 		return this.conditions.limits(isKnown, now);
--- a/packages/gateway/src/cluster/usable-owners.test.ts
+++ b/packages/gateway/src/cluster/usable-owners.test.ts
@@ -12,7 +12,7 @@
 
 function metrics(changes: Partial<TargetMetrics>): TargetMetrics {
 	return {
-		silentMs: () => 0, slowness: () => 1, coldLeftMs: () => 0, ...changes,
+		silentMs: () => 0, slowness: () => 1, coldLeftMs: () => 0, limitedSlots: () => Number.POSITIVE_INFINITY, ...changes,
 	};
 }
 
@@ -30,3 +30,9 @@
 	t.is(slow.capacity, 2);
 	t.true(cold.capacity < 2);
 });
+
+test('a target that names a limit has no more capacity than that', t => {
+	const [limited, other] = findUsableOwners(targets, metrics({limitedSlots: id => id === 'a1' ? 0.3 : Number.POSITIVE_INFINITY}));
+	t.is(limited.capacity, 0.3);
+	t.is(other.capacity, 4);
+});
--- a/packages/gateway/src/cluster/usable-owners.ts
+++ b/packages/gateway/src/cluster/usable-owners.ts
@@ -17,6 +17,8 @@
 	readonly slowness: (target: string) => number;
 	/** Returns how much longer the target is cold, in milliseconds. */
 	readonly coldLeftMs: (target: string) => number;
+	/** Returns the most load that the target takes by the limit that it names, in slots of normal speed; infinite without a limit. */
+	readonly limitedSlots: (target: string) => number;
 };
 
 /** Returns the targets that may own keys, with their capacities. */
@@ -37,6 +39,7 @@
 
 	return targets.filter(target => !isLost(target)).map(({id, slots}) => {
 		const normalCapacity = slots / metrics.slowness(id);
-		return {id, capacity: metrics.coldLeftMs(id) > 0 ? normalCapacity * coldCapacityShare : normalCapacity};
+		const capacity = metrics.coldLeftMs(id) > 0 ? normalCapacity * coldCapacityShare : normalCapacity;
+		return {id, capacity: Math.min(capacity, metrics.limitedSlots(id))};
 	});
 }
