Cold targets: a steward that is cut off and its successor share the rate

A steward without contact to the leader does not know of its successor; both fed a cold target at the full rate, and a new steward began with a fresh allowance: 40 requests in a second at a rate of 20 in the test, 35 tolerated. The cold rate now follows the same share as named limits: half without contact, and half in the first 1.1 s as steward. The estimate of waits takes the cold rate into account, too.

--- a/packages/core/src/admission/admission-queue.test.ts
+++ b/packages/core/src/admission/admission-queue.test.ts
@@ -212,3 +212,89 @@
 	const {usual} = simulate(80, 20);
 	t.true(usual.longestWaitMs < 1250, `${usual.longestWaitMs}`);
 });
+
+/**
+ * Starts as many requests as two instances allow: a steward that loses contact to the leader at 1000 ms and goes on, and
+ * its successor from 2100 ms on. Returns the times of the starts.
+ */
+function startAsTwoStewards(prepare: (queue: AdmissionQueue) => void): number[] {
+	const [former, successor] = [makeQueue(50), makeQueue(50)];
+	const starts: number[] = [];
+	for (const queue of [former, successor]) {
+		prepare(queue);
+		queue.setSteward(false, 0);
+	}
+
+	for (let now = 0; now < 8000; now += 10) {
+		former.setSteward(true, now);
+		former.updateRateShare(now < 1000, now);
+		successor.setSteward(now >= 2100, now);
+		successor.updateRateShare(true, now);
+		for (const queue of [former, successor]) {
+			for (const {limiter} of queue.offer(request(now, {workMs: 1}), now).starts) {
+				starts.push(now);
+				queue.finish(limiter, AttemptOutcome.Answered, 1, now);
+			}
+		}
+	}
+
+	return starts;
+}
+
+function busiestWindow(starts: readonly number[], windowMs: number): number {
+	return Math.max(...starts.map(start => starts.filter(other => other >= start && other < start + windowMs).length));
+}
+
+test('a cold target is not fed at twice its rate by a steward that is cut off and its successor', t => {
+	const starts = startAsTwoStewards(queue => {
+		queue.target('a')!.configure({id: 'a', slots: 50, coldRate: 20});
+		queue.target('a')!.coldLimiter.markCold(60_000);
+	});
+	const busiest = busiestWindow(starts, 1000);
+	t.true(busiest <= (20 * 1.5) + 5, `${busiest}`);
+});
+
+test('a target that names a limit does not get twice that from a steward that is cut off and its successor', t => {
+	const starts = startAsTwoStewards(queue => {
+		queue.target('a')!.namedLimiter.setLimit(20, 0);
+	});
+	const busiest = busiestWindow(starts, 4000);
+	t.true(busiest <= (20 * 1.5 * 4) + 5, `${busiest}`);
+});
+
+test('a queue that is no longer steward refuses what waits for a target with a limit', t => {
+	const queue = makeQueue(2);
+	queue.setSteward(true, 0);
+	queue.target('a')!.namedLimiter.setLimit(2, 0);
+	const {starts, refusals} = queue.offer(request(0, {objectiveAt: 2000}), 0);
+	t.deepEqual([starts.length, refusals.length], [0, 0]);
+	queue.setSteward(false, 100);
+	t.deepEqual(queue.tick(100).refusals.map(({error}) => error), [ErrorKind.NoTarget]);
+	t.is(queue.nextTick(100), undefined);
+});
+
+test('a limit leaves no time for a request: it is refused on arrival, with a time that has room', t => {
+	const queue = makeQueue(2);
+	queue.target('a')!.namedLimiter.setLimit(1, 0);
+	const offer = () => queue.offer(request(0, {deadline: 2500, objectiveAt: 400}), 0);
+	const results = [offer(), offer(), offer(), offer()];
+	const refused = results.flatMap(({refusals}) => refusals);
+	t.true(refused.length >= 2);
+	t.true(refused.every(({retryAfterMs}) => retryAfterMs >= 1000), `${refused.map(({retryAfterMs}) => retryAfterMs).join(' ')}`);
+});
+
+test('targets with room go first, a target that names a limit still gets single requests', t => {
+	const queue = makeQueue(4, ['limited', 'other']);
+	queue.target('limited')!.namedLimiter.setLimit(2, 0);
+	const started: string[] = [];
+	for (let now = 0; now < 10_000; now += 50) {
+		for (const {limiter} of queue.offer(request(now, {workMs: 20}), now).starts) {
+			started.push(limiter.id);
+			queue.finish(limiter, AttemptOutcome.Answered, 1, now);
+		}
+	}
+
+	const limited = started.filter(id => id === 'limited').length;
+	t.is(started.length, 200);
+	t.true(limited >= 5 && limited <= 10, `${limited}`);
+});
--- a/packages/core/src/admission/cold-rate-limiter.ts
+++ b/packages/core/src/admission/cold-rate-limiter.ts
@@ -1,11 +1,14 @@
 /** Window in which starts are counted, in milliseconds; longer than a second because the time that requests take to arrive varies. */
 const windowMs = 1100;
 
+const msPerSecond = 1000;
+
 /** Limits the requests that a cold target receives in any second. */
 export class ColdRateLimiter {
 	private perSecond: number;
 	private readonly starts: number[] = [];
 	private coldUntil = Number.NEGATIVE_INFINITY;
+	private share = 1;
 
 	/** `perSecond` is the request rate that a cold target can handle. */
 	constructor(perSecond: number) {
@@ -22,14 +25,24 @@
 		this.perSecond = perSecond;
 	}
 
+	/** Sets the share of the rate that this instance uses, from 0 to 1. */
+	setShare(share: number): void {
+		this.share = share;
+	}
+
 	isCold(now: number): boolean {
 		return now < this.coldUntil;
 	}
 
+	/** Returns the present rate in requests per second; infinite while the target is warm. */
+	rate(now: number): number {
+		return this.isCold(now) ? this.maxStarts * msPerSecond / windowMs : Number.POSITIVE_INFINITY;
+	}
+
 	/** Returns whether a request may start now. */
 	mayStart(now: number): boolean {
 		this.dropOldStarts(now);
-		return !this.isCold(now) || this.starts.length < Math.max(1, Math.floor(this.perSecond));
+		return !this.isCold(now) || this.starts.length < this.maxStarts;
 	}
 
 	/** Records the start of a request. */
@@ -44,7 +57,12 @@
 			return now;
 		}
 
-		return Math.min(this.coldUntil, this.starts[0] + windowMs);
+		return Math.min(this.coldUntil, this.starts[this.starts.length - this.maxStarts] + windowMs);
+	}
+
+	/** Number of requests that may start within a window. */
+	private get maxStarts(): number {
+		return Math.max(1, Math.floor(this.perSecond * this.share));
 	}
 
 	private dropOldStarts(now: number): void {
--- a/packages/core/src/admission/target-limiter.ts
+++ b/packages/core/src/admission/target-limiter.ts
@@ -96,12 +96,13 @@
 
 	/** Returns the limit on requests per second that applies now; infinite without one. */
 	rate(now: number): number {
-		return this.namedLimiter.rate(now);
+		return Math.min(this.namedLimiter.rate(now), this.coldLimiter.rate(now));
 	}
 
 	/** Sets the share of the limits on requests per second that this instance uses, from 0 to 1. */
 	setRateShare(share: number, now: number): void {
 		this.namedLimiter.setShare(share, now);
+		this.coldLimiter.setShare(share);
 	}
 
 	/** Returns the time since the last start of a request, in milliseconds. */
