--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -8,9 +8,7 @@
 import type {PeerNet} from '../peers/index.js';
 import {StaleAppendError, type TargetControl} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {
-	limitPart, sharedQueueId, targetQueueId, type NodeInfo, type View,
-} from '../view/index.js';
+import {limitPart, type NodeInfo, type View} from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
 import type {Directory} from './directory.js';
@@ -23,7 +21,7 @@
 import type {OwnerLog, OwnerState} from './owner-log.js';
 import {findOwnerProcess} from './owner-process.js';
 import {OwnershipManager} from './ownership-manager.js';
-import {planStewards, type QueueToAssign} from './steward-plan.js';
+import {StewardAssignment} from './steward-assignment.js';
 import {findUsableOwners} from './usable-owners.js';
 
 /** Age of the store contact up to which keys may be moved, in milliseconds. */
@@ -72,8 +70,7 @@
 	private hasClearedFormers: boolean;
 	private isStopped = false;
 	private isPublishScheduled = false;
-	/** Inputs of the last assignment of stewards. */
-	private stewardInputs = '';
+	private readonly stewards: StewardAssignment;
 	private readonly publishedRevisions = new Map<string, number>();
 
 	constructor(private readonly options: LeaderOptions, private readonly initialState: OwnerState) {
@@ -100,6 +97,7 @@
 				this.handlePong(node, pong);
 			},
 		});
+		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes()});
 	}
 
 	/** Adds an instance that announced itself. */
@@ -155,7 +153,7 @@
 		}
 
 		const before = view.store.lastSeq;
-		this.assignStewards(now);
+		this.stewards.update(now);
 		if (this.confirmation.mayGrant(now)) {
 			this.tickManagers(now);
 		}
@@ -180,7 +178,7 @@
 			this.isPublishScheduled = false;
 			if (!this.isStopped) {
 				// A target must not be published without its steward: instances would send work to it on their own.
-				this.assignStewards(this.options.clock.now());
+				this.stewards.update(this.options.clock.now());
 				this.publishKeys();
 				this.options.view.notifyListeners();
 				this.followers.sendDue(this.options.clock.now(), this.storeAgeMs);
@@ -245,40 +243,6 @@
 		return view.store.lastSeqOfPart(limitPart) !== before;
 	}
 
-	/** Assigns dispatch queues to stewards when targets, services or live instances have changed. */
-	private assignStewards(now: number): void {
-		const {view} = this.options;
-		const live = this.followers.liveNodes();
-		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...live.map(node => node.incarnation)].join(' ');
-		if (inputs === this.stewardInputs) {
-			return;
-		}
-
-		this.stewardInputs = inputs;
-		const queues = new Map<string, QueueToAssign>();
-		for (const target of view.targets.values()) {
-			const isSharded = view.allServices.get(target.service)?.isSharded ?? false;
-			const queueId = isSharded ? targetQueueId(target.id) : sharedQueueId(target.service, target.domain);
-			queues.set(queueId, {queueId, domain: target.domain});
-		}
-
-		const plan = planStewards([...queues.values()], live, queueId => view.findSteward(queueId));
-		this.updateColdTimes(plan, now);
-		view.replacePrefix('steward/', new Map([...plan].map(([queueId, name]) => [`steward/${queueId}`, name])));
-	}
-
-	/** Updates the remaining cold time of targets with a new steward, which counts it from now on. */
-	private updateColdTimes(plan: ReadonlyMap<string, string>, now: number): void {
-		const {view, reader} = this.options;
-		for (const target of view.targets.values()) {
-			const queueIds = [targetQueueId(target.id), sharedQueueId(target.service, target.domain)];
-			const hasNewSteward = queueIds.some(queueId => plan.get(queueId) !== view.findSteward(queueId));
-			if (hasNewSteward) {
-				view.store.set(`target/${target.id}`, {...target, coldLeftMs: Math.round(reader.remainingColdMs(target.id, now))});
-			}
-		}
-	}
-
 	private tickManagers(now: number): void {
 		const {view} = this.options;
 		const {isRecovering} = this;
--- /dev/null
+++ b/packages/gateway/src/cluster/steward-assignment.ts
@@ -0,0 +1,58 @@
+import {
+	sharedQueueId, targetQueueId, type NodeInfo, type View,
+} from '../view/index.js';
+import type {FeedReader} from './feed-reader.js';
+import {planStewards, type QueueToAssign} from './steward-plan.js';
+
+/** Options of a steward assignment. */
+export type StewardAssignmentOptions = {
+	readonly view: View;
+	readonly reader: Pick<FeedReader, 'remainingColdMs'>;
+	/** Returns the instances that may be stewards. */
+	readonly liveNodes: () => readonly NodeInfo[];
+};
+
+/** Keeps the stewards in the view up to date with targets, services and live instances. */
+export class StewardAssignment {
+	private readonly options: StewardAssignmentOptions;
+	/** Inputs of the last assignment. */
+	private inputs = '';
+
+	constructor(options: StewardAssignmentOptions) {
+		this.options = options;
+	}
+
+	/** Assigns dispatch queues to stewards when targets, services or live instances have changed. */
+	update(now: number): void {
+		const {view, liveNodes} = this.options;
+		const live = liveNodes();
+		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...live.map(node => node.incarnation)].join(' ');
+		if (inputs === this.inputs) {
+			return;
+		}
+
+		this.inputs = inputs;
+		const queues = new Map<string, QueueToAssign>();
+		for (const target of view.targets.values()) {
+			const isSharded = view.allServices.get(target.service)?.isSharded ?? false;
+			const queueId = isSharded ? targetQueueId(target.id) : sharedQueueId(target.service, target.domain);
+			queues.set(queueId, {queueId, domain: target.domain});
+		}
+
+		const plan = planStewards([...queues.values()], live, queueId => view.findSteward(queueId));
+		this.updateColdTimes(plan, now);
+		view.replacePrefix('steward/', new Map([...plan].map(([queueId, name]) => [`steward/${queueId}`, name])));
+	}
+
+	/** Updates the remaining cold time of targets with a new steward, which counts it from now on. */
+	private updateColdTimes(plan: ReadonlyMap<string, string>, now: number): void {
+		const {view, reader} = this.options;
+		for (const target of view.targets.values()) {
+			const queueIds = [targetQueueId(target.id), sharedQueueId(target.service, target.domain)];
+			const hasNewSteward = queueIds.some(queueId => plan.get(queueId) !== view.findSteward(queueId));
+			if (hasNewSteward) {
+				view.store.set(`target/${target.id}`, {...target, coldLeftMs: Math.round(reader.remainingColdMs(target.id, now))});
+			}
+		}
+	}
+}
