A target that announces its leaving in an answer gets no new work

Targets that say Server-Leaving went on getting work until the store said so, which it may do late or, while it is away, not at all. Cause: the header was read nowhere; the class is the one of LIMIT. It takes the same path as limits: the instance that hears it stops at once and tells the leader, which publishes it; keys move by a handover as from a draining target. A lost message is made up for by the next answer to a ping. It holds for this incarnation.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -3,7 +3,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {Clock, LeaseTiming} from '@bluebellyard/core';
-import type {Message} from '../peers/index.js';
+import {noBytes, type Message} from '../peers/index.js';
 import {
 	StaleAppendError, type KeyedLog, type OperatorFeed, type TargetControl, type TargetFeed,
 } from '../ports/index.js';
@@ -17,7 +17,7 @@
 import {FollowedLeader} from './followed-leader.js';
 import {Leader} from './leader.js';
 import {
-	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type NotOwnerReport, type Ping, type Pong, type Report, type ViewState,
+	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type NotOwnerReport, type Ping, type Pong, type Report, type TargetReport, type ViewState,
 } from './messages.js';
 import {KnownInstances, type KnownInstancesOptions} from './known-instances.js';
 import {FeedReader} from './feed-reader.js';
@@ -134,13 +134,16 @@
 		this.leader?.stop();
 	}
 
-	/** Reports to the leader that an owner does not hold a key. */
-	reportNotOwner(report: NotOwnerReport): void {
+	/**
+	 * Reports to the leader what a target told this instance. A lost report is made up for by the next answer of the
+	 * target, or by the answer to the leader's next ping.
+	 */
+	report(...[op, value]: TargetReport): void {
 		if (this.leader !== undefined) {
-			this.leader.handleNotOwner(report);
+			this.handle(op, {value, bytes: noBytes});
 		} else if (this.followed.node !== undefined) {
-			this.options.net.call(this.followed.node.addr, PeerOp.Disowned, report).catch((err: unknown) => {
-				this.options.telemetry.warn('follower', 'A key that its owner does not hold could not be reported to the leader.', {...report, err});
+			this.options.net.call(this.followed.node.addr, op, value).catch((err: unknown) => {
+				this.options.telemetry.warn('follower', 'A report could not be sent to the leader.', {op, value, err});
 			});
 		}
 	}
@@ -174,6 +177,11 @@
 				return true;
 			}
 
+			case PeerOp.Leaving: {
+				this.leader?.handleLeaving(body as string);
+				return true;
+			}
+
 			case PeerOp.Request: {
 				return undefined;
 			}
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -8,7 +8,9 @@
 import type {PeerNet} from '../peers/index.js';
 import {StaleAppendError, type TargetControl} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {limitPart, type NodeInfo, type View} from '../view/index.js';
+import {
+	leavingPart, limitPart, type NodeInfo, type View,
+} from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
 import type {Directory} from './directory.js';
@@ -75,7 +77,7 @@
 
 	constructor(private readonly options: LeaderOptions, private readonly initialState: OwnerState) {
 		this.clockStepDetector = new ClockStepDetector(options.clock);
-		this.measurements = new Measurements(options.view.namedLimits, options.clock.now());
+		this.measurements = new Measurements(options.view.namedLimits, options.view.leavingTargets(), options.clock.now());
 		this.hasClearedFormers = options.record.formers.length === 0 && !options.record.isRecovering;
 		this.confirmation = new LeadConfirmation({
 			...options,
@@ -147,7 +149,7 @@
 		void this.confirmation.confirm();
 		this.endRecovery(now);
 		this.measurements.apply(this.options.self.name, this.options.report(), now);
-		this.publishLimits();
+		this.publishConditions();
 		for (const target of view.targets.values()) {
 			this.seenTargets.set(target.id, target);
 		}
@@ -191,6 +193,15 @@
 		this.managers.get(service)?.handleNotOwner(owner, key);
 	}
 
+	/** Gives no more work to a target that announced that it leaves. */
+	handleLeaving(target: string): void {
+		this.measurements.addLeaving(target);
+		if (this.publishConditions()) {
+			this.options.telemetry.info('leader', 'A target leaves by its own announcement; its keys move.', {target});
+			this.schedulePublish();
+		}
+	}
+
 	/** Ends this term. */
 	stop(): void {
 		this.isStopped = true;
@@ -234,13 +245,17 @@
 		}
 	}
 
-	/** Publishes the limits that targets name. Returns whether they changed. */
-	private publishLimits(): boolean {
+	/** Publishes what targets say about themselves. Returns whether it changed. */
+	private publishConditions(): boolean {
 		const {view, clock} = this.options;
-		const before = view.store.lastSeqOfPart(limitPart);
-		const limits = this.measurements.limits(target => view.targets.has(target), clock.now());
+		const getVersion = () => [limitPart, leavingPart].map(part => view.store.lastSeqOfPart(part)).join('/');
+		const before = getVersion();
+		const isKnown = (target: string) => view.targets.has(target);
+		const limits = this.measurements.limits(isKnown, clock.now());
 		view.replacePrefix(`${limitPart}/`, new Map([...limits].map(([target, limit]) => [`${limitPart}/${target}`, limit])));
-		return view.store.lastSeqOfPart(limitPart) !== before;
+		const leaving = this.measurements.leavingTargets(isKnown);
+		view.replacePrefix(`${leavingPart}/`, new Map([...leaving].map(target => [`${leavingPart}/${target}`, true])));
+		return getVersion() !== before;
 	}
 
 	private tickManagers(now: number): void {
@@ -329,7 +344,7 @@
 		}
 
 		this.measurements.apply(node.name, pong.report, this.options.clock.now());
-		if (this.publishLimits()) {
+		if (this.publishConditions()) {
 			this.schedulePublish();
 		}
 
--- a/packages/gateway/src/cluster/measurements.ts
+++ b/packages/gateway/src/cluster/measurements.ts
@@ -14,15 +14,20 @@
 export class Measurements {
 	private readonly conditions: ConditionBoard;
 	private readonly loads = new Map<string, KeyLoad>();
+	/** Targets that announced their leaving. */
+	private readonly leaving: Set<string>;
 	private readonly slownessByTarget = new Map<string, number>();
 
-	/** Begins with the limits that the former leader published, by target id. */
-	constructor(limits: ReadonlyMap<string, number>, now: number) {
+	/** Begins with what the former leader published: limits by target id, and targets that leave. */
+	constructor(limits: ReadonlyMap<string, number>, leaving: Iterable<string>, now: number) {
 		this.conditions = new ConditionBoard(limits, now);
+		this.leaving = new Set(leaving);
 	}
 
 	/** Applies the report of an instance. */
-	apply(reporter: string, {keys, slowness, conditions}: Report, now: number): void {
+	apply(reporter: string, {
+		keys, slowness, conditions, leaving,
+	}: Report, now: number): void {
 		for (const [service, pairs] of Object.entries(keys)) {
 			const load = this.loads.get(service) ?? new KeyLoad();
 			this.loads.set(service, load);
@@ -36,6 +41,25 @@
 		}
 
 		this.conditions.apply(reporter, conditions ?? [], now);
+		for (const target of leaving ?? []) {
+			this.addLeaving(target);
+		}
+	}
+
+	/** Records that a target announced that it leaves. */
+	addLeaving(target: string): void {
+		this.leaving.add(target);
+	}
+
+	/** Returns the targets that announced their leaving. Forgets those that are gone. */
+	leavingTargets(isKnown: (target: string) => boolean): ReadonlySet<string> {
+		for (const target of this.leaving) {
+			if (!isKnown(target)) {
+				this.leaving.delete(target);
+			}
+		}
+
+		return this.leaving;
 	}
 
 	/** Returns the load of a service by key. */
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -22,6 +22,8 @@
 	TakeOver = 'succeed',
 	/** A target answered that it does not own a key that was granted to it. */
 	Disowned = 'disowned',
+	/** A target announced that it leaves. */
+	Leaving = 'leaving',
 	/** A request for a dispatch queue of this instance. */
 	Request = 'work',
 }
@@ -61,6 +63,9 @@
 	readonly slowness: ReadonlyArray<readonly [target: string, factor: number]>;
 	/** What targets said about themselves in recent answers; absent from instances of an earlier version. */
 	readonly conditions?: readonly ConditionReport[];
+	/** Targets that announced their leaving to this instance; absent from instances of an earlier version. */
+	readonly leaving?: readonly string[];
+	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
 };
 
@@ -90,6 +95,9 @@
 	readonly key: number;
 };
 
+/** A report to the leader about a target: a key that it does not hold, or the id of a target that leaves. */
+export type TargetReport = readonly [op: PeerOp.Disowned, value: NotOwnerReport] | readonly [op: PeerOp.Leaving, value: string];
+
 /** Limit for an unpacked view; many times the size of a configuration with thousands of routes. */
 const maxDeltaBytes = 64 * 1024 * 1024;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,10 +105,13 @@
 			client: this.client,
 			clock,
 			telemetry,
+			onLeaving: target => {
+				this.coordinator.report(PeerOp.Leaving, target);
+			},
 			hasLeaderContact: () => this.coordinator.leaderContactAgeMs < stewardContactMs,
 			onNotOwner: (target: string, order: Order) => {
 				if (order.key !== undefined) {
-					this.coordinator.reportNotOwner({service: order.service, owner: target, key: order.key});
+					this.coordinator.report(PeerOp.Disowned, {service: order.service, owner: target, key: order.key});
 				}
 			},
 		});
@@ -208,6 +211,7 @@
 			keys,
 			slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const),
 			conditions: this.queues.reportConditions(),
+			leaving: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
 			isLeaving: this.isStopping,
 		};
 	}
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -39,6 +39,8 @@
 	readonly limit: number | undefined;
 	/** Whether the answer names a limit, valid or not. */
 	readonly hasLimit: boolean;
+	/** Whether the target announces that it leaves and wants no new work. */
+	readonly isLeaving: boolean;
 };
 
 /** Values that the gateway adds to the headers of a request to a target. */
--- a/packages/gateway/src/queue/condition-tracker.ts
+++ b/packages/gateway/src/queue/condition-tracker.ts
@@ -18,6 +18,9 @@
 export type ConditionTrackerOptions = {
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	readonly view: View;
+	/** Called when a target announces to this instance that it leaves. */
+	readonly onLeaving: (target: string) => void;
 };
 
 /** An answer, or its absence, and who sent the request. */
@@ -69,20 +72,26 @@
 	}
 
 	/** Applies the limits that the instances together know, and forgets targets that are gone. */
-	applyReported(view: Pick<View, 'namedLimits' | 'targets'>): void {
-		const now = this.options.clock.now();
+	applyReported(): void {
+		const {clock, view} = this.options;
+		const now = clock.now();
 		this.conditions.applyReported(view.namedLimits, now);
 		this.conditions.prune(target => view.targets.has(target), now);
 	}
 
 	/** Records the result of a request to a target. */
 	recordResult(target: string, {result, name, sentAt, role}: ObservedResult): void {
-		const {clock, telemetry} = this.options;
+		const {clock, telemetry, view} = this.options;
 		const {outcome, meta} = result;
 		if (meta === undefined || !isFromTarget(result, name)) {
 			return;
 		}
 
+		if (meta.isLeaving && view.recordLeaving(target)) {
+			telemetry.info('targets', 'A target announced that it leaves.', {target, role});
+			this.options.onLeaving(target);
+		}
+
 		const change = this.conditions.recordAnswer(target, {
 			limit: meta.limit,
 			// Only a complete answer to the request proves that the target names no limit any more.
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -2,7 +2,7 @@
 import type {Order, OrderResult} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
-	limitPart, sharedQueueId, targetQueueId, type View,
+	leavingPart, limitPart, sharedQueueId, targetQueueId, type View,
 } from '../view/index.js';
 import {ConditionTracker} from './condition-tracker.js';
 import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
@@ -19,6 +19,8 @@
 	/** Returns whether the leader was heard recently enough that this instance would know of a new steward. */
 	readonly hasLeaderContact: () => boolean;
 	readonly onNotOwner: (target: string, order: Order) => void;
+	/** Called when a target announces to this instance that it leaves. */
+	readonly onLeaving: (target: string) => void;
 };
 
 /** The dispatch queues of this instance. A queue is created when its first order arrives. */
@@ -82,14 +84,14 @@
 	}
 
 	private updateFromView(): void {
-		const {store} = this.options.view;
-		const viewVersion = ['target', 'service', 'evacuated', 'steward', limitPart].map(part => store.lastSeqOfPart(part)).join('/');
+		const {store, announcedLeaving} = this.options.view;
+		const viewVersion = [...['target', 'service', 'evacuated', 'steward', limitPart, leavingPart].map(part => store.lastSeqOfPart(part)), announcedLeaving.size].join('/');
 		if (viewVersion === this.viewVersion) {
 			return;
 		}
 
 		this.viewVersion = viewVersion;
-		this.tracker.applyReported(this.options.view);
+		this.tracker.applyReported();
 		const targets = this.targetsByQueue();
 		for (const [id, queue] of this.queues) {
 			const own = targets.get(id);
--- a/packages/gateway/src/view/view.test.ts
+++ b/packages/gateway/src/view/view.test.ts
@@ -115,3 +115,21 @@
 	t.is(view.findRange('s', 10)?.owner, 'b');
 	t.is(view.findRange('other', 10), undefined);
 });
+
+test('a target that announced its leaving gets no work, its next incarnation does', t => {
+	const view = new View();
+	t.true(view.recordLeaving(target.id));
+	t.false(view.recordLeaving(target.id));
+	t.false(view.isUsable(target));
+	t.true(view.isUsable({...target, id: 'i@2'}));
+});
+
+test('a target that announced its leaving to another instance gets no work', t => {
+	const view = new View();
+	view.apply({
+		isFull: false, seq: 1, set: [['leaving/i@1', true]], gone: [],
+	});
+	t.true(view.isLeaving('i@1'));
+	t.false(view.recordLeaving('i@1'));
+	t.deepEqual(view.leavingTargets(), ['i@1']);
+});
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -43,6 +43,12 @@
 /** Part of the view with the limits that targets name, by target id, in requests per second. */
 export const limitPart = 'limit';
 
+/** Part of the view with the targets that announced their leaving, by target id. */
+export const leavingPart = 'leaving';
+
+/** Largest number of announcements that an instance remembers on its own; far more than targets leave within the life of a process that hears no leader. */
+const maxAnnouncements = 4096;
+
 /** Returns the id of the dispatch queue of a keyed target; one instance, its steward, sends the target work. */
 export function targetQueueId(target: string): string {
 	return `target:${target}`;
@@ -63,6 +69,8 @@
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
 	private limitsById = new Map<string, number>();
+	/** Targets that announced their leaving to this instance itself. */
+	private readonly announced = new Set<string>();
 	private nodeList: NodeInfo[] = [];
 	private nodesByAddr = new Map<string, NodeInfo>();
 	private rangesByService = new Map<string, Array<{from: number} & OwnedRange>>();
@@ -138,7 +146,37 @@
 
 	/** Returns whether a target may receive work. */
 	isUsable(target: TargetInfo): boolean {
-		return target.phase === TargetPhase.Ready && !this.evacuated.has(target.domain);
+		return target.phase === TargetPhase.Ready && !this.evacuated.has(target.domain) && !this.isLeaving(target.id);
+	}
+
+	/** Returns whether a target announced that it leaves, to this instance or to another one. */
+	isLeaving(targetId: string): boolean {
+		return this.announced.has(targetId) || this.store.get(`${leavingPart}/${targetId}`) !== undefined;
+	}
+
+	/** Returns the targets that announced their leaving, by what the instances together know. */
+	leavingTargets(): string[] {
+		return [...this.store.withPrefix(`${leavingPart}/`)].map(([key]) => key.slice(leavingPart.length + 1));
+	}
+
+	/** Targets that announced their leaving to this instance itself. */
+	get announcedLeaving(): ReadonlySet<string> {
+		return this.announced;
+	}
+
+	/** Records that a target announced its leaving to this instance. Returns false if that was known. */
+	recordLeaving(targetId: string): boolean {
+		if (this.isLeaving(targetId)) {
+			return false;
+		}
+
+		if (this.announced.size >= maxAnnouncements) {
+			this.announced.clear();
+		}
+
+		this.announced.add(targetId);
+		this.notifyListeners();
+		return true;
 	}
 
 	/** Returns the targets of a service that may receive work, optionally those of one failure domain. */
