A target that refuses with Retry-After gets nothing from this instance until then

Targets that asked for a pause were asked again at once: 68 requests in 2.5 s to one of three targets of a shared service, 38 and 28 to targets of a sharded one (2 tolerated). Cause: Retry-After of targets was read nowhere. The limiter of the target now starts nothing until the end of the pause (60 s at most); a shared service's load goes to the others, whose capacity alone counts for the estimate of waits; if all pause, callers are refused at once with the time at which there is room. For this a Retry-After may be up to 30 s instead of 2 s.

--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -324,8 +324,11 @@
 
 	/** Returns the work that all targets together do per millisecond, in milliseconds of normal speed. */
 	private capacity(now: number): number {
+		const permitted = this.permittedTargets(now);
+		const active = permitted.filter(limiter => !limiter.isPaused(now));
 		let capacity = 0;
-		for (const limiter of this.permittedTargets(now)) {
+		// If all targets pause, work goes on with all of them after the pause.
+		for (const limiter of active.length > 0 ? active : permitted) {
 			const workPerSecond = limiter.rate(now) * (this.meanWorkMs ?? assumedWorkMs);
 			capacity += Math.min(limiter.limit / limiter.slowness.factor, workPerSecond / msPerSecond);
 		}
--- a/packages/core/src/admission/queued-request.ts
+++ b/packages/core/src/admission/queued-request.ts
@@ -34,7 +34,7 @@
 
 /** Bounds of the retry delay that callers are given, in milliseconds. */
 export const minRetryAfterMs = 50;
-const maxRetryAfterMs = 2000;
+const maxRetryAfterMs = 30_000;
 
 /** Returns whether a request that starts now is expected to miss its objective. */
 export function isLate(request: QueuedRequest, now: number): boolean {
--- a/packages/core/src/admission/target-limiter.test.ts
+++ b/packages/core/src/admission/target-limiter.test.ts
@@ -92,6 +92,17 @@
 	t.is(limiter.limit, 1);
 });
 
+test('a target that asked for a pause receives nothing until its end, whatever ends meanwhile', t => {
+	const limiter = new TargetLimiter(cfg);
+	limiter.recordStart(0);
+	limiter.pause(3000, 100);
+	limiter.pause(500, 200);
+	limiter.recordEnd(AttemptOutcome.Answered, 1, 300);
+	t.false(limiter.mayStart(3099));
+	t.is(limiter.nextStartAt(300), 3100);
+	t.true(limiter.mayStart(3100));
+});
+
 test('a closed limiter starts nothing', t => {
 	const limiter = new TargetLimiter(cfg);
 	limiter.close();
--- a/packages/core/src/admission/target-limiter.ts
+++ b/packages/core/src/admission/target-limiter.ts
@@ -11,6 +11,9 @@
 /** Pause after a target reported that it is full while all its slots were in use, in milliseconds; a part of the time until a slot is free. */
 const fullPauseMs = 20;
 
+/** Longest pause that a target may ask for, in milliseconds; bounds the effect of a wrong value. */
+const maxAskedPauseMs = 60_000;
+
 /** Weight of one outcome in the moving average of failures. */
 const failureWeight = 0.12;
 
@@ -54,6 +57,8 @@
 	private consecutiveFailures = 0;
 	private failureShare = 0;
 	private pausedUntil = Number.NEGATIVE_INFINITY;
+	/** End of the pause that the target asked for. */
+	private askedPauseEnd = Number.NEGATIVE_INFINITY;
 	private isClosed = false;
 
 	constructor(private cfg: TargetLimiterCfg) {
@@ -116,6 +121,16 @@
 		this.coldLimiter.setRate(cfg.coldRate);
 	}
 
+	/** Starts nothing for a time that the target asked for, in milliseconds. */
+	pause(ms: number, now: number): void {
+		this.askedPauseEnd = Math.max(this.askedPauseEnd, now + Math.min(ms, maxAskedPauseMs));
+	}
+
+	/** Returns whether the target asked for a pause that has not ended. */
+	isPaused(now: number): boolean {
+		return now < this.askedPauseEnd;
+	}
+
 	/** Stops all further starts. */
 	close(): void {
 		this.isClosed = true;
@@ -123,7 +138,7 @@
 
 	/** Returns whether a request may start now. */
 	mayStart(now: number): boolean {
-		return !this.isClosed && this.running < this.limit && now >= this.pausedUntil && this.coldLimiter.mayStart(now) && this.namedLimiter.mayStart(now);
+		return !this.isClosed && this.running < this.limit && now >= this.pausedUntil && !this.isPaused(now) && this.coldLimiter.mayStart(now) && this.namedLimiter.mayStart(now);
 	}
 
 	/** Returns the earliest monotonic time at which a request may start if none ends before; infinite when one has to end first. */
@@ -132,7 +147,7 @@
 			return Number.POSITIVE_INFINITY;
 		}
 
-		return Math.max(this.pausedUntil, this.coldLimiter.nextStartAt(now), this.namedLimiter.nextStartAt(now));
+		return Math.max(this.pausedUntil, this.askedPauseEnd, this.coldLimiter.nextStartAt(now), this.namedLimiter.nextStartAt(now));
 	}
 
 	/** Records the start of a request. */
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -41,6 +41,8 @@
 	readonly hasLimit: boolean;
 	/** Whether the target announces that it leaves and wants no new work. */
 	readonly isLeaving: boolean;
+	/** For how long the target wants no request from this instance, in milliseconds; undefined if it does not say so. */
+	readonly pauseMs: number | undefined;
 };
 
 /** Values that the gateway adds to the headers of a request to a target. */
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -246,6 +246,12 @@
 			limiter.slowness.setReportedSlowdown(meta.load.slowdown);
 		}
 
+		if (result.outcome === AttemptOutcome.Full && meta?.pauseMs !== undefined && meta.pauseMs > 0) {
+			limiter.pause(meta.pauseMs, this.options.clock.now());
+			this.options.telemetry.metrics.pauses.inc();
+			this.options.telemetry.trace('targets', 'A target asked for a pause.', {target: limiter.id, pauseMs: meta.pauseMs, id: order.requestId});
+		}
+
 		if (meta?.coldLeftMs !== undefined && meta.coldLeftMs > 0) {
 			limiter.coldLimiter.markCold(this.options.clock.now() + meta.coldLeftMs);
 		}
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -37,6 +37,12 @@
 		registers: [this.registry],
 	});
 
+	readonly pauses = new Counter({
+		name: 'bluebellyard_target_pauses_total',
+		help: 'Refusals in which a target asked this instance to send nothing for a time.',
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
