--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,6 +115,10 @@
 				}
 			},
 		});
+		ports.control.onAnswer = (target, headers) => {
+			this.queues.recordControlAnswer(target, headers);
+		};
+
 		this.dispatcher = new Dispatcher({
 			self, view, queues: this.queues, net: this.net, clock, telemetry, random, retryBudget: instances => toBudget(cfg, instances),
 		});
--- a/packages/gateway/src/ports/target-control.ts
+++ b/packages/gateway/src/ports/target-control.ts
@@ -1,4 +1,5 @@
 import type {KeyRange} from '@bluebellyard/core';
+import type {TargetHeaders} from './wire.js';
 
 /** Grants keys to a target, or renews their lease. */
 export type GrantRequest = KeyRange & {
@@ -28,6 +29,9 @@
 
 /** Grants keys to targets and releases them. Both methods reject if there is no answer in time; the target may still carry out the request later. */
 export abstract class TargetControl {
+	/** Called with the headers of each answer of the target itself. */
+	onAnswer: ((target: TargetRef, headers: TargetHeaders) => void) | undefined;
+
 	abstract grant(target: TargetRef, request: GrantRequest, timeoutMs: number): Promise<GrantReply>;
 
 	/** Revokes a grant of keys. Resolves, once the running requests have ended, to the state to hand over to the next owner. */
--- a/packages/gateway/src/queue/condition-tracker.ts
+++ b/packages/gateway/src/queue/condition-tracker.ts
@@ -1,4 +1,5 @@
 import {AttemptOutcome, TargetConditions, type Clock} from '@bluebellyard/core';
+import type {TargetHeaders} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import type {TargetResult} from './target-client.js';
@@ -6,12 +7,14 @@
 /** Interval between two log lines about a target whose limit holds, in milliseconds; the requests sent in it are counted. */
 const countIntervalMs = 4000;
 
-/** Role in which an instance sends to a target. */
+/** Role in which an instance talks to a target. */
 export enum SenderRole {
 	/** It is the steward of the target's dispatch queue. */
 	Steward = 'steward',
 	/** It knows no steward, or can't reach it. */
 	Other = 'other',
+	/** It is the leader and sent a grant or a release. */
+	Leader = 'leader',
 }
 
 /** Options of a condition tracker. */
@@ -81,23 +84,27 @@
 
 	/** Records the result of a request to a target. */
 	recordResult(target: string, {result, name, sentAt, role}: ObservedResult): void {
-		const {clock, telemetry, view} = this.options;
 		const {outcome, meta} = result;
-		if (meta === undefined || !isFromTarget(result, name)) {
-			return;
+		if (meta !== undefined && isFromTarget(result, name)) {
+			// Only a complete answer to the request proves that the target names no limit any more.
+			this.apply(target, meta, {isConclusive: outcome === AttemptOutcome.Answered && !meta.hasLimit, sentAt, role});
 		}
+	}
 
-		if (meta.isLeaving && view.recordLeaving(target)) {
+	/** Records the headers of an answer to a grant or release. Whether such answers always name a limit is not specified, so they neither end nor raise one. */
+	recordControlAnswer(target: string, headers: TargetHeaders): void {
+		this.apply(target, headers, {isConclusive: false, sentAt: Number.NEGATIVE_INFINITY, role: SenderRole.Leader});
+	}
+
+	private apply(target: string, {limit, isLeaving}: TargetHeaders, {isConclusive, sentAt, role}: {isConclusive: boolean; sentAt: number; role: SenderRole}): void {
+		const {clock, telemetry, view, onLeaving} = this.options;
+		if (isLeaving && view.recordLeaving(target)) {
 			telemetry.info('targets', 'A target announced that it leaves.', {target, role});
-			this.options.onLeaving(target);
+			onLeaving(target);
 		}
 
 		const change = this.conditions.recordAnswer(target, {
-			limit: meta.limit,
-			// Only a complete answer to the request proves that the target names no limit any more.
-			isConclusive: outcome === AttemptOutcome.Answered && !meta.hasLimit,
-			sentAt,
-			now: clock.now(),
+			limit, isConclusive, sentAt, now: clock.now(),
 		});
 		if (change !== undefined) {
 			telemetry.trace('limits', change.after === undefined ? 'A target names no limit any more.' : 'A target named a limit.', {
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -1,5 +1,6 @@
 import {WorkEstimator, type Clock, type ConditionReport} from '@bluebellyard/core';
 import type {Order, OrderResult} from '../dispatch/order.js';
+import type {TargetHeaders, TargetRef} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
 	leavingPart, limitPart, sharedQueueId, targetQueueId, type View,
@@ -64,6 +65,15 @@
 		return this.tracker.conditions.report(this.options.clock.now());
 	}
 
+	/** Records what a target said in its answer to a grant or release. */
+	recordControlAnswer({addr, name}: TargetRef, headers: TargetHeaders): void {
+		for (const target of this.options.view.targets.values()) {
+			if (target.name === name && target.addr === addr) {
+				this.tracker.recordControlAnswer(target.id, headers);
+			}
+		}
+	}
+
 	/** Runs an order through a dispatch queue. Never rejects. */
 	async run(id: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
 		return this.getQueue(id).run(order, signal);
