--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,7 +95,7 @@
 		this.net = new PeerNet(async (op, message, signal) => op === requestOp
 			? this.dispatcher.runForPeer(message, signal)
 			: {value: this.coordinator.handle(op as PeerOp, message), bytes: noBytes}, clock, addr => this.isFar(addr));
-		this.client = new TargetClient(ports.wire, clock);
+		this.client = new TargetClient(ports.wire, clock, cfg.targets['local-address']);
 		this.coordinator = new Coordinator({
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -62,11 +62,14 @@
 export class TargetClient {
 	private readonly wire: Wire;
 	private readonly clock: Clock;
+	private readonly localAddress: string | undefined;
 	/** Idle connections by address, the most recently used one last. */
 	private readonly idle = new Map<string, IdleConnection[]>();
 	private opened = 0;
 
-	constructor(wire: Wire, clock: Clock) {
+	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. */
+	constructor(wire: Wire, clock: Clock, localAddress?: string) {
+		this.localAddress = localAddress;
 		this.wire = wire;
 		this.clock = clock;
 	}
@@ -107,7 +110,7 @@
 			return last.client;
 		}
 
-		return new TrackedClient(`http://${req.addr}`, () => {
+		return new TrackedClient(`http://${req.addr}`, this.localAddress, () => {
 			this.opened += 1;
 		});
 	}
--- a/packages/gateway/src/queue/tracked-client.ts
+++ b/packages/gateway/src/queue/tracked-client.ts
@@ -31,7 +31,8 @@
 export class TrackedClient extends Client {
 	readonly connection: ConnectionState;
 
-	constructor(origin: string | URL, onConnect: () => void) {
+	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. */
+	constructor(origin: string | URL, localAddress: string | undefined, onConnect: () => void) {
 		const state: ConnectionState = {socket: undefined, hasFailed: false};
 		super(origin, {
 			connect(options, callback) {
@@ -49,6 +50,7 @@
 					callback(...args);
 				});
 			},
+			localAddress,
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
--- a/packages/gateway/src/settings/settings.test.ts
+++ b/packages/gateway/src/settings/settings.test.ts
@@ -28,6 +28,11 @@
 	}
 });
 
+test('an address for connections to targets must be valid', t => {
+	t.is(parseSettings(`${validText}[targets]\nlocal-address=10.0.0.2\n`).targets['local-address'], '10.0.0.2');
+	t.throws(() => parseSettings(`${validText}[targets]\nlocal-address=eth0\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[targets\] local-address/v});
+});
+
 test('the error names a file that cannot be read', t => {
 	t.throws(() => loadSettings('/nowhere/settings.ini'), {any: true, instanceOf: GatewaySettingsError, message: /\/nowhere\/settings\.ini/v});
 });
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -61,6 +61,8 @@
 	targets: z.object({
 		/** Interval at which each target writes its entry in the store again, in seconds. */
 		heartbeat: seconds(1),
+		/** IP address from which connections to targets are opened; the system selects one if it is absent. */
+		'local-address': z.ipv4().optional(),
 	}).default({heartbeat: 1000}),
 	retries: z.object({
 		/** Retries allowed in relation to the number of requests, over all instances. */
