--- a/packages/router/src/entry/peer-at-most-once-guard.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.ts
@@ -297,12 +297,21 @@
 
 		const inDomain = answers.filter(({other}) => other.domain === row.domain);
 		const needed = inDomain.length > 0 && !this.mayHaveMovedBackups(row) ? inDomain : answers;
-		return needed.every(({isFetched}) => isFetched) && !this.mayHaveLostBackups(row);
+		const silent = needed.filter(({isFetched}) => !isFetched).map(({other}) => other.id);
+		const lost = this.findLostHolders(row).map(({id}) => id);
+		if (silent.length === 0 && lost.length === 0) {
+			return true;
+		}
+
+		logger.warn('Stored request ids of a former steward may be incomplete.', {
+			steward: row.id, idsHolder: row.idsHolder, silent: silent.join(' '), lost: lost.join(' '), isMoved: this.mayHaveMovedBackups(row),
+		});
+		return false;
 	}
 
-	/** Returns whether an instance that may have stored backups for `row` was removed without handing them over. */
-	private mayHaveLostBackups(row: InstanceRow): boolean {
-		return this.findBackupHolders(row).some(({state, idsHandedOver}) => state !== InstanceState.Member && !idsHandedOver);
+	/** Returns the instances that may have stored backups for `row` and were removed without handing them over. */
+	private findLostHolders(row: InstanceRow): InstanceRow[] {
+		return this.findBackupHolders(row).filter(({state, idsHandedOver}) => state !== InstanceState.Member && !idsHandedOver);
 	}
 
 	/** Returns whether a removed instance may have handed backups for `row` over to any other member. */
