Router: a stop under load no longer cuts off requests on kept connections

Cause: the stop closed idle connections at once, and one with unread bytes is reset. Now it stops listening, serves what comes on open connections for half a second, each answer closing its connection, and only then closes idle ones and leaves.

Ruled out: an eviction; the log of the instance names none, and the request ended 13 ms after it was sent.

--- a/packages/router/src/entry/caller-server.test.ts
+++ b/packages/router/src/entry/caller-server.test.ts
@@ -3,7 +3,7 @@
 	answerTable, ErrorKind, RequestError, systemClock,
 } from '@bluebellyard/core';
 import test, {type ExecutionContext} from 'ava';
-import {request} from 'undici';
+import {Client, request} from 'undici';
 import {MemoryCounters, refusalCounterName} from '../metrics/index.js';
 import {FakeRouter} from '../mocks/fake-router.js';
 import {ephemeralAddress, testLimits} from '../mocks/limits.js';
@@ -118,3 +118,20 @@
 	t.is(seen?.headers.accept, 'text/plain');
 	t.deepEqual(forged.filter(name => seen?.headers[name] !== undefined), []);
 });
+
+// Idle connections were closed at once, so a request that was on its way then was cut off.
+test('a request on a kept connection after the start of a stop is answered, and the connection is closed then', async t => {
+	const {addr, server} = await startServer(t, async () => ({status: 200, headers: {}, body: Buffer.from('done')}));
+	const client = new Client(`http://${addr}`, {pipelining: 1});
+	t.teardown(async () => client.destroy());
+	const before = await client.request({method: 'GET', path: '/k'});
+	t.is(before.headers.connection, 'keep-alive');
+	await before.body.text();
+	server.beginStop();
+	const after = await client.request({method: 'GET', path: '/k'});
+	t.is(after.statusCode, 200);
+	t.is(after.headers.connection, 'close');
+	await after.body.text();
+	await t.throwsAsync(client.request({method: 'GET', path: '/k'}), {code: 'ECONNREFUSED'});
+	await server.drain();
+});
--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -2,6 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {ErrorKind, Repeat, RequestError} from '@bluebellyard/core';
 import {Counter, type Counters} from '../metrics/index.js';
 import type {Address, LimitSettings} from '../settings/index.js';
@@ -50,10 +51,15 @@
 		return listen(this.server, addr);
 	}
 
-	/** Stops accepting connections, closes idle ones, sends `connection: close` to the others and waits for the requests in flight. */
-	async drain(): Promise<void> {
+	/** Stops accepting connections; requests on open ones are still answered, with `connection: close`. */
+	beginStop(): void {
 		this.isStopping = true;
-		this.server.close();
+		// The method of the HTTP server would close idle connections, on which requests may be on their way.
+		NetServer.prototype.close.call(this.server);
+	}
+
+	/** Closes idle connections and waits for the requests in flight. */
+	async drain(): Promise<void> {
 		this.server.closeIdleConnections();
 		if (this.inFlight > 0) {
 			await new Promise<void>(resolve => {
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -27,6 +27,9 @@
 /** Time for which a stopping process keeps answering its successors' queries for known request ids. */
 const lingerMs = 1000;
 
+/** Time from the start of a stop in which callers may send one more request on each kept connection, in milliseconds; the answer closes it. */
+const keptConnectionsMs = 500;
+
 /** Exclusive upper bound of the seeds that the random generator accepts. */
 const seedUpperBound = 0x7F_FF_FF_FF;
 
@@ -121,6 +124,8 @@
 	/** Stops gracefully: drains the caller connections, hands everything over, waits for requests in flight and closes. */
 	async stop(): Promise<void> {
 		logger.info('Stopping.');
+		this.callerServer.beginStop();
+		await sleep(keptConnectionsMs);
 		const drained = this.callerServer.drain();
 		const idsHandedOver = await this.guard.handOverBackups();
 		this.host.leave(idsHandedOver, await this.guard.handOverOwnIds());
