--- a/packages/gateway/src/cluster/measurements.ts
+++ b/packages/gateway/src/cluster/measurements.ts
@@ -26,7 +26,7 @@
 
 	/** Applies the report of an instance. */
 	apply(reporter: string, {
-		keys, slowness, conditions, leaving,
+		keys, slowness, conditions, leavingTargets,
 	}: Report, now: number): void {
 		for (const [service, pairs] of Object.entries(keys)) {
 			const load = this.loads.get(service) ?? new KeyLoad();
@@ -41,7 +41,7 @@
 		}
 
 		this.conditions.apply(reporter, conditions ?? [], now);
-		for (const target of leaving ?? []) {
+		for (const target of leavingTargets ?? []) {
 			this.addLeaving(target);
 		}
 	}
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -64,7 +64,7 @@
 	/** What targets said about themselves in recent answers; absent from instances of an earlier version. */
 	readonly conditions?: readonly ConditionReport[];
 	/** Targets that announced their leaving to this instance; absent from instances of an earlier version. */
-	readonly leaving?: readonly string[];
+	readonly leavingTargets?: readonly string[];
 	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -215,7 +215,7 @@
 			keys,
 			slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const),
 			conditions: this.queues.reportConditions(),
-			leaving: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
+			leavingTargets: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
 			isLeaving: this.isStopping,
 		};
 	}
--- a/packages/gateway/src/queue/condition-tracker.ts
+++ b/packages/gateway/src/queue/condition-tracker.ts
@@ -36,6 +36,7 @@
 	readonly role: SenderRole;
 };
 
+/** Requests sent to a target since a time, in monotonic milliseconds. */
 type SendCount = {
 	since: number;
 	sent: number;
@@ -80,6 +81,11 @@
 		const now = clock.now();
 		this.conditions.applyReported(view.namedLimits, now);
 		this.conditions.prune(target => view.targets.has(target), now);
+		for (const target of this.counts.keys()) {
+			if (!view.targets.has(target)) {
+				this.counts.delete(target);
+			}
+		}
 	}
 
 	/** Records the result of a request to a target. */
@@ -96,6 +102,7 @@
 		this.apply(target, headers, {isConclusive: false, sentAt: Number.NEGATIVE_INFINITY, role: SenderRole.Leader});
 	}
 
+	/** Applies what an answer says; `isConclusive` is whether it would name a limit if there were one. */
 	private apply(target: string, {limit, isLeaving}: TargetHeaders, {isConclusive, sentAt, role}: {isConclusive: boolean; sentAt: number; role: SenderRole}): void {
 		const {clock, telemetry, view, onLeaving} = this.options;
 		if (isLeaving && view.recordLeaving(target)) {
