--- a/packages/core/src/admission/admission-queue.test.ts
+++ b/packages/core/src/admission/admission-queue.test.ts
@@ -42,10 +42,10 @@
 test('warm-only requests are not sent to cold targets', t => {
 	const queue = makeQueue(2, ['cold', 'warm']);
 	queue.target('cold')?.coldLimiter.markCold(1000);
-	const started = [1, 2, 3].flatMap(() => queue.offer(request(0, {isWarmOnly: true}), 0).starts);
+	const started = [1, 2, 3].flatMap(() => queue.offer(request(0, {skipsRateLimited: true}), 0).starts);
 	t.deepEqual(started.map(({limiter}) => limiter.id), ['warm', 'warm']);
 	queue.removeTarget('warm');
-	t.is(queue.offer(request(0, {isWarmOnly: true}), 0).refusals[0].error, ErrorKind.NoTarget);
+	t.is(queue.offer(request(0, {skipsRateLimited: true}), 0).refusals[0].error, ErrorKind.NoTarget);
 	t.is(queue.offer(request(0), 0).starts.length, 1);
 });
 
--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -337,8 +337,8 @@
 	}
 }
 
-function isEligible(limiter: TargetLimiter, {excluded, isWarmOnly}: QueuedRequest, now: number): boolean {
-	return excluded?.has(limiter.id) !== true && !(isWarmOnly === true && limiter.isRateLimited(now));
+function isEligible(limiter: TargetLimiter, {excluded, skipsRateLimited}: QueuedRequest, now: number): boolean {
+	return excluded?.has(limiter.id) !== true && !(skipsRateLimited === true && limiter.isRateLimited(now));
 }
 
 /** Returns the cost of sending one more request to a target; it is low for fast targets with few requests. */
--- a/packages/core/src/admission/queued-request.ts
+++ b/packages/core/src/admission/queued-request.ts
@@ -17,8 +17,8 @@
 	readonly workMs: number;
 	/** Ids of targets that must not receive it. */
 	readonly excluded?: ReadonlySet<string>;
-	/** Whether targets with a limit on requests per second (cold ones, and those that name one) must not receive it, because another instance enforces the limit. */
-	readonly isWarmOnly?: boolean;
+	/** Whether targets with a limit on requests per second, cold ones and those that name one, must not receive it, because another instance enforces the limit. */
+	readonly skipsRateLimited?: boolean;
 };
 
 /** A request that will not be sent. */
--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -29,7 +29,7 @@
 	objectiveAt: 500,
 	deadline: 2000,
 	excluded: [],
-	isWarmOnly: false,
+	skipsRateLimited: false,
 };
 
 /** Runs an order on instance `e1` with the given steward and returns the orders that the dispatch queue of `e1` received. */
@@ -75,17 +75,17 @@
 
 test('the steward may use cold targets', async t => {
 	const [first] = await runWith('e1');
-	t.false(first.isWarmOnly);
+	t.false(first.skipsRateLimited);
 });
 
 test('without a known steward cold targets are excluded', async t => {
 	const [first] = await runWith(undefined);
-	t.true(first.isWarmOnly);
+	t.true(first.skipsRateLimited);
 });
 
 test('with an unreachable steward cold targets are excluded', async t => {
 	const [unreachable] = await runWith('e2', false);
-	t.true(unreachable.isWarmOnly);
+	t.true(unreachable.skipsRateLimited);
 	const [refused] = await runWith('e2');
-	t.true(refused.isWarmOnly);
+	t.true(refused.skipsRateLimited);
 });
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -139,7 +139,7 @@
 			objectiveAt: now + wire.late,
 			deadline: now + wire.left,
 			excluded: wire.x,
-			isWarmOnly: this.options.view.findSteward(wire.desk) !== this.options.self.name,
+			skipsRateLimited: this.options.view.findSteward(wire.desk) !== this.options.self.name,
 		};
 		const result = await this.options.queues.run(wire.desk, order, signal);
 		return result.kind === 'answer'
@@ -277,7 +277,7 @@
 		const name = view.findSteward(queueId);
 		const node = name === undefined ? undefined : view.store.get<NodeInfo>(`node/${name}`);
 		if (node === undefined || node.name === self.name || net.isUnreachable(node.addr)) {
-			return queues.run(queueId, {...order, isWarmOnly: node?.name !== self.name}, signal);
+			return queues.run(queueId, {...order, skipsRateLimited: node?.name !== self.name}, signal);
 		}
 
 		const now = clock.now();
@@ -303,7 +303,7 @@
 				id: order.requestId, instance: node.name, desk: queueId, isUnsent: isUnsent(err), err,
 			});
 			if (isUnsent(err)) {
-				return queues.run(queueId, {...order, isWarmOnly: true}, signal);
+				return queues.run(queueId, {...order, skipsRateLimited: true}, signal);
 			}
 
 			return failure(ErrorKind.ConnectionLost, {
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -24,8 +24,8 @@
 	readonly deadline: number;
 	/** Targets that must not receive the request (again). */
 	readonly excluded: readonly string[];
-	/** Whether cold targets are excluded, because the instance that sends the order is not the steward of the dispatch queue. */
-	readonly isWarmOnly: boolean;
+	/** Whether targets with a limit on requests per second, cold ones and those that name one, must not receive it, because this instance is not the steward. */
+	readonly skipsRateLimited: boolean;
 };
 
 /** Complete answer of a target. */
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -196,7 +196,7 @@
 			objectiveAt: arrivedAt + route.objectiveMs - ageMs,
 			deadline: arrivedAt + timeoutMs,
 			excluded: [],
-			isWarmOnly: false,
+			skipsRateLimited: false,
 		};
 	}
 
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -129,7 +129,7 @@
 			deadline: order.deadline,
 			workMs: estimator.estimate(order.route, order.objectiveMs),
 			excluded: new Set(order.excluded),
-			isWarmOnly: order.isWarmOnly,
+			skipsRateLimited: order.skipsRateLimited,
 		};
 		return new Promise(resolve => {
 			const onAbort = () => {
