--- a/packages/core/src/admission/admission-queue.test.ts
+++ b/packages/core/src/admission/admission-queue.test.ts
@@ -298,3 +298,19 @@
 	t.is(started.length, 200);
 	t.true(limited >= 5 && limited <= 10, `${limited}`);
 });
+
+// The first target that is used looks faster than those of which nothing is known, so it got all requests.
+test('load: equal idle targets share the load', t => {
+	const queue = makeQueue(2, ['a', 'b', 'c']);
+	const started: string[] = [];
+	for (let now = 0; now < 10_000; now += 33) {
+		// A request takes 20 ms where 150 ms are expected before any was measured.
+		for (const {limiter} of queue.offer(request(now, {workMs: 150}), now).starts) {
+			started.push(limiter.id);
+			queue.finish(limiter, AttemptOutcome.Answered, 20 / 150, now + 20);
+		}
+	}
+
+	const largest = Math.max(...['a', 'b', 'c'].map(id => started.filter(other => other === id).length));
+	t.true(largest <= started.length / 2, `${largest} of ${started.length} to one target`);
+});
