Router: logs which requests ran at a target when it ended

A target counts as ended when it loses the connection of a running request and refuses a new one (a single connection attempt, only after such a loss), or when its record is removed without notice after a run was lost there. An answer to a later request proves that it lives. The line names the requests with a fingerprint of method, host, path, caller, body, and of the key where it decides the target, so that repeats are recognized at all instances. The caller is its IP address, which the platform keeps. No decision changes.

--- /dev/null
+++ b/packages/core/src/crashes/index.ts
@@ -0,0 +1,2 @@
+export * from './request-fingerprint.js';
+export * from './run-ledger.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admission/index.js';
 export * from './clock/index.js';
+export * from './crashes/index.js';
 export * from './errors/index.js';
 export * from './keyspace/index.js';
 export * from './ownership/index.js';
--- a/packages/core/src/routing/model.ts
+++ b/packages/core/src/routing/model.ts
@@ -67,6 +67,8 @@
 	readonly addr: string;
 	readonly domain: string;
 	readonly slots: number;
+	/** Version of its software; undefined when not reported. */
+	readonly version?: string;
 	readonly phase: TargetPhase;
 	/** Start time of the process, in Unix milliseconds; 0 when not reported. */
 	readonly bornAt: number;
--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -16,6 +16,7 @@
 const order: Order = {
 	requestId: 'r',
 	method: 'GET',
+	caller: '',
 	path: '/',
 	headers: [],
 	body: Buffer.alloc(0),
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -48,6 +48,8 @@
 	readonly m: string;
 	/** Path with the query string. */
 	readonly p: string;
+	/** Caller. */
+	readonly c: string;
 	/** Headers. */
 	readonly h: ReadonlyArray<readonly [string, string]>;
 	/** Route. */
@@ -126,6 +128,7 @@
 		const order: Order = {
 			requestId: wire.id,
 			method: wire.m,
+			caller: wire.c,
 			path: wire.p,
 			headers: wire.h,
 			body: bytes,
@@ -319,6 +322,7 @@
 			id: order.requestId,
 			m: order.method,
 			p: order.path,
+			c: order.caller,
 			h: order.headers,
 			rt: order.route,
 			s: order.service,
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -7,6 +7,8 @@
 	/** Id of the caller's attempt. */
 	readonly requestId: string;
 	readonly method: string;
+	/** Who sent the request; empty if unknown. */
+	readonly caller: string;
 	/** Path with the query string. */
 	readonly path: string;
 	readonly headers: HeaderList;
@@ -46,6 +48,8 @@
 	readonly retryAfterMs: number;
 	/** Target that the request was sent to; undefined if it was sent to none. */
 	readonly target: string | undefined;
+	/** Whether the target ended while the request ran there, so that the request may have crashed it. */
+	readonly isTargetGone: boolean;
 	/** Time that the request spent waiting, in milliseconds. */
 	readonly waitMs: number;
 	/** Cause of the failure, for the log. */
@@ -58,6 +62,6 @@
 /** Returns a failure; by default the request has not run, has not waited and may be retried immediately. */
 export function failure(error: ErrorKind, details: Partial<Omit<FailedResult, 'kind' | 'error'>>): FailedResult {
 	return {
-		kind: 'failure', error, isNotRun: true, retryAfterMs: 0, target: undefined, waitMs: 0, reason: '', ...details,
+		kind: 'failure', error, isNotRun: true, retryAfterMs: 0, target: undefined, isTargetGone: false, waitMs: 0, reason: '', ...details,
 	};
 }
--- a/packages/gateway/src/front/caller-server.test.ts
+++ b/packages/gateway/src/front/caller-server.test.ts
@@ -14,7 +14,9 @@
 
 class PlainWire extends Wire {
 	override readCaller(headers: Record<string, string | string[] | undefined>): CallerHeaders {
-		return {requestId: String(headers.id), callerTimeoutMs: 2000, key: undefined};
+		return {
+			caller: '', requestId: String(headers.id), callerTimeoutMs: 2000, key: undefined,
+		};
 	}
 
 	override readTarget(): TargetHeaders {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import {
 	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
-import {DispatchQueues, TargetClient} from './queue/index.js';
+import {DispatchQueues, isConnectionRefused, TargetClient} from './queue/index.js';
 import {Dispatcher, type Order} from './dispatch/index.js';
 import {CallerServer, ProbeServer} from './front/index.js';
 import {
@@ -108,6 +108,13 @@
 			onLeaving: target => {
 				this.coordinator.report(PeerOp.Leaving, target);
 			},
+			isRefused: async addr => isConnectionRefused(addr, cfg.targets['local-address']),
+			onCrash() {
+				// Logged by the detector.
+			},
+			onAlive() {
+				// Logged by the detector.
+			},
 			hasLeaderContact: () => this.coordinator.leaderContactAgeMs < stewardContactMs,
 			onNotOwner: (target: string, order: Order) => {
 				if (order.key !== undefined) {
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -6,6 +6,8 @@
 
 /** Values that the gateway reads from the headers of a caller's request. */
 export type CallerHeaders = {
+	/** Identifies the caller over its connections, at all instances; empty if unknown. */
+	readonly caller: string;
 	/** Id of this attempt of the caller; empty if absent. */
 	readonly requestId: string;
 	/** How long the caller waits for an answer, in milliseconds; undefined if absent. */
@@ -55,7 +57,8 @@
 
 /** Encodes and decodes the headers defined by the platform. */
 export abstract class Wire {
-	abstract readCaller(headers: IncomingHttpHeaders): CallerHeaders;
+	/** `address` is the IP address from which the request came; empty if its connection is closed. */
+	abstract readCaller(headers: IncomingHttpHeaders, address: string): CallerHeaders;
 
 	abstract readTarget(headers: IncomingHttpHeaders): TargetHeaders;
 
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -9,6 +9,7 @@
 } from '@bluebellyard/core';
 import {failure, type Order, type OrderResult} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
+import type {CrashDetector} from './crash-detector.js';
 import {SenderRole, type ConditionTracker} from './condition-tracker.js';
 import type {TargetClient, TargetResult} from './target-client.js';
 
@@ -31,6 +32,7 @@
 	readonly telemetry: Telemetry;
 	readonly estimator: WorkEstimator;
 	readonly tracker: ConditionTracker;
+	readonly crashes: CrashDetector;
 	/** Returns whether this instance is the steward of the queue. */
 	readonly isSteward: () => boolean;
 	/** Returns whether this instance would know by now if it were no longer the steward. */
@@ -215,6 +217,7 @@
 		telemetry.metrics.queueWait.observe(waitMs / 1000);
 		const role = this.options.isSteward() ? SenderRole.Steward : SenderRole.Other;
 		this.options.tracker.recordSend(target.id, role);
+		this.options.crashes.recordSend(target, order);
 		const result = await client.send({
 			addr: target.addr,
 			target: target.name,
@@ -228,6 +231,7 @@
 			connections: target.slots + spareConnections,
 			signal,
 		});
+		const isTargetGone = await this.options.crashes.recordResult(target, order, result);
 		const now = clock.now();
 		this.options.tracker.recordResult(target.id, {
 			result, name: target.name, sentAt: startedAt, role,
@@ -236,7 +240,7 @@
 		this.recordFeedback(order, limiter, result, now - startedAt);
 		const expectedMs = Math.max(1, request.workMs);
 		const decision = this.admission.finish(limiter, result.outcome, (now - startedAt) / expectedMs, now);
-		this.settle(request.id, this.toOrderResult(order, limiter.id, result, waitMs));
+		this.settle(request.id, this.toOrderResult(order, limiter.id, result, {waitMs, isTargetGone}));
 		this.applyDecision(decision);
 	}
 
@@ -261,7 +265,7 @@
 		}
 	}
 
-	private toOrderResult(order: Order, target: string, result: TargetResult, waitMs: number): OrderResult {
+	private toOrderResult(order: Order, target: string, result: TargetResult, {waitMs, isTargetGone}: {waitMs: number; isTargetGone: boolean}): OrderResult {
 		const {outcome, status, headers, body, isFramed, isNotRun, reason} = result;
 		if (outcome === AttemptOutcome.Answered) {
 			return {
@@ -276,7 +280,7 @@
 		}
 
 		return failure(errorByOutcome[outcome], {
-			isNotRun, target, waitMs, reason, retryAfterMs: refusalRetryMs,
+			isNotRun, target, waitMs, reason, isTargetGone, retryAfterMs: refusalRetryMs,
 		});
 	}
 
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -6,6 +6,7 @@
 	leavingPart, limitPart, sharedQueueId, targetQueueId, type View,
 } from '../view/index.js';
 import {ConditionTracker} from './condition-tracker.js';
+import {CrashDetector, type CrashReport} from './crash-detector.js';
 import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
 import type {TargetClient} from './target-client.js';
 
@@ -22,6 +23,12 @@
 	readonly onNotOwner: (target: string, order: Order) => void;
 	/** Called when a target announces to this instance that it leaves. */
 	readonly onLeaving: (target: string) => void;
+	/** Resolves to whether an address refuses connections. */
+	readonly isRefused: (addr: string) => Promise<boolean>;
+	/** Called when a target ended while requests of this instance ran there. */
+	readonly onCrash: (report: CrashReport) => void;
+	/** Called when a target answers that was reported before. */
+	readonly onAlive: (target: string) => void;
 };
 
 /** The dispatch queues of this instance. A queue is created when its first order arrives. */
@@ -29,11 +36,13 @@
 	private readonly queues = new Map<string, DispatchQueue>();
 	private readonly estimator = new WorkEstimator();
 	private readonly tracker: ConditionTracker;
+	private readonly crashes: CrashDetector;
 	/** Versions of the parts of the view that the queues were last updated from. */
 	private viewVersion = '';
 
 	constructor(private readonly options: DispatchQueuesOptions) {
 		this.tracker = new ConditionTracker(options);
+		this.crashes = new CrashDetector(options);
 		options.view.onChange(() => {
 			this.updateFromView();
 		});
@@ -86,7 +95,7 @@
 		}
 
 		const queue = new DispatchQueue({
-			...this.options, estimator: this.estimator, tracker: this.tracker, isSteward: () => this.options.view.findSteward(id) === this.options.selfName,
+			...this.options, estimator: this.estimator, tracker: this.tracker, crashes: this.crashes, isSteward: () => this.options.view.findSteward(id) === this.options.selfName,
 		});
 		this.queues.set(id, queue);
 		queue.setTargets(this.targetsByQueue().get(id) ?? []);
@@ -102,6 +111,7 @@
 
 		this.viewVersion = viewVersion;
 		this.tracker.applyReported();
+		this.crashes.applyView();
 		const targets = this.targetsByQueue();
 		for (const [id, queue] of this.queues) {
 			const own = targets.get(id);
--- a/packages/gateway/src/queue/index.ts
+++ b/packages/gateway/src/queue/index.ts
@@ -1,4 +1,5 @@
 export * from './condition-tracker.js';
+export * from './crash-detector.js';
 export * from './dispatch-queue.js';
 export * from './dispatch-queues.js';
 export * from './target-client.js';
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -28,6 +28,15 @@
 	readonly signal: AbortSignal;
 };
 
+/** What happened to the connection of an attempt. */
+export enum ConnectionFault {
+	None = 'none',
+	/** It ended after the request was sent and before the answer was complete. */
+	Lost = 'lost',
+	/** No process listens at the address. */
+	Refused = 'refused',
+}
+
 /** Result of an attempt to run a request at a target. */
 export type TargetResult = {
 	readonly outcome: AttemptOutcome;
@@ -40,6 +49,7 @@
 	/** Whether the answer stated its length or was chunked. */
 	readonly isFramed: boolean;
 	readonly meta: TargetHeaders | undefined;
+	readonly fault: ConnectionFault;
 	readonly reason: string;
 };
 
@@ -191,16 +201,17 @@
 
 	onResponseEnd(): void {
 		if (!this.isFramed() && this.connection.hasFailed) {
-			this.finish(this.withoutAnswer(AttemptOutcome.Broken, 'the connection was reset in the middle of an answer'));
+			this.finish({...this.withoutAnswer(AttemptOutcome.Broken, 'the connection was reset in the middle of an answer'), fault: ConnectionFault.Lost});
 			return;
 		}
 
 		this.finish(this.classify());
 	}
 
-	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: NodeJS.ErrnoException): void {
 		const outcome = this.isWritten ? AttemptOutcome.Broken : AttemptOutcome.Unreachable;
-		this.finish({...this.withoutAnswer(outcome, err.message), isNotRun: !this.isWritten});
+		const unsentFault = err.code === 'ECONNREFUSED' ? ConnectionFault.Refused : ConnectionFault.None;
+		this.finish({...this.withoutAnswer(outcome, err.message), isNotRun: !this.isWritten, fault: this.isWritten ? ConnectionFault.Lost : unsentFault});
 	}
 
 	private isFramed(): boolean {
@@ -210,7 +221,7 @@
 	private classify(): TargetResult {
 		const {meta, status, headers} = this;
 		const answered = {
-			status, headers, body: this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks), isFramed: this.isFramed(), meta,
+			status, headers, body: this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks), isFramed: this.isFramed(), meta, fault: ConnectionFault.None,
 		};
 		if (meta?.isNotRun === true || status === misdirectedStatus) {
 			const outcome = status === misdirectedStatus ? AttemptOutcome.NotRun : AttemptOutcome.Full;
@@ -250,7 +261,7 @@
 
 	private withoutAnswer(outcome: AttemptOutcome, reason: string): TargetResult {
 		return {
-			outcome, isNotRun: false, status: 0, headers: [], body: Buffer.alloc(0), isFramed: true, meta: this.meta, reason,
+			outcome, isNotRun: false, status: 0, headers: [], body: Buffer.alloc(0), isFramed: true, meta: this.meta, fault: ConnectionFault.None, reason,
 		};
 	}
 
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -43,6 +43,13 @@
 		registers: [this.registry],
 	});
 
+	readonly crashes = new Counter({
+		name: 'bluebellyard_target_crashes_total',
+		help: 'Targets that ended while requests of this instance ran there, by what told so: refused or removed.',
+		labelNames: ['evidence'],
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
