--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -5,7 +5,7 @@
 import {Telemetry} from '../telemetry/index.js';
 import {sharedQueueId, View, type NodeInfo} from '../view/index.js';
 import {Dispatcher} from './dispatcher.js';
-import {failure, type Order} from './order.js';
+import {failure, type Order, type OrderResult} from './order.js';
 
 function node(name: string): NodeInfo {
 	return {
@@ -33,6 +33,39 @@
 	skipsRateLimited: false,
 };
 
+/** Runs an idempotent order of which each attempt ends with the next of `results`. */
+async function runAttempts(results: readonly OrderResult[]): Promise<OrderResult> {
+	const view = new View();
+	view.store.set('node/e1', node('e1'));
+	for (const id of ['i', 'j']) {
+		view.store.set(`target/${id}`, {
+			id, name: id, service: 's', addr: '10.0.0.1:1', domain: 'x', slots: 2, phase: TargetPhase.Ready, bornAt: 1, coldLeftMs: 0,
+		});
+	}
+
+	const remaining = [...results];
+	const clock = new ManualClock();
+	const dispatcher = new Dispatcher({
+		self: node('e1'),
+		view,
+		queues: {
+			run: async () => remaining.shift()!,
+			estimateWorkMs: () => 100,
+		},
+		net: {
+			async exchange() {
+				throw new LinkError('refused', false);
+			},
+			isUnreachable: () => false,
+		},
+		clock,
+		telemetry: new Telemetry(clock),
+		retryBudget: () => ({share: 1, perSecond: 1, burst: 10}),
+		random: () => 0,
+	});
+	return dispatcher.run({...order, isOnce: false}, 2, new AbortController().signal);
+}
+
 /** Runs an order on instance `e1` with the given steward and returns the orders that the dispatch queue of `e1` received. */
 async function runWith(steward: string | undefined, isReachable = true): Promise<Order[]> {
 	const view = new View();
@@ -90,3 +123,14 @@
 	const [refused] = await runWith('e2');
 	t.true(refused.skipsRateLimited);
 });
+
+test('a request whose first attempt may have run is not refused as not run when its retry is', async t => {
+	for (const error of [ErrorKind.ConnectFailed, ErrorKind.DeadlineTooClose, ErrorKind.NoTarget]) {
+		// eslint-disable-next-line no-await-in-loop
+		const result = await runAttempts([
+			failure(ErrorKind.ConnectionLost, {isNotRun: false, target: 'i'}),
+			failure(error, {target: error === ErrorKind.ConnectFailed ? 'j' : undefined}),
+		]);
+		t.like(result, {kind: 'failure', error: ErrorKind.ConnectionLost, isNotRun: false});
+	}
+});
