A request that may have run is no longer refused as not run when its retry is

Cause: Dispatcher.run kept the last failure. The class: what one attempt says is taken for the whole request. Of several failures the one now counts after which the request may have run (combineResults).

Looked at for the same class: the search over failure domains goes on only after a refusal without a target; a local run after a link error only if nothing was sent; a dispatch queue makes one attempt; the router has worstFailure. The test failed before (connect-failed, isNotRun true). Unsafe requests have one attempt after which they may have run, and were not affected.

--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -33,7 +33,7 @@
 	skipsRateLimited: false,
 };
 
-/** Runs an idempotent order of which each attempt ends with the next of `results`. */
+/** Runs an idempotent order of which each attempt ends with the next of `results`, further ones with the last. */
 async function runAttempts(results: readonly OrderResult[]): Promise<OrderResult> {
 	const view = new View();
 	view.store.set('node/e1', node('e1'));
@@ -49,7 +49,7 @@
 		self: node('e1'),
 		view,
 		queues: {
-			run: async () => remaining.shift()!,
+			run: async () => remaining.length > 1 ? remaining.shift()! : remaining[0],
 			estimateWorkMs: () => 100,
 		},
 		net: {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 	sharedQueueId, targetQueueId, type NodeInfo, type OwnedRange, type View,
 } from '../view/index.js';
 import {ClosedRanges} from './closed-ranges.js';
+import {combineResults} from './combine-results.js';
 import {DomainSelector, type DomainCandidate} from './domain-selector.js';
 import {
 	failure, type AnsweredResult, type FailedResult, type Order, type OrderResult,
@@ -105,20 +106,19 @@
 	async run(order: Order, maxTargets: number, signal: AbortSignal): Promise<OrderResult> {
 		this.getBudget(order.service).deposit(this.options.clock.now());
 		const tried: string[] = [];
-		let last: OrderResult | undefined;
+		let combined: OrderResult | undefined;
 		for (let attempts = 1; attempts <= maxAttempts; attempts += 1) {
 			// Whether and where to retry depends on the previous attempt.
 			// eslint-disable-next-line no-await-in-loop
 			const result = await this.attempt({...order, excluded: [...order.excluded, ...tried]}, signal);
-			// A failure answered by a target is returned unless a retry is answered.
-			last = result.kind === 'failure' && last?.kind === 'answer' ? last : result;
+			combined = combineResults(combined, result);
 			// eslint-disable-next-line no-await-in-loop
 			if (!await this.prepareRetry(order, result, {attempts, tried, maxTargets}, signal)) {
-				return last;
+				return combined;
 			}
 		}
 
-		return last!;
+		return combined!;
 	}
 
 	/** Runs an order that another instance forwarded to a dispatch queue of this one. */
