Requests that crash their targets run one at a time, as trials, and are then stopped

Cause: what a run did to its target was known to the instance and the attempt that saw it. The same request, under another attempt id or at another instance, was new; our own retry carried it to the next target at once.

Now a request is recognized by its fingerprint. From the first crash on it is suspected: it runs only as a trial that the leader permits, one at a time over all instances, with nothing beside it at its target unless many are suspected. A whole answer clears it. After two crashes, one of them alone, or three, it is quarantined: refused at once with 503 and the time to come back. Two trials are left, for good: after 60 s and 10 min, or when all targets of the service run another version; an operator releases it by deleting its record. It takes the path of limits: sender, report, leader, view; repeated crashes are kept in the store, too, and are read before the first configuration. A dispatch queue does not send a suspect that waited there; there is no own retry after a crash.

--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -7,6 +7,7 @@
  * so that a burst does not make every request late.
  */
 import {ErrorKind} from '../errors/index.js';
+import {ExclusiveRuns} from './exclusive-runs.js';
 import {
 	createRefusal, isLate, minRetryAfterMs, precedes, timeToRoom, type QueuedRequest, type RequestRefusal,
 } from './queued-request.js';
@@ -60,6 +61,7 @@
 export class AdmissionQueue {
 	private readonly targets = new Map<string, TargetLimiter>();
 	private readonly waiting = new Map<string, QueuedRequest>();
+	private readonly exclusive = new ExclusiveRuns();
 	/** Work of the requests in time that were admitted recently, as an exponentially decaying sum in milliseconds. */
 	private recentWorkMs = 0;
 	private recentWorkAt = 0;
@@ -137,17 +139,23 @@
 
 		this.recordAdmission(request, now);
 		this.waiting.set(request.id, request);
+		if (request.isAlone === true) {
+			this.exclusive.reserve(request, this.permittedTargets(now).filter(limiter => isEligible(limiter, request, now)), now);
+		}
+
 		return this.tick(now);
 	}
 
 	/** Records the end of a started request. `ratio` is described at `TargetLimiter.recordEnd`. */
 	finish(limiter: TargetLimiter, outcome: AttemptOutcome, ratio: number, now: number): QueueDecision {
 		limiter.recordEnd(outcome, ratio, now);
+		this.exclusive.recordEnd(limiter);
 		return this.tick(now);
 	}
 
 	/** Removes a waiting request; returns false when it does not wait here. */
 	cancel(id: string): boolean {
+		this.exclusive.release(id);
 		return this.waiting.delete(id);
 	}
 
@@ -161,11 +169,17 @@
 			}
 
 			this.waiting.delete(start.request.id);
+			this.exclusive.recordStart(start.limiter, start.request, now);
 			start.limiter.recordStart(now);
 			starts.push(start);
 		}
 
-		return {starts, refusals: this.refuseUnlikely(now)};
+		const refusals = this.refuseUnlikely(now);
+		for (const {request} of refusals) {
+			this.exclusive.release(request.id);
+		}
+
+		return {starts, refusals};
 	}
 
 	/** Returns the time until the next `tick`, in milliseconds; undefined when no request waits. */
@@ -274,7 +288,7 @@
 
 		let best: QueuedRequest | undefined;
 		for (const request of this.waiting.values()) {
-			const mayStart = open.some(limiter => isEligible(limiter, request, now));
+			const mayStart = open.some(limiter => this.mayStartAt(limiter, request, now));
 			if (mayStart && (best === undefined || precedes(request, best, now))) {
 				best = request;
 			}
@@ -285,10 +299,14 @@
 		}
 
 		const request = best;
-		const limiters = open.filter(limiter => isEligible(limiter, request, now));
+		const limiters = open.filter(limiter => this.mayStartAt(limiter, request, now));
 		return {request, limiter: limiters.toSorted((a, b) => targetCost(a, now) - targetCost(b, now))[0]};
 	}
 
+	private mayStartAt(limiter: TargetLimiter, request: QueuedRequest, now: number): boolean {
+		return isEligible(limiter, request, now) && this.exclusive.admits(limiter, request, now);
+	}
+
 	/** Refuses requests that became late while they waited and can't be expected to be answered any more. */
 	private refuseUnlikely(now: number): RequestRefusal[] {
 		const refusals: RequestRefusal[] = [];
--- a/packages/core/src/admission/queued-request.ts
+++ b/packages/core/src/admission/queued-request.ts
@@ -17,6 +17,8 @@
 	readonly workMs: number;
 	/** Ids of targets that must not receive it. */
 	readonly excluded?: ReadonlySet<string>;
+	/** Whether nothing else may run at its target meanwhile. */
+	readonly isAlone?: boolean;
 	/** Whether targets with a limit on requests per second, cold ones and those that name one, must not receive it, because another instance enforces the limit. */
 	readonly skipsRateLimited?: boolean;
 };
--- a/packages/core/src/errors/error-kind.ts
+++ b/packages/core/src/errors/error-kind.ts
@@ -48,6 +48,8 @@
 	TargetTimeout = 'target-timeout',
 	/** The answer of the target ended early. */
 	TruncatedAnswer = 'truncated-answer',
+	/** Targets ended while they ran the same request before. */
+	CrashSuspect = 'crash-suspect',
 	/** The retry budget is used up. */
 	RetryBudget = 'retry-budget',
 	/** The instance is stopping and accepts no new requests. */
@@ -136,6 +138,9 @@
 	[ErrorKind.ConnectionLost]: {status: 502, outcome: unknown, text: 'The connection to the target broke.'},
 	[ErrorKind.TargetTimeout]: {status: 504, outcome: unknown, text: 'The target did not answer in time.'},
 	[ErrorKind.TruncatedAnswer]: {status: 502, outcome: unknown, text: 'The answer of the target ended early.'},
+	[ErrorKind.CrashSuspect]: {
+		status: 503, outcome: notRun, retryAfter: 60, text: 'Targets ended while they ran this request.',
+	},
 	[ErrorKind.RetryBudget]: {
 		status: 503, outcome: notRun, retryAfter: 1, text: 'Too many retries at the moment.',
 	},
--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -3,7 +3,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {Clock, LeaseTiming} from '@bluebellyard/core';
-import {noBytes, type Message} from '../peers/index.js';
+import type {Message} from '../peers/index.js';
 import {
 	StaleAppendError, type KeyedLog, type OperatorFeed, type TargetControl, type TargetFeed,
 } from '../ports/index.js';
@@ -15,15 +15,18 @@
 } from './leader-election.js';
 import {electionDelayMs} from './election-delay.js';
 import {FollowedLeader} from './followed-leader.js';
+import {handleLeaderMessage} from './handle-leader-message.js';
 import {Leader} from './leader.js';
+import {LeaderChannel} from './leader-channel.js';
 import {
-	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type NotOwnerReport, type Ping, type Pong, type Report, type TargetReport, type ViewState,
+	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type Ping, type Pong, type Report, type ViewState,
 } from './messages.js';
 import {KnownInstances, type KnownInstancesOptions} from './known-instances.js';
 import {FeedReader} from './feed-reader.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {OwnerLog} from './owner-log.js';
 import {Registration} from './registration.js';
+import {SuspectLog} from './suspect-log.js';
 
 /** Interval between two ticks, in milliseconds. */
 const tickIntervalMs = 100;
@@ -60,9 +63,12 @@
 
 /** Takes part in membership and leader election for one instance, as follower or as leader. */
 export class Coordinator {
+	/** Way to the present leader. */
+	readonly leaderChannel: LeaderChannel;
 	private readonly directory: Directory;
 	private readonly registration: Registration;
 	private readonly ownerLog: OwnerLog;
+	private readonly suspectLog: SuspectLog;
 	private readonly reader: FeedReader;
 	private readonly knownInstances: KnownInstances;
 	private readonly election: LeaderElection;
@@ -83,12 +89,14 @@
 		this.directory = new Directory(log);
 		this.registration = new Registration({...options, directory: this.directory});
 		this.ownerLog = new OwnerLog(log);
-		this.reader = new FeedReader(options);
+		this.suspectLog = new SuspectLog(log);
+		this.reader = new FeedReader({...options, loadSuspects: async () => this.suspectLog.load(this.leader?.suspects, options.view)});
 		this.knownInstances = new KnownInstances(options);
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
 		});
 		this.followed = new FollowedLeader(clock.now());
+		this.leaderChannel = new LeaderChannel({...options, leader: () => this.leader, leaderNode: () => this.followed.node});
 		this.nextElectionAt = clock.now() + this.drawElectionDelayMs();
 	}
 
@@ -134,20 +142,6 @@
 		this.leader?.stop();
 	}
 
-	/**
-	 * Reports to the leader what a target told this instance. A lost report is made up for by the next answer of the
-	 * target, or by the answer to the leader's next ping.
-	 */
-	report(...[op, value]: TargetReport): void {
-		if (this.leader !== undefined) {
-			this.handle(op, {value, bytes: noBytes});
-		} else if (this.followed.node !== undefined) {
-			this.options.net.call(this.followed.node.addr, op, value).catch((err: unknown) => {
-				this.options.telemetry.warn('follower', 'A report could not be sent to the leader.', {op, value, err});
-			});
-		}
-	}
-
 	/** Handles a message of another instance and returns the answer. */
 	handle(op: PeerOp, {value: body, bytes}: Message): unknown {
 		switch (op) {
@@ -172,19 +166,18 @@
 				return true;
 			}
 
-			case PeerOp.Disowned: {
-				this.leader?.handleNotOwner(body as NotOwnerReport);
-				return true;
-			}
-
-			case PeerOp.Leaving: {
-				this.leader?.handleLeaving(body as string);
-				return true;
-			}
-
 			case PeerOp.Request: {
 				return undefined;
 			}
+
+			case PeerOp.Disowned:
+			case PeerOp.Leaving:
+			case PeerOp.Crash:
+			case PeerOp.Alive:
+			case PeerOp.Trial:
+			case PeerOp.TrialEnd: {
+				return this.leader === undefined ? undefined : handleLeaderMessage(this.leader, op, body);
+			}
 		}
 	}
 
@@ -354,6 +347,7 @@
 			record,
 			knownEnds,
 			ownerLog: this.ownerLog,
+			suspectLog: this.suspectLog,
 			directory: this.directory,
 			reader: this.reader,
 			baseState: this.viewState === undefined ? undefined : {state: this.viewState, seq: view.store.lastSeq},
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -43,6 +43,8 @@
 	readonly telemetry: Telemetry;
 	/** Interval at which each target writes its entry again, in milliseconds. */
 	readonly heartbeatMs: number;
+	/** Called before the first configuration is read, so that no caller is served before what it loads is known. Reading waits until it resolves. */
+	readonly loadSuspects?: () => Promise<void>;
 };
 
 /** Keeps the view up to date with the store. */
@@ -114,9 +116,14 @@
 	}
 
 	private async readOperators(generation: number): Promise<void> {
-		const {operators, telemetry, view} = this.options;
+		const {operators, telemetry, view, loadSuspects} = this.options;
 		while (this.isRunning && generation === this.generation) {
 			try {
+				if (view.configVersion === undefined) {
+					// eslint-disable-next-line no-await-in-loop
+					await loadSuspects?.();
+				}
+
 				// Reads must not overlap.
 				// eslint-disable-next-line no-await-in-loop
 				const change = await operators.next(operatorWaitMs);
--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -8,4 +8,7 @@
 export * from './steward-plan.js';
 export * from './directory.js';
 export * from './leader.js';
+export * from './leader-channel.js';
 export * from './leader-record.js';
+export * from './suspect-log.js';
+export * from './suspect-registry.js';
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -24,6 +24,8 @@
 import {findOwnerProcess} from './owner-process.js';
 import {OwnershipManager} from './ownership-manager.js';
 import {StewardAssignment} from './steward-assignment.js';
+import type {SuspectLog} from './suspect-log.js';
+import {SuspectRegistry} from './suspect-registry.js';
 import {findUsableOwners} from './usable-owners.js';
 
 /** Age of the store contact up to which keys may be moved, in milliseconds. */
@@ -42,6 +44,7 @@
 	readonly view: View;
 	readonly net: PeerNet;
 	readonly ownerLog: OwnerLog;
+	readonly suspectLog: SuspectLog;
 	readonly directory: Directory;
 	readonly reader: FeedReader;
 	readonly control: TargetControl;
@@ -62,6 +65,8 @@
 export class Leader {
 	/** Replication of the view to the other instances. */
 	readonly followers: FollowerSync;
+	/** Requests under which targets ended. */
+	readonly suspects: SuspectRegistry;
 	private readonly managers = new Map<string, OwnershipManager>();
 	private readonly measurements: Measurements;
 	/** Each target seen in this term, also after its removal, in the order of the first sight. */
@@ -99,6 +104,11 @@
 				this.handlePong(node, pong);
 			},
 		});
+		this.suspects = new SuspectRegistry({
+			...options, onChange: () => {
+				this.schedulePublish();
+			},
+		});
 		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes()});
 	}
 
@@ -148,8 +158,9 @@
 
 		void this.confirmation.confirm();
 		this.endRecovery(now);
-		this.measurements.apply(this.options.self.name, this.options.report(), now);
+		this.applyReport(this.options.self.name, this.options.report(), now);
 		this.publishConditions();
+		this.suspects.tick(now);
 		for (const target of view.targets.values()) {
 			this.seenTargets.set(target.id, target);
 		}
@@ -343,7 +354,7 @@
 			return;
 		}
 
-		this.measurements.apply(node.name, pong.report, this.options.clock.now());
+		this.applyReport(node.name, pong.report, this.options.clock.now());
 		if (this.publishConditions()) {
 			this.schedulePublish();
 		}
@@ -351,6 +362,11 @@
 		this.confirmation.recordFollower(node.name, pong);
 	}
 
+	private applyReport(reporter: string, report: Report, now: number): void {
+		this.measurements.apply(reporter, report, now);
+		this.suspects.recordCrashes(report.crashes ?? []);
+	}
+
 	/** Removes expired former leaders from the record, so that later leaders do not wait for them. */
 	private async clearFormerLeaders(now: number): Promise<void> {
 		const isDue = now >= this.confirmation.formerLeaseEnd && [...this.managers.values()].every(manager => manager.hasOwnFences);
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -4,7 +4,7 @@
 import type {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
-import type {ConditionReport} from '@bluebellyard/core';
+import type {ConditionReport, ReportedCrash, TrialOutcome} from '@bluebellyard/core';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
@@ -24,6 +24,14 @@
 	Disowned = 'disowned',
 	/** A target announced that it leaves. */
 	Leaving = 'leaving',
+	/** A target ended while requests ran there. */
+	Crash = 'crash',
+	/** A target answers that was reported to have ended. */
+	Alive = 'alive',
+	/** An instance asks whether a request under which targets ended may run. */
+	Trial = 'trial',
+	/** Such a run has ended. */
+	TrialEnd = 'trial-end',
 	/** A request for a dispatch queue of this instance. */
 	Request = 'work',
 }
@@ -65,6 +73,8 @@
 	readonly conditions?: readonly ConditionReport[];
 	/** Targets that announced their leaving to this instance; absent from instances of an earlier version. */
 	readonly leavingTargets?: readonly string[];
+	/** Targets that ended recently while requests of the instance ran there; absent from instances of an earlier version. */
+	readonly crashes?: readonly ReportedCrash[];
 	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
 };
@@ -95,8 +105,25 @@
 	readonly key: number;
 };
 
-/** A report to the leader about a target: a key that it does not hold, or the id of a target that leaves. */
-export type TargetReport = readonly [op: PeerOp.Disowned, value: NotOwnerReport] | readonly [op: PeerOp.Leaving, value: string];
+/** Question of an instance whether a suspected request may run. */
+export type TrialRequest = {
+	readonly print: string;
+	/** Longest time that the run takes, in milliseconds. */
+	readonly maxMs: number;
+};
+
+/** Result of a run that the leader permitted. */
+export type TrialResult = {
+	readonly print: string;
+	readonly outcome: TrialOutcome;
+};
+
+/** A report to the leader: a key that its owner does not hold, the id of a target that leaves, one that ended or lives after all, the result of a trial. */
+export type TargetReport
+	= | readonly [op: PeerOp.Disowned, value: NotOwnerReport]
+		| readonly [op: PeerOp.Leaving | PeerOp.Alive, value: string]
+		| readonly [op: PeerOp.Crash, value: ReportedCrash]
+		| readonly [op: PeerOp.TrialEnd, value: TrialResult];
 
 /** Limit for an unpacked view; many times the size of a configuration with thousands of routes. */
 const maxDeltaBytes = 64 * 1024 * 1024;
--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -1,9 +1,12 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
-import {ErrorKind, ManualClock, TargetPhase} from '@bluebellyard/core';
+import {
+	ErrorKind, ManualClock, RunMode, TargetPhase,
+} from '@bluebellyard/core';
 import {LinkError} from '../peers/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {sharedQueueId, View, type NodeInfo} from '../view/index.js';
+import {CrashGuard} from './crash-guard.js';
 import {Dispatcher} from './dispatcher.js';
 import {failure, type Order, type OrderResult} from './order.js';
 
@@ -31,6 +34,7 @@
 	deadline: 2000,
 	excluded: [],
 	skipsRateLimited: false,
+	mode: RunMode.Usual,
 };
 
 /** Runs an idempotent order of which each attempt ends with the next of `results`, further ones with the last. */
@@ -62,6 +66,11 @@
 		telemetry: new Telemetry(clock),
 		retryBudget: () => ({share: 1, perSecond: 1, burst: 10}),
 		random: () => 0,
+		guard: new CrashGuard(view, clock),
+		requestTrial: async () => undefined,
+		reportEnd() {
+			// No order is suspected.
+		},
 	});
 	return dispatcher.run({...order, isOnce: false}, 2, new AbortController().signal);
 }
@@ -102,6 +111,11 @@
 		telemetry: new Telemetry(clock),
 		retryBudget: () => ({share: 0, perSecond: 0, burst: 0}),
 		random: () => 0,
+		guard: new CrashGuard(view, clock),
+		requestTrial: async () => undefined,
+		reportEnd() {
+			// No order is suspected.
+		},
 	});
 	await dispatcher.run(order, 1, new AbortController().signal);
 	return own;
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -16,11 +16,15 @@
 } from '../view/index.js';
 import {ClosedRanges} from './closed-ranges.js';
 import {combineResults} from './combine-results.js';
+import type {CrashGuard} from './crash-guard.js';
 import {DomainSelector, type DomainCandidate} from './domain-selector.js';
 import {
 	failure, type AnsweredResult, type FailedResult, type Order, type OrderResult,
 } from './order.js';
+import {fingerprintOf} from './order-fingerprint.js';
 import {RecentRefusals} from './recent-refusals.js';
+import {TrialRunner, type TrialRunnerOptions} from './trial-runner.js';
+import {decodeOrder, encodeOrder, type WireOrder} from './wire-order.js';
 
 /** Largest number of times that one request is passed to a dispatch queue, for whatever reason. */
 const maxAttempts = 5;
@@ -36,44 +40,19 @@
 	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable,
 ]);
 
+/** Returns whether a result must or can't be improved by a retry. What may have crashed its target is not taken to the next one. */
+function isFinal({isOnce}: Order, result: OrderResult): boolean {
+	if (result.kind === 'answer') {
+		return isOnce || result.answer.status < 500;
+	}
+
+	return !retryableErrors.has(result.error) || result.isTargetGone || (isOnce && !result.isNotRun);
+}
+
 function describe(range: ({from: number} & OwnedRange) | undefined): string {
 	return range === undefined ? 'no owners known' : `keys ${range.from}-${range.to}, owner ${range.owner || 'none'}, open ${range.isOpen}`;
 }
 
-/** An order as it is forwarded to another instance, without its body. Times are durations in milliseconds, since the clocks of instances differ. */
-type WireOrder = {
-	/** Id of the dispatch queue. */
-	readonly desk: string;
-	readonly id: string;
-	/** Method. */
-	readonly m: string;
-	/** Path with the query string. */
-	readonly p: string;
-	/** Caller. */
-	readonly c: string;
-	/** Headers. */
-	readonly h: ReadonlyArray<readonly [string, string]>;
-	/** Route. */
-	readonly rt: string;
-	/** Service. */
-	readonly s: string;
-	/** Key. */
-	readonly k: number | undefined;
-	/** Priority. */
-	readonly pr: number;
-	readonly once: boolean;
-	/** Latency objective. */
-	readonly obj: number;
-	/** Time since the arrival of the request. */
-	readonly age: number;
-	/** Time until the objective is missed. */
-	readonly late: number;
-	/** Time until the deadline. */
-	readonly left: number;
-	/** Excluded targets. */
-	readonly x: readonly string[];
-};
-
 /** Options of a dispatcher. */
 export type DispatcherOptions = {
 	readonly self: NodeInfo;
@@ -86,7 +65,8 @@
 	readonly retryBudget: (instances: number) => RetryBudgetCfg;
 	/** Returns a random number from 0 to 1. */
 	readonly random: () => number;
-};
+	readonly guard: CrashGuard;
+} & Pick<TrialRunnerOptions, 'requestTrial' | 'reportEnd'>;
 
 /** Routes orders to dispatch queues. */
 export class Dispatcher {
@@ -95,11 +75,13 @@
 	private readonly refusals = new RecentRefusals();
 	private readonly budgets = new Map<string, RetryBudget>();
 	private readonly waiters = new Set<() => void>();
+	private readonly trials: TrialRunner;
 
 	constructor(private readonly options: DispatcherOptions) {
 		options.view.onChange(() => {
 			this.notifyWaiters();
 		});
+		this.trials = new TrialRunner({...options, waitForChange: async (ms, signal) => this.waitForChange(ms, signal)});
 	}
 
 	/** Runs an order. `maxTargets` is the number of targets that it may be sent to. Never rejects. */
@@ -110,7 +92,7 @@
 		for (let attempts = 1; attempts <= maxAttempts; attempts += 1) {
 			// Whether and where to retry depends on the previous attempt.
 			// eslint-disable-next-line no-await-in-loop
-			const result = await this.attempt({...order, excluded: [...order.excluded, ...tried]}, signal);
+			const result = await this.attemptUnlessSuspect({...order, excluded: [...order.excluded, ...tried]}, signal);
 			combined = combineResults(combined, result);
 			// eslint-disable-next-line no-await-in-loop
 			if (!await this.prepareRetry(order, result, {attempts, tried, maxTargets}, signal)) {
@@ -124,26 +106,8 @@
 	/** Runs an order that another instance forwarded to a dispatch queue of this one. */
 	async runForPeer({value, bytes}: Message, signal: AbortSignal): Promise<Message> {
 		const wire = value as WireOrder;
-		const now = this.options.clock.now();
-		const order: Order = {
-			requestId: wire.id,
-			method: wire.m,
-			caller: wire.c,
-			path: wire.p,
-			headers: wire.h,
-			body: bytes,
-			route: wire.rt,
-			service: wire.s,
-			key: wire.k,
-			priority: wire.pr,
-			isOnce: wire.once,
-			objectiveMs: wire.obj,
-			arrivedAt: now - wire.age,
-			objectiveAt: now + wire.late,
-			deadline: now + wire.left,
-			excluded: wire.x,
-			skipsRateLimited: this.options.view.findSteward(wire.desk) !== this.options.self.name,
-		};
+		const isSteward = this.options.view.findSteward(wire.desk) === this.options.self.name;
+		const order = decodeOrder(wire, bytes, {now: this.options.clock.now(), skipsRateLimited: !isSteward});
 		const result = await this.options.queues.run(wire.desk, order, signal);
 		return result.kind === 'answer'
 			? {value: {...result, answer: {...result.answer, body: noBytes}}, bytes: result.answer.body}
@@ -159,9 +123,7 @@
 	): Promise<boolean> {
 		const {clock, telemetry} = this.options;
 		const isKeyed = order.key !== undefined && this.isSharded(order.service);
-		const isSuccess = result.kind === 'answer' && result.answer.status < 500;
-		const isFinal = result.kind === 'failure' && (!retryableErrors.has(result.error) || (order.isOnce && !result.isNotRun));
-		if (isSuccess || isFinal || signal.aborted || attempts >= maxAttempts || (result.kind === 'answer' && order.isOnce)) {
+		if (isFinal(order, result) || signal.aborted || attempts >= maxAttempts) {
 			return false;
 		}
 
@@ -194,6 +156,22 @@
 		return !signal.aborted;
 	}
 
+	/** Runs an order once; as a trial, if the leader permits it, when it is known or turns out that targets ended under the same request. */
+	private async attemptUnlessSuspect(order: Order, signal: AbortSignal): Promise<OrderResult> {
+		const {guard, view} = this.options;
+		let print = guard.findSuspect(order);
+		if (print === undefined) {
+			const result = await this.attempt(order, signal);
+			if (result.kind === 'answer' || result.error !== ErrorKind.CrashSuspect) {
+				return result;
+			}
+
+			print = fingerprintOf(order, view);
+		}
+
+		return await this.trials.run(order, print, signal, async trial => this.attempt(trial, signal)) ?? this.attempt(order, signal);
+	}
+
 	private async attempt(order: Order, signal: AbortSignal): Promise<OrderResult> {
 		return this.isSharded(order.service) ? this.attemptKeyed(order, signal) : this.attemptShared(order, signal);
 	}
@@ -317,24 +295,7 @@
 
 	private async forward(addr: string, queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
 		const now = this.options.clock.now();
-		const wire: WireOrder = {
-			desk: queueId,
-			id: order.requestId,
-			m: order.method,
-			p: order.path,
-			c: order.caller,
-			h: order.headers,
-			rt: order.route,
-			s: order.service,
-			k: order.key,
-			pr: order.priority,
-			once: order.isOnce,
-			obj: order.objectiveMs,
-			age: Math.round(now - order.arrivedAt),
-			late: Math.round(order.objectiveAt - now),
-			left: Math.round(order.deadline - now),
-			x: order.excluded,
-		};
+		const wire = encodeOrder(order, queueId, now);
 		const timeoutMs = Math.max(1, Math.ceil(order.deadline - now + forwardSlackMs));
 		const reply = await this.options.net.exchange(addr, PeerOp.Request, {value: wire, bytes: order.body}, {signal, timeoutMs});
 		const result = reply.value as AnsweredResult | FailedResult;
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -1,5 +1,5 @@
 import type {Buffer} from 'node:buffer';
-import type {ErrorKind} from '@bluebellyard/core';
+import type {ErrorKind, RunMode} from '@bluebellyard/core';
 import type {Answer, HeaderList} from '../ports/index.js';
 
 /** A caller's request that is to be sent to a target. Times are monotonic milliseconds of this process. */
@@ -28,6 +28,8 @@
 	readonly excluded: readonly string[];
 	/** Whether targets with a limit on requests per second, cold ones and those that name one, must not receive it, because this instance is not the steward. */
 	readonly skipsRateLimited: boolean;
+	/** Whether this is a run that the leader permitted, of a request under which targets ended before. */
+	readonly mode: RunMode;
 };
 
 /** Complete answer of a target. */
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	RequestAgeEstimator, ErrorKind, Repeat, WeightedRoundRobin, type Clock, type HostRoute,
+	RequestAgeEstimator, ErrorKind, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute,
 } from '@bluebellyard/core';
 import {
 	failure, type Dispatcher, type FailedResult, type Order, type OrderResult,
@@ -198,6 +198,7 @@
 			deadline: arrivedAt + timeoutMs,
 			excluded: [],
 			skipsRateLimited: false,
+			mode: RunMode.Usual,
 		};
 	}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {DispatchQueues, isConnectionRefused, TargetClient} from './queue/index.js';
-import {Dispatcher, type Order} from './dispatch/index.js';
+import {CrashGuard, Dispatcher, type Order} from './dispatch/index.js';
 import {CallerServer, ProbeServer} from './front/index.js';
 import {
 	Coordinator, PeerOp, type Report,
@@ -67,6 +67,7 @@
 	readonly coordinator: Coordinator;
 	private readonly net: PeerNet;
 	private readonly client: TargetClient;
+	private readonly guard: CrashGuard;
 	private readonly queues: DispatchQueues;
 	private readonly dispatcher: Dispatcher;
 	private readonly callers: CallerServer;
@@ -99,6 +100,7 @@
 		this.coordinator = new Coordinator({
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
+		this.guard = new CrashGuard(view, clock);
 		this.queues = new DispatchQueues({
 			selfName: name,
 			view,
@@ -106,19 +108,22 @@
 			clock,
 			telemetry,
 			onLeaving: target => {
-				this.coordinator.report(PeerOp.Leaving, target);
+				this.coordinator.leaderChannel.report(PeerOp.Leaving, target);
 			},
 			isRefused: async addr => isConnectionRefused(addr, cfg.targets['local-address']),
-			onCrash() {
-				// Logged by the detector.
+			guard: this.guard,
+			onCrash: report => {
+				this.guard.recordCrash(report);
+				this.coordinator.leaderChannel.report(PeerOp.Crash, report);
 			},
-			onAlive() {
-				// Logged by the detector.
+			onAlive: target => {
+				this.guard.retractCrash(target);
+				this.coordinator.leaderChannel.report(PeerOp.Alive, target);
 			},
 			hasLeaderContact: () => this.coordinator.leaderContactAgeMs < stewardContactMs,
 			onNotOwner: (target: string, order: Order) => {
 				if (order.key !== undefined) {
-					this.coordinator.report(PeerOp.Disowned, {service: order.service, owner: target, key: order.key});
+					this.coordinator.leaderChannel.report(PeerOp.Disowned, {service: order.service, owner: target, key: order.key});
 				}
 			},
 		});
@@ -127,7 +132,19 @@
 		};
 
 		this.dispatcher = new Dispatcher({
-			self, view, queues: this.queues, net: this.net, clock, telemetry, random, retryBudget: instances => toBudget(cfg, instances),
+			self,
+			view,
+			queues: this.queues,
+			net: this.net,
+			clock,
+			telemetry,
+			random,
+			retryBudget: instances => toBudget(cfg, instances),
+			guard: this.guard,
+			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
+			reportEnd: (print, outcome) => {
+				this.coordinator.leaderChannel.report(PeerOp.TrialEnd, {print, outcome});
+			},
 		});
 		this.callers = new CallerServer({
 			view,
@@ -222,6 +239,7 @@
 			keys,
 			slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const),
 			conditions: this.queues.reportConditions(),
+			crashes: this.guard.reports(),
 			leavingTargets: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
 			isLeaving: this.isStopping,
 		};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export * from './cluster/suspect-log.js';
 export * from './queue/target-client.js';
 export * from './gateway.js';
 export * from './ports/index.js';
--- a/packages/gateway/src/mocks/leader-harness.ts
+++ b/packages/gateway/src/mocks/leader-harness.ts
@@ -2,7 +2,7 @@
 	ManualClock, TargetPhase, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import {
-	Directory, FeedReader, Leader, OwnerLog, type LeaderRecord,
+	Directory, FeedReader, Leader, OwnerLog, SuspectLog, type LeaderRecord,
 } from '../cluster/index.js';
 import type {PeerNet} from '../peers/index.js';
 import type {OperatorEntry} from '../ports/index.js';
@@ -68,6 +68,7 @@
 			view,
 			net: net as PeerNet,
 			ownerLog,
+			suspectLog: new SuspectLog(this.log),
 			directory: new Directory(this.log),
 			reader,
 			control,
--- a/packages/gateway/src/queue/crash-detector.ts
+++ b/packages/gateway/src/queue/crash-detector.ts
@@ -1,7 +1,8 @@
 import {connect} from 'node:net';
 import {
-	AttemptOutcome, fingerprint, RunLedger, TargetPhase, type Clock,
+	AttemptOutcome, RunLedger, TargetPhase, type Clock, type ReportedCrash,
 } from '@bluebellyard/core';
+import {fingerprintOf} from '../dispatch/order-fingerprint.js';
 import type {Order} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
@@ -21,18 +22,6 @@
 	Removed = 'removed',
 }
 
-/** A target that ended while requests ran there. */
-export type CrashReport = {
-	/** Id of the incarnation. */
-	readonly target: string;
-	readonly service: string;
-	/** Version of the target's software; empty if unknown. */
-	readonly version: string;
-	/** Fingerprints of the requests that ran there. */
-	readonly fingerprints: readonly string[];
-	readonly evidence: CrashEvidence;
-};
-
 /** A target as the detector sees it. */
 export type ObservedTarget = {
 	readonly id: string;
@@ -49,7 +38,7 @@
 	/** Resolves to whether an address refuses connections, i.e. no process listens there. */
 	readonly isRefused: (addr: string) => Promise<boolean>;
 	/** Called when a target ended while requests ran there. */
-	readonly onCrash: (report: CrashReport) => void;
+	readonly onCrash: (report: ReportedCrash) => void;
 	/** Called when a target answers that was reported before. */
 	readonly onAlive: (target: string) => void;
 };
@@ -173,30 +162,21 @@
 			return;
 		}
 
-		const isSharded = view.allServices.get(target.service)?.isSharded ?? false;
-		const fingerprints = [...new Set(suspects.map(order => fingerprintOf(order, isSharded)))];
+		const fingerprints = [...new Set(suspects.map(order => fingerprintOf(order, view)))];
 		telemetry.metrics.crashes.inc({evidence});
 		telemetry.trace('crashes', 'A target ended while requests ran there.', {
 			target: id,
 			evidence,
 			service: target.service,
 			count: suspects.length,
-			requests: suspects.slice(0, maxLoggedRequests).map(order => `${order.requestId} ${order.method} ${order.path} ${fingerprintOf(order, isSharded)}`),
+			requests: suspects.slice(0, maxLoggedRequests).map(order => `${order.requestId} ${order.method} ${order.path} ${fingerprintOf(order, view)}`),
 		});
 		onCrash({
-			target: id, service: target.service, version: target.version ?? '', fingerprints, evidence,
+			target: id, service: target.service, version: target.version ?? '', fingerprints,
 		});
 	}
 }
 
-/** Returns the fingerprint of an order. The key belongs to it where it decides which target runs the order. */
-export function fingerprintOf({method, path, headers, key, caller, body}: Order, isSharded: boolean): string {
-	const host = headers.find(([name]) => name.toLowerCase() === 'host')?.[1] ?? '';
-	return fingerprint({
-		method, host, path, key: isSharded ? key : undefined, caller, body,
-	});
-}
-
 /** Resolves to whether connections to an address are refused; false if they are accepted or nothing answers in time. */
 export async function isConnectionRefused(addr: string, localAddress: string | undefined): Promise<boolean> {
 	const colon = addr.lastIndexOf(':');
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -5,8 +5,9 @@
  * only while it knows no steward or can't reach it.
  */
 import {
-	ErrorKind, AttemptOutcome, AdmissionQueue, type Clock, type TargetLimiter, type TargetInfo, type WorkEstimator, type QueuedRequest, type QueueDecision,
+	ErrorKind, AttemptOutcome, AdmissionQueue, RunMode, type Clock, type TargetLimiter, type TargetInfo, type WorkEstimator, type QueuedRequest, type QueueDecision,
 } from '@bluebellyard/core';
+import type {CrashGuard} from '../dispatch/crash-guard.js';
 import {failure, type Order, type OrderResult} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {CrashDetector} from './crash-detector.js';
@@ -33,6 +34,7 @@
 	readonly estimator: WorkEstimator;
 	readonly tracker: ConditionTracker;
 	readonly crashes: CrashDetector;
+	readonly guard: Pick<CrashGuard, 'findSuspect'>;
 	/** Returns whether this instance is the steward of the queue. */
 	readonly isSteward: () => boolean;
 	/** Returns whether this instance would know by now if it were no longer the steward. */
@@ -132,6 +134,7 @@
 			workMs: estimator.estimate(order.route, order.objectiveMs),
 			excluded: new Set(order.excluded),
 			skipsRateLimited: order.skipsRateLimited,
+			isAlone: order.mode === RunMode.TrialAlone,
 		};
 		return new Promise(resolve => {
 			const onAbort = () => {
@@ -214,6 +217,12 @@
 
 		const {order, signal, queuedAt} = pending;
 		const waitMs = startedAt - queuedAt;
+		if (order.mode === RunMode.Usual && this.options.guard.findSuspect(order) !== undefined) {
+			this.settle(request.id, failure(ErrorKind.CrashSuspect, {retryAfterMs: refusalRetryMs, waitMs, reason: 'targets ended under the same request while it waited'}));
+			this.applyDecision(this.admission.finish(limiter, AttemptOutcome.Cancelled, 1, startedAt));
+			return;
+		}
+
 		telemetry.metrics.queueWait.observe(waitMs / 1000);
 		const role = this.options.isSteward() ? SenderRole.Steward : SenderRole.Other;
 		this.options.tracker.recordSend(target.id, role);
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -1,4 +1,7 @@
-import {WorkEstimator, type Clock, type ConditionReport} from '@bluebellyard/core';
+import {
+	WorkEstimator, type Clock, type ConditionReport, type ReportedCrash,
+} from '@bluebellyard/core';
+import type {CrashGuard} from '../dispatch/crash-guard.js';
 import type {Order, OrderResult} from '../dispatch/order.js';
 import type {TargetHeaders, TargetRef} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
@@ -6,7 +9,7 @@
 	leavingPart, limitPart, sharedQueueId, targetQueueId, type View,
 } from '../view/index.js';
 import {ConditionTracker} from './condition-tracker.js';
-import {CrashDetector, type CrashReport} from './crash-detector.js';
+import {CrashDetector} from './crash-detector.js';
 import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
 import type {TargetClient} from './target-client.js';
 
@@ -26,9 +29,10 @@
 	/** Resolves to whether an address refuses connections. */
 	readonly isRefused: (addr: string) => Promise<boolean>;
 	/** Called when a target ended while requests of this instance ran there. */
-	readonly onCrash: (report: CrashReport) => void;
+	readonly onCrash: (report: ReportedCrash) => void;
 	/** Called when a target answers that was reported before. */
 	readonly onAlive: (target: string) => void;
+	readonly guard: CrashGuard;
 };
 
 /** The dispatch queues of this instance. A queue is created when its first order arrives. */
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -50,6 +50,19 @@
 		registers: [this.registry],
 	});
 
+	readonly quarantined = new Gauge({
+		name: 'bluebellyard_quarantined_requests',
+		help: 'Requests that no target may run, since targets end when they do; leader only.',
+		registers: [this.registry],
+	});
+
+	readonly trials = new Counter({
+		name: 'bluebellyard_trials_total',
+		help: 'Requests under which targets ended before, by what became of them: answered, not-run, unknown, or refused without a run.',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -4,7 +4,7 @@
  * replicates it to all instances.
  */
 import {
-	HostRoutes, TargetPhase, type CallerLimits, type HostRoute, type Service, type TargetInfo,
+	bodyLengthOf, HostRoutes, TargetPhase, type CallerLimits, type HostRoute, type Service, type Suspect, type TargetInfo,
 } from '@bluebellyard/core';
 import type {GatewayConfig} from '../ports/index.js';
 import {DeltaStore, type Delta} from './delta-store.js';
@@ -46,6 +46,9 @@
 /** Part of the view with the targets that announced their leaving, by target id. */
 export const leavingPart = 'leaving';
 
+/** Part of the view with the requests under which targets ended, by fingerprint. */
+export const suspectPart = 'suspect';
+
 /** Largest number of announcements that an instance remembers on its own; far more than targets leave within the life of a process that hears no leader. */
 const maxAnnouncements = 4096;
 
@@ -69,6 +72,8 @@
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
 	private limitsById = new Map<string, number>();
+	private suspectsByPrint = new Map<string, Suspect>();
+	private suspectLengths = new Set<number>();
 	/** Targets that announced their leaving to this instance itself. */
 	private readonly announced = new Set<string>();
 	private nodeList: NodeInfo[] = [];
@@ -110,6 +115,18 @@
 		return this.limitsById;
 	}
 
+	/** Requests under which targets ended, by fingerprint. */
+	get suspects(): ReadonlyMap<string, Suspect> {
+		this.rebuildSuspects();
+		return this.suspectsByPrint;
+	}
+
+	/** Lengths of the bodies of these requests, in bytes. */
+	get suspectBodyLengths(): ReadonlySet<number> {
+		this.rebuildSuspects();
+		return this.suspectLengths;
+	}
+
 	/** Failure domains that operators took out of service. */
 	get evacuated(): ReadonlySet<string> {
 		this.rebuildIfChanged('evacuated', () => {
@@ -272,6 +289,13 @@
 		}
 	}
 
+	private rebuildSuspects(): void {
+		this.rebuildIfChanged(suspectPart, () => {
+			this.suspectsByPrint = new Map([...this.store.withPrefix<Suspect>(`${suspectPart}/`)].map(([key, suspect]) => [key.slice(suspectPart.length + 1), suspect]));
+			this.suspectLengths = new Set([...this.suspectsByPrint.keys()].map(print => bodyLengthOf(print)));
+		});
+	}
+
 	private rebuildNodes(): void {
 		this.rebuildIfChanged('node', () => {
 			this.nodeList = [...this.store.withPrefix<NodeInfo>('node/')].map(([, node]) => node);
