The address of the caller does not belong to the fingerprint, its key always does

Our callers all had one address.

Cause: the platform's entry points connect from addresses of their own, in a range for each failure domain (trial: 100.64, 100.65 and 100.66), and repeats of one request arrive in all of them. So each repeat was a new request.

The key belongs to the identity also in a shared service, so that a route that is split or moved keeps what is known.

Ruled out by trial (targets that crash, no such request): that a crash is not recognized on the platform; 11 of 11 lost connections were followed by a refused one.

--- a/packages/gateway/src/dispatch/crash-guard.ts
+++ b/packages/gateway/src/dispatch/crash-guard.ts
@@ -73,7 +73,7 @@
 			return undefined;
 		}
 
-		const print = fingerprintOf(order, view);
+		const print = fingerprintOf(order);
 		return view.suspects.has(print) || unpublished.has(print) ? print : undefined;
 	}
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -158,7 +158,7 @@
 
 	/** Runs an order once; as a trial, if the leader permits it, when it is known or turns out that targets ended under the same request. */
 	private async attemptUnlessSuspect(order: Order, signal: AbortSignal): Promise<OrderResult> {
-		const {guard, view} = this.options;
+		const {guard} = this.options;
 		let print = guard.findSuspect(order);
 		if (print === undefined) {
 			const result = await this.attempt(order, signal);
@@ -166,7 +166,7 @@
 				return result;
 			}
 
-			print = fingerprintOf(order, view);
+			print = fingerprintOf(order);
 		}
 
 		return await this.trials.run(order, print, signal, async trial => this.attempt(trial, signal)) ?? this.attempt(order, signal);
--- a/packages/gateway/src/dispatch/order-fingerprint.ts
+++ b/packages/gateway/src/dispatch/order-fingerprint.ts
@@ -1,14 +1,12 @@
 import {fingerprint} from '@bluebellyard/core';
-import type {View} from '../view/index.js';
 import type {Order} from './order.js';
 
-/** Returns the fingerprint of an order. The key belongs to it where it decides which target runs the order. */
+/** Returns the fingerprint of an order. It does not depend on the service, since a configuration may move the route or split it. */
 export function fingerprintOf({
-	method, path, headers, service, key, caller, body,
-}: Order, view: View): string {
+	method, path, headers, key, body,
+}: Order): string {
 	const host = headers.find(([name]) => name.toLowerCase() === 'host')?.[1] ?? '';
-	const isSharded = view.allServices.get(service)?.isSharded ?? false;
 	return fingerprint({
-		method, host, path, key: isSharded ? key : undefined, caller, body,
+		method, host, path, key, body,
 	});
 }
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -7,8 +7,6 @@
 	/** Id of the caller's attempt. */
 	readonly requestId: string;
 	readonly method: string;
-	/** Who sent the request; empty if unknown. */
-	readonly caller: string;
 	/** Path with the query string. */
 	readonly path: string;
 	readonly headers: HeaderList;
--- a/packages/gateway/src/dispatch/wire-order.ts
+++ b/packages/gateway/src/dispatch/wire-order.ts
@@ -11,8 +11,6 @@
 	readonly m: string;
 	/** Path with the query string. */
 	readonly p: string;
-	/** Caller. */
-	readonly c: string;
 	/** Headers. */
 	readonly h: ReadonlyArray<readonly [string, string]>;
 	/** Route. */
@@ -45,7 +43,6 @@
 		id: order.requestId,
 		m: order.method,
 		p: order.path,
-		c: order.caller,
 		h: order.headers,
 		rt: order.route,
 		s: order.service,
@@ -66,7 +63,6 @@
 	return {
 		requestId: wire.id,
 		method: wire.m,
-		caller: wire.c,
 		path: wire.p,
 		headers: wire.h,
 		body,
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -116,7 +116,7 @@
 		const {socket} = req;
 		socket.once('end', abortUnfinished);
 		this.openRequests += 1;
-		const headers = wire.readCaller(req.headers, socket.remoteAddress ?? '');
+		const headers = wire.readCaller(req.headers);
 		try {
 			const {result, route, hasReturned} = await this.answer(req, headers, arrivedAt, abort);
 			this.send(res, req, result);
@@ -183,7 +183,6 @@
 		return {
 			requestId: headers.requestId,
 			method: req.method ?? 'GET',
-			caller: headers.caller,
 			path: req.url ?? '/',
 			headers: toPairs(req.rawHeaders),
 			body,
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -6,8 +6,6 @@
 
 /** Values that the gateway reads from the headers of a caller's request. */
 export type CallerHeaders = {
-	/** Identifies the caller over its connections, at all instances; empty if unknown. */
-	readonly caller: string;
 	/** Id of this attempt of the caller; empty if absent. */
 	readonly requestId: string;
 	/** How long the caller waits for an answer, in milliseconds; undefined if absent. */
@@ -57,8 +55,7 @@
 
 /** Encodes and decodes the headers defined by the platform. */
 export abstract class Wire {
-	/** `address` is the IP address from which the request came; empty if its connection is closed. */
-	abstract readCaller(headers: IncomingHttpHeaders, address: string): CallerHeaders;
+	abstract readCaller(headers: IncomingHttpHeaders): CallerHeaders;
 
 	abstract readTarget(headers: IncomingHttpHeaders): TargetHeaders;
 
--- a/packages/gateway/src/queue/crash-detector.ts
+++ b/packages/gateway/src/queue/crash-detector.ts
@@ -155,21 +155,21 @@
 	}
 
 	private report(id: string, evidence: CrashEvidence): void {
-		const {clock, telemetry, view, onCrash} = this.options;
+		const {clock, telemetry, onCrash} = this.options;
 		const suspects = this.ledger.takeSuspects(id, clock.now());
 		const target = this.targets.get(id);
 		if (suspects.length === 0 || target === undefined || this.leaving.has(id)) {
 			return;
 		}
 
-		const fingerprints = [...new Set(suspects.map(order => fingerprintOf(order, view)))];
+		const fingerprints = [...new Set(suspects.map(order => fingerprintOf(order)))];
 		telemetry.metrics.crashes.inc({evidence});
 		telemetry.trace('crashes', 'A target ended while requests ran there.', {
 			target: id,
 			evidence,
 			service: target.service,
 			count: suspects.length,
-			requests: suspects.slice(0, maxLoggedRequests).map(order => `${order.requestId} ${order.method} ${order.path} ${fingerprintOf(order, view)}`),
+			requests: suspects.slice(0, maxLoggedRequests).map(order => `${order.requestId} ${order.method} ${order.path} ${fingerprintOf(order)}`),
 		});
 		onCrash({
 			target: id, service: target.service, version: target.version ?? '', fingerprints,
