Equal idle targets share the load

What callers saw: of three equal targets one got all of 30 requests a second, so that its fault met all callers and what was known of the others grew old.

Cause: a target that was never measured counts as of normal speed; the first one that is used is measured against an expected run time that is too long at first, and looks faster for good. Now a target without measurements counts as fast as the measured ones on average, and of targets whose costs differ by no more than their noise the one that has waited longest gets the request (findCheapestTarget, a file of its own).

--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -7,6 +7,7 @@
  * so that a burst does not make every request late.
  */
 import {ErrorKind} from '../errors/index.js';
+import {findCheapestTarget} from './cheapest-target.js';
 import {ExclusiveRuns} from './exclusive-runs.js';
 import {
 	createRefusal, isLate, minRetryAfterMs, precedes, timeToRoom, type QueuedRequest, type RequestRefusal,
@@ -40,12 +41,6 @@
 /** Weight of one request in the mean work. */
 const workWeight = 0.1;
 
-/** Factor on the cost of a target that names a limit, so that targets with room receive requests first. */
-const limitedCostFactor = 2;
-
-/** Time without a request after which a target that names a limit is treated like others, in milliseconds, so that the end of its limit is noticed. */
-const limitRefreshMs = 1000;
-
 /** Share of the limits on requests per second that is used while another instance may use the rest of what the limits tolerate. */
 const doubtfulShare = 0.5;
 
@@ -300,7 +295,7 @@
 
 		const request = best;
 		const limiters = open.filter(limiter => this.mayStartAt(limiter, request, now));
-		return {request, limiter: limiters.toSorted((a, b) => targetCost(a, now) - targetCost(b, now))[0]};
+		return {request, limiter: findCheapestTarget(limiters, now)};
 	}
 
 	private mayStartAt(limiter: TargetLimiter, request: QueuedRequest, now: number): boolean {
@@ -358,9 +353,3 @@
 function isEligible(limiter: TargetLimiter, {excluded, skipsRateLimited}: QueuedRequest, now: number): boolean {
 	return excluded?.has(limiter.id) !== true && !(skipsRateLimited === true && limiter.isRateLimited(now));
 }
-
-/** Returns the cost of sending one more request to a target; it is low for fast targets with few requests. */
-function targetCost(limiter: TargetLimiter, now: number): number {
-	const isAvoided = limiter.namedLimiter.isLimited && limiter.idleMs(now) < limitRefreshMs;
-	return limiter.slowness.factor * (1 + (limiter.inFlight / Math.max(1, limiter.limit))) * (isAvoided ? limitedCostFactor : 1);
-}
--- a/packages/core/src/admission/work-estimator.ts
+++ b/packages/core/src/admission/work-estimator.ts
@@ -30,9 +30,15 @@
 /** Estimates the factor by which a target takes longer than a target of normal speed. */
 export class SlownessEstimate {
 	private mean = 1;
+	private hasSample = false;
 	/** Current slowdown of the target's machine according to its load report. */
 	private reportedSlowdown = 1;
 
+	/** Whether a request was measured; without one the factors are assumptions. */
+	get isMeasured(): boolean {
+		return this.hasSample;
+	}
+
 	/** Expected factor for a request that starts now. */
 	get factor(): number {
 		return this.mean * this.reportedSlowdown;
@@ -43,10 +49,16 @@
 		return this.mean;
 	}
 
+	/** Returns the expected factor if no request was measured but `typical` is the long-term factor of similar targets. */
+	factorOr(typical: number): number {
+		return (this.hasSample ? this.mean : typical) * this.reportedSlowdown;
+	}
+
 	/** Records the duration of a request divided by its expected work. */
 	record(ratio: number): void {
 		const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio / this.reportedSlowdown));
 		this.mean += (bounded - this.mean) * slownessWeight;
+		this.hasSample = true;
 	}
 
 	/** Sets the current slowdown that the target reported. */
