A trial whose caller has left is not sent; orders of earlier versions have no run mode

The question to the leader takes a round trip, in which the caller may leave; a listener on a signal that is aborted already is never called. The test was written with the change.

--- a/packages/gateway/src/dispatch/trial-runner.test.ts
+++ b/packages/gateway/src/dispatch/trial-runner.test.ts
@@ -64,7 +64,7 @@
 		this.view.notifyListeners();
 	}
 
-	async run(): Promise<OrderResult | undefined> {
+	async run(signal = new AbortController().signal): Promise<OrderResult | undefined> {
 		const runner = new TrialRunner({
 			guard: this.guard,
 			clock: this.clock,
@@ -77,7 +77,7 @@
 				this.clock.advance(ms);
 			},
 		});
-		return runner.run(order, this.print, new AbortController().signal, async trial => {
+		return runner.run(order, this.print, signal, async trial => {
 			this.runs.push(trial);
 			return this.result;
 		});
@@ -116,6 +116,13 @@
 	t.deepEqual(leaderless.runs, []);
 });
 
+test('a trial whose caller has left is not sent', async t => {
+	const harness = new Harness([granted]);
+	t.like(await harness.run(AbortSignal.abort()), {error: ErrorKind.CallerDisconnectedBeforeSend, isNotRun: true});
+	t.deepEqual(harness.runs, []);
+	t.deepEqual(harness.ends, [TrialOutcome.NotRun]);
+});
+
 test('a request that is cleared meanwhile runs as usual', async t => {
 	const harness = new Harness([]);
 	harness.publish(undefined);
--- a/packages/gateway/src/dispatch/trial-runner.ts
+++ b/packages/gateway/src/dispatch/trial-runner.ts
@@ -64,6 +64,11 @@
 			await waitForChange(retryAfterMs, signal);
 		}
 
+		if (signal.aborted) {
+			reportEnd(print, TrialOutcome.NotRun);
+			return failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its trial'});
+		}
+
 		const result = await attempt({...order, mode: decision.isAlone ? RunMode.TrialAlone : RunMode.Trial});
 		const outcome = toOutcome(result);
 		telemetry.metrics.trials.inc({result: outcome});
--- a/packages/gateway/src/dispatch/wire-order.ts
+++ b/packages/gateway/src/dispatch/wire-order.ts
@@ -1,5 +1,5 @@
 import type {Buffer} from 'node:buffer';
-import type {RunMode} from '@bluebellyard/core';
+import {RunMode} from '@bluebellyard/core';
 import type {Order} from './order.js';
 
 /** An order as it is forwarded to another instance, without its body. Times are durations in milliseconds, since the clocks of instances differ. */
@@ -32,8 +32,8 @@
 	readonly left: number;
 	/** Excluded targets. */
 	readonly x: readonly string[];
-	/** Run mode. */
-	readonly rm: RunMode;
+	/** Run mode; absent from instances of an earlier version. */
+	readonly rm?: RunMode;
 };
 
 /** Encodes an order for the dispatch queue of another instance. */
@@ -77,6 +77,6 @@
 		deadline: now + wire.left,
 		excluded: wire.x,
 		skipsRateLimited,
-		mode: wire.rm,
+		mode: wire.rm ?? RunMode.Usual,
 	};
 }
