Crashes beside other requests alone no longer quarantine; reports of several senders are merged

A request that is sent 30 times a second ran at three of five crashed targets by chance; while there was no leader it could not be cleared, and one sender had reported it alone where another's request had crashed the target. It was then refused for 60 s.

Now a request is quarantined after two crashes of which it ran alone in one, or four; a suspect with two crashes runs alone in any case; a target that several senders report ran more than one request.

--- a/packages/core/src/crashes/crash-board.ts
+++ b/packages/core/src/crashes/crash-board.ts
@@ -9,8 +9,9 @@
 export const quarantineMs = 60_000;
 const quarantineGrowth = 10;
 
-/** Trials of a quarantined request, over all instances and for good. The platform tolerates one more, which is left for a trial that a lost leader could not publish. */
-const maxQuarantinedTrials = 2;
+/** Crashes from which trials are counted, and their number, over all instances and for good. The platform tolerates one more, which is left for a trial that a lost leader could not publish. */
+const countedCrashes = 3;
+const maxTrials = 2;
 
 /** Time after a trial without an answer in which the report of a crash may still arrive, in milliseconds. */
 const settleMs = 1000;
@@ -104,6 +105,7 @@
 			changed.push(print);
 		}
 
+		this.correctAlone(target);
 		this.limitRows();
 		return changed;
 	}
@@ -128,7 +130,7 @@
 			return {isGranted: true, isAlone: false, retryAfterMs: 0};
 		}
 
-		if (isProven(row.crashes) && row.trials >= maxQuarantinedTrials) {
+		if (row.trials >= maxTrials) {
 			return refuse(quarantineMs);
 		}
 
@@ -141,12 +143,13 @@
 		}
 
 		row.trialEnd = now + maxMs + settleMs;
-		if (isProven(row.crashes)) {
+		if (isProven(row.crashes) || row.crashes.length >= countedCrashes) {
 			row.trials += 1;
-			row.nextTrialAt = now + trialDelayMs(row.trials);
+			row.nextTrialAt = now + (isProven(row.crashes) ? trialDelayMs(row.trials) : repeatedTrialDelayMs);
 		}
 
-		return {isGranted: true, isAlone: this.countUnproven(row.service) <= maxSuspectsAlone, retryAfterMs: 0};
+		const isAlone = row.crashes.length > 1 || this.countUnproven(row.service) <= maxSuspectsAlone;
+		return {isGranted: true, isAlone, retryAfterMs: 0};
 	}
 
 	/** Records the result of a trial. An answered request is no suspect any more. */
@@ -184,20 +187,32 @@
 
 		const suspects = new Map<string, Suspect>();
 		for (const [print, {service, crashes, trials, lastCrashAt, nextTrialAt}] of this.rows) {
-			const isQuarantined = isProven(crashes);
+			const isStopped = isProven(crashes) || trials >= maxTrials;
 			if (now - lastCrashAt > ageLimitMs(crashes)) {
 				this.rows.delete(print);
 				continue;
 			}
 
 			suspects.set(print, {
-				service, crashes, trials, isQuarantined: isQuarantined && (trials >= maxQuarantinedTrials || now < nextTrialAt),
+				service, crashes, trials, isQuarantined: isStopped && (trials >= maxTrials || now < nextTrialAt),
 			});
 		}
 
 		return suspects;
 	}
 
+	/** Applies that requests which several senders reported for one target did not run there alone. */
+	private correctAlone(target: string): void {
+		const rows = [...this.rows.values()].filter(({crashes}) => crashes.some(crash => crash.target === target));
+		for (const row of rows.length > 1 ? rows : []) {
+			const wasProven = isProven(row.crashes);
+			row.crashes = row.crashes.map(crash => crash.target === target ? {...crash, isAlone: false} : crash);
+			if (wasProven && !isProven(row.crashes)) {
+				row.nextTrialAt = row.lastCrashAt + repeatedTrialDelayMs;
+			}
+		}
+	}
+
 	private countUnproven(service: string): number {
 		return [...this.rows.values()].filter(row => row.service === service && !isProven(row.crashes)).length;
 	}
--- a/packages/core/src/crashes/suspect.ts
+++ b/packages/core/src/crashes/suspect.ts
@@ -12,7 +12,7 @@
 export type Suspect = {
 	readonly service: string;
 	readonly crashes: readonly Crash[];
-	/** Trials since it was quarantined first. */
+	/** Trials since its third crash. */
 	readonly trials: number;
 	/** Whether it must not run at all; otherwise it may run as a trial that the leader permits. */
 	readonly isQuarantined: boolean;
@@ -47,8 +47,8 @@
 	readonly retryAfterMs: number;
 };
 
-/** Crashes after which a request is quarantined; a request that ran beside it each time by chance is answered in a trial before. */
-const maxCrashes = 3;
+/** Crashes after which a request is quarantined whatever ran beside it; one that is sent very often may have been at three of them by chance. */
+const maxCrashes = 4;
 
 /** Crashes after which it is quarantined if nothing else ran at one of the targets. */
 const maxCrashesAlone = 2;
