Changes of a configuration are not applied to another one than they are based on

Cause: a leader that starts again sends its whole view before it has read the configuration; a follower keeps its own, and the changes that follow were applied to that, so that rows which the leader never had stayed. The view now says that it can't apply them, and the follower asks for the whole view.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -254,8 +254,9 @@
 			const delta = unpackDelta(changes);
 			if (delta?.isFull === true || isSameState(ping.base, this.viewState)) {
 				this.viewState = {leader: ping.leader.incarnation, term, seq: ping.seq};
-				if (delta !== undefined) {
-					view.apply(delta);
+				if (delta !== undefined && !view.apply(delta)) {
+					telemetry.info('follower', 'Changes of the configuration are based on another one than the one kept here; asking for the whole view.', {version: view.configVersion, term});
+					this.viewState = undefined;
 				}
 			}
 		}
@@ -350,7 +351,7 @@
 			suspectLog: this.suspectLog,
 			directory: this.directory,
 			reader: this.reader,
-			baseState: this.viewState === undefined ? undefined : {state: this.viewState, seq: view.store.lastSeq},
+			baseState: this.viewState === undefined || view.keepsOwnConfig ? undefined : {state: this.viewState, seq: view.store.lastSeq},
 			isLeaving: () => this.isLeaving,
 			onSuperseded: () => {
 				this.stepDown('the store names another leader');
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -80,12 +80,18 @@
 	private nodesByAddr = new Map<string, NodeInfo>();
 	private rangesByService = new Map<string, Array<{from: number} & OwnedRange>>();
 	private readonly listeners = new Set<() => void>();
+	private keepsConfig = false;
 
 	/** Version of the active configuration; undefined before the first one. */
 	get configVersion(): number | undefined {
 		return this.store.get<ConfigHeader>('config')?.version;
 	}
 
+	/** Whether the configuration is one that this instance kept and not the leader's. */
+	get keepsOwnConfig(): boolean {
+		return this.keepsConfig;
+	}
+
 	/** Limits on callers. */
 	get limits(): CallerLimits {
 		return this.store.get<ConfigHeader>('config')?.limits ?? initialLimits;
@@ -231,6 +237,7 @@
 		this.replacePrefix('route/', routes);
 		this.replacePrefix('service/', services);
 		this.store.set('config', {version: config.version, limits: config.limits} satisfies ConfigHeader);
+		this.keepsConfig = false;
 		return true;
 	}
 
@@ -252,25 +259,25 @@
 		}
 	}
 
-	/** Applies changes from the leader. An older configuration never replaces a newer one. */
-	apply(delta: Delta): void {
+	/**
+	 * Applies changes from the leader. An older configuration never replaces a newer one. Returns whether the view is what
+	 * the leader has, apart from a configuration that is kept; if not, changes can't be based on it and it needs the whole content.
+	 */
+	apply(delta: Delta): boolean {
 		const header = delta.set.find(([key]) => key === 'config')?.[1] as ConfigHeader | undefined;
 		const isOlder = this.configVersion !== undefined && (header === undefined ? delta.isFull : header.version < this.configVersion);
-		if (isOlder) {
-			const isConfigKey = (key: string) => key === 'config' || key.startsWith('route/') || key.startsWith('service/');
-			const ownConfig = delta.isFull
-				? this.store.deltaSince(-1).set.filter(([key]) => isConfigKey(key))
-				: [];
-			this.store.apply({
-				...delta,
-				set: [...delta.set.filter(([key]) => !isConfigKey(key)), ...ownConfig],
-				gone: delta.gone.filter(key => !isConfigKey(key)),
-			});
+		// Changes of a configuration can't be applied to another one than they are based on.
+		const isUnrelated = !isOlder && !delta.isFull && header !== undefined && this.keepsConfig;
+		if (isOlder || isUnrelated) {
+			this.store.apply(this.withOwnConfig(delta));
+			this.keepsConfig = true;
 		} else {
 			this.store.apply(delta);
+			this.keepsConfig &&= header === undefined;
 		}
 
 		this.notifyListeners();
+		return !isUnrelated;
 	}
 
 	/** Notifies the listeners of a change. */
@@ -280,6 +287,17 @@
 		}
 	}
 
+	/** Returns changes that leave the configuration as it is. */
+	private withOwnConfig(delta: Delta): Delta {
+		const isConfigKey = (key: string) => key === 'config' || key.startsWith('route/') || key.startsWith('service/');
+		const ownConfig = delta.isFull ? this.store.deltaSince(-1).set.filter(([key]) => isConfigKey(key)) : [];
+		return {
+			...delta,
+			set: [...delta.set.filter(([key]) => !isConfigKey(key)), ...ownConfig],
+			gone: delta.gone.filter(key => !isConfigKey(key)),
+		};
+	}
+
 	/** Calls `rebuild` if a row under the part changed since the table was last built. */
 	private rebuildIfChanged(part: string, rebuild: () => void): void {
 		const seq = this.store.lastSeqOfPart(part);
