A trial that was sent to no target does not count; a former leader's register leaves the view alone

Found by reading: a request at three crashes by chance, refused twice for lack of room when its turn came, would have been stopped for an hour though it never ran. And a register whose reading of the store ended after its term wrote its suspects into the view of the next leader.

--- a/packages/core/src/crashes/crash-board.test.ts
+++ b/packages/core/src/crashes/crash-board.test.ts
@@ -115,6 +115,20 @@
 	t.true(board.suspects(1200 * quarantineMs).get('x')?.isQuarantined);
 });
 
+test('a trial that was sent to no target does not count, one that its target refused does', t => {
+	const {board, now} = createQuarantined();
+	let at = now + quarantineMs;
+	for (let n = 0; n < 5; n += 1) {
+		t.true(board.requestTrial('x', runMs, at).isGranted);
+		board.endTrial('x', TrialOutcome.NotSent, at + 10);
+		at += 20;
+	}
+
+	t.true(board.requestTrial('x', runMs, at).isGranted);
+	board.endTrial('x', TrialOutcome.NotRun, at + 10);
+	t.false(board.requestTrial('x', runMs, at + 20).isGranted);
+});
+
 test('a quarantined request that is answered in its trial is released', t => {
 	const {board, now} = createQuarantined();
 	t.false(board.suspects(now + quarantineMs).get('x')?.isQuarantined);
--- a/packages/core/src/crashes/crash-board.ts
+++ b/packages/core/src/crashes/crash-board.ts
@@ -46,6 +46,8 @@
 	nextTrialAt: number;
 	/** End of the present trial; a trial without a result ends then. */
 	trialEnd: number;
+	/** Whether the last trial was counted. */
+	isTrialCounted: boolean;
 };
 
 /** A crash as instances report it. */
@@ -80,7 +82,7 @@
 		}
 
 		this.rows.set(print, {
-			service, crashes, trials, lastCrashAt: now, nextTrialAt: now + (isProven(crashes) ? trialDelayMs(trials) : takeOverMs), trialEnd: Number.NEGATIVE_INFINITY,
+			service, crashes, trials, lastCrashAt: now, nextTrialAt: now + (isProven(crashes) ? trialDelayMs(trials) : takeOverMs), trialEnd: Number.NEGATIVE_INFINITY, isTrialCounted: false,
 		});
 	}
 
@@ -100,7 +102,7 @@
 			const trials = row?.trials ?? 0;
 			const repeatedDelayMs = crashes.length > 1 ? repeatedTrialDelayMs : 0;
 			this.rows.set(print, {
-				service, crashes, trials, lastCrashAt: now, nextTrialAt: now + (isProven(crashes) ? trialDelayMs(trials) : repeatedDelayMs), trialEnd: Number.NEGATIVE_INFINITY,
+				service, crashes, trials, lastCrashAt: now, nextTrialAt: now + (isProven(crashes) ? trialDelayMs(trials) : repeatedDelayMs), trialEnd: Number.NEGATIVE_INFINITY, isTrialCounted: false,
 			});
 			changed.push(print);
 		}
@@ -143,7 +145,8 @@
 		}
 
 		row.trialEnd = now + maxMs + settleMs;
-		if (isProven(row.crashes) || row.crashes.length >= countedCrashes) {
+		row.isTrialCounted = isProven(row.crashes) || row.crashes.length >= countedCrashes;
+		if (row.isTrialCounted) {
 			row.trials += 1;
 			row.nextTrialAt = now + (isProven(row.crashes) ? trialDelayMs(row.trials) : repeatedTrialDelayMs);
 		}
@@ -152,13 +155,18 @@
 		return {isGranted: true, isAlone, retryAfterMs: 0};
 	}
 
-	/** Records the result of a trial. An answered request is no suspect any more. */
+	/** Records the result of a trial. An answered request is no suspect any more; a trial that was not sent does not count. */
 	endTrial(print: string, outcome: TrialOutcome, now: number): void {
 		const row = this.rows.get(print);
 		if (outcome === TrialOutcome.Answered) {
 			this.rows.delete(print);
 		} else if (row !== undefined) {
-			row.trialEnd = outcome === TrialOutcome.NotRun ? now : now + settleMs;
+			row.trialEnd = outcome === TrialOutcome.Unknown ? now + settleMs : now;
+			if (outcome === TrialOutcome.NotSent && row.isTrialCounted) {
+				row.isTrialCounted = false;
+				row.trials -= 1;
+				row.nextTrialAt = now;
+			}
 		}
 	}
 
--- a/packages/core/src/crashes/suspect.ts
+++ b/packages/core/src/crashes/suspect.ts
@@ -22,7 +22,9 @@
 export enum TrialOutcome {
 	/** A target answered it whole. */
 	Answered = 'answered',
-	/** It was not sent, or the target stated that it did not run. */
+	/** It was sent to no target. */
+	NotSent = 'not-sent',
+	/** The target stated that it did not run. */
 	NotRun = 'not-run',
 	/** It ended without an answer, with its target or not. */
 	Unknown = 'unknown',
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -216,6 +216,7 @@
 	/** Ends this term. */
 	stop(): void {
 		this.isStopped = true;
+		this.suspects.stop();
 		this.confirmation.stop();
 	}
 
--- a/packages/gateway/src/cluster/suspect-registry.test.ts
+++ b/packages/gateway/src/cluster/suspect-registry.test.ts
@@ -91,6 +91,16 @@
 	t.false(harness.view.suspects.has('0.x'));
 });
 
+test('a register that was stopped leaves the view as it is', async t => {
+	const harness = new Harness();
+	harness.crash('a', '0.x');
+	const loading = harness.registry.load();
+	harness.registry.stop();
+	harness.view.store.set('suspect/0.other', harness.view.suspects.get('0.x'));
+	await loading;
+	t.deepEqual([...harness.view.suspects.keys()], ['0.x', '0.other']);
+});
+
 test('nothing is written and nothing read again while no request is suspected', async t => {
 	const harness = new Harness();
 	await harness.tick();
--- a/packages/gateway/src/cluster/suspect-registry.ts
+++ b/packages/gateway/src/cluster/suspect-registry.ts
@@ -33,6 +33,7 @@
 	private stored: Map<string, string> | undefined;
 	private era = 0;
 	private isSyncing = false;
+	private isStopped = false;
 	private nextReadAt = Number.NEGATIVE_INFINITY;
 	private nextWriteAt = Number.NEGATIVE_INFINITY;
 
@@ -94,6 +95,11 @@
 		}
 	}
 
+	/** Ends the register; the view then belongs to another leader. */
+	stop(): void {
+		this.isStopped = true;
+	}
+
 	/** Performs the actions that are due. */
 	tick(now: number): void {
 		const {view} = this.options;
@@ -120,6 +126,10 @@
 	}
 
 	private publish(): void {
+		if (this.isStopped) {
+			return;
+		}
+
 		const {view, clock, telemetry, onChange} = this.options;
 		const before = view.store.lastSeqOfPart(suspectPart);
 		const suspects = this.board.suspects(clock.now());
@@ -149,7 +159,7 @@
 	/** Brings the stored records in line with the register, and applies what operators released. */
 	private async sync(now: number): Promise<void> {
 		const {clock, telemetry} = this.options;
-		if (this.isSyncing || now < this.nextWriteAt) {
+		if (this.isStopped || this.isSyncing || now < this.nextWriteAt) {
 			return;
 		}
 
@@ -160,7 +170,9 @@
 				await this.read();
 			}
 
-			await this.write();
+			if (!this.isStopped) {
+				await this.write();
+			}
 		} catch (err) {
 			this.nextWriteAt = clock.now() + retryDelayMs;
 			telemetry.warn('crashes', 'Suspected requests could not be read or written; trying again.', {err});
--- a/packages/gateway/src/dispatch/trial-runner.test.ts
+++ b/packages/gateway/src/dispatch/trial-runner.test.ts
@@ -89,8 +89,12 @@
 	t.is(await harness.run(), harness.result);
 	t.deepEqual(harness.runs.map(({mode}) => mode), [RunMode.TrialAlone]);
 	t.deepEqual(harness.ends, [TrialOutcome.Unknown]);
+	const notSent = new Harness([granted]);
+	notSent.result = failure(ErrorKind.NoOwner, {});
+	await notSent.run();
+	t.deepEqual(notSent.ends, [TrialOutcome.NotSent]);
 	const notRun = new Harness([granted]);
-	notRun.result = failure(ErrorKind.NoOwner, {});
+	notRun.result = failure(ErrorKind.TargetShed, {target: 'a'});
 	await notRun.run();
 	t.deepEqual(notRun.ends, [TrialOutcome.NotRun]);
 });
@@ -120,7 +124,7 @@
 	const harness = new Harness([granted]);
 	t.like(await harness.run(AbortSignal.abort()), {error: ErrorKind.CallerDisconnectedBeforeSend, isNotRun: true});
 	t.deepEqual(harness.runs, []);
-	t.deepEqual(harness.ends, [TrialOutcome.NotRun]);
+	t.deepEqual(harness.ends, [TrialOutcome.NotSent]);
 });
 
 test('a request that is cleared meanwhile runs as usual', async t => {
--- a/packages/gateway/src/dispatch/trial-runner.ts
+++ b/packages/gateway/src/dispatch/trial-runner.ts
@@ -65,7 +65,7 @@
 		}
 
 		if (signal.aborted) {
-			reportEnd(print, TrialOutcome.NotRun);
+			reportEnd(print, TrialOutcome.NotSent);
 			return failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its trial'});
 		}
 
@@ -88,5 +88,9 @@
 		return TrialOutcome.Answered;
 	}
 
-	return result.isNotRun ? TrialOutcome.NotRun : TrialOutcome.Unknown;
+	if (!result.isNotRun) {
+		return TrialOutcome.Unknown;
+	}
+
+	return result.target === undefined ? TrialOutcome.NotSent : TrialOutcome.NotRun;
 }
--- a/packages/gateway/src/mocks/crash-simulation.ts
+++ b/packages/gateway/src/mocks/crash-simulation.ts
@@ -147,6 +147,7 @@
 	/** Loses the leader; another instance is elected some time later. */
 	loseLeader(): void {
 		const lost = this.leader?.instance;
+		this.leader?.registry.stop();
 		this.leader = undefined;
 		if (lost !== undefined) {
 			this.restart(lost);
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -58,7 +58,7 @@
 
 	readonly trials = new Counter({
 		name: 'bluebellyard_trials_total',
-		help: 'Requests under which targets ended before, by what became of them: answered, not-run, unknown, or refused without a run.',
+		help: 'Requests under which targets ended before, by what became of them: answered, not-sent, not-run, unknown, or refused without a trial.',
 		labelNames: ['result'],
 		registers: [this.registry],
 	});
