Router: the holder of the ids of a replaced instance names who took them when it leaves

Cause, traced on 4 December: a leaving instance names the member of another domain that has its ids; when that one was replaced as well, it handed its copies on, but nothing named to whom, so the loss of any member of the instance's domain counted as a loss of the ids. A leaving instance now gives all its copies to one member, if one takes them all, and names it in its leave record (copiesHolder); the ids are looked for along that chain, and count as complete only if its end is a member and answers.

The first of the two tests fails without the search along the chain: the ids of instances that left counted as lost.

--- a/packages/core/src/ownership/context.ts
+++ b/packages/core/src/ownership/context.ts
@@ -42,6 +42,8 @@
 	idsHandedOver: boolean;
 	/** Member of another failure domain that has all request ids of this process; empty if there is none. */
 	idsHolder: string;
+	/** Member that has all copies which this process kept of the ids of others; empty if there is none. */
+	copiesHolder: string;
 	/** Whether the log lost records that the tables include. */
 	hasLostLog: boolean;
 	/** Whether a record that ends this incarnation was folded. */
--- a/packages/core/src/ownership/evict-system.test.ts
+++ b/packages/core/src/ownership/evict-system.test.ts
@@ -152,7 +152,7 @@
 	deployment.members.get('a2')!.leave();
 	deployment.members.get('a2')!.tick(deployment.now);
 	deployment.append({
-		kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false, idsHolder: '',
+		kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false, idsHolder: '', copiesHolder: '',
 	}, 'a2');
 	deployment.cutOff('a1', 'a2');
 	deployment.run(3000);
@@ -202,7 +202,7 @@
 	leaving.leave();
 	leaving.tick(deployment.now);
 	deployment.append({
-		kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false, idsHolder: '',
+		kind: RecordKind.Leave, instance: 'a2', idsHandedOver: false, idsHolder: '', copiesHolder: '',
 	}, 'a2');
 	deployment.run(1000);
 	t.deepEqual(deployment.members.get('a0')!.memberIds(), ['a0', 'b0']);
--- a/packages/core/src/ownership/member.test.ts
+++ b/packages/core/src/ownership/member.test.ts
@@ -376,7 +376,7 @@
 	t.is(leave?.record.kind, RecordKind.Leave);
 	member.handleAppendInDoubt(leave!.record.id);
 	cluster.append({
-		kind: RecordKind.Leave, instance: 'a0', idsHandedOver: false, idsHolder: '',
+		kind: RecordKind.Leave, instance: 'a0', idsHandedOver: false, idsHolder: '', copiesHolder: '',
 	}, 'a0');
 	cluster.run(100);
 	t.is(cluster.effects.filter(effect => effect.kind === EffectKind.Left).length, 1);
--- a/packages/core/src/ownership/member.ts
+++ b/packages/core/src/ownership/member.ts
@@ -82,6 +82,7 @@
 			hasProposedLeave: false,
 			idsHandedOver: false,
 			idsHolder: '',
+			copiesHolder: '',
 			hasLostLog: false,
 			isEvicted: false,
 			emit: effect => {
@@ -268,11 +269,12 @@
 	/**
 	 * Starts to transfer all targets and then leave the membership. `idsHandedOver`
 	 * states whether other instances have taken over the request ids that this one kept, `idsHolder` which member of
-	 * another failure domain has all ids of its own.
+	 * another failure domain has all ids of its own, `copiesHolder` which member has all copies that it kept of the ids of others.
 	 */
-	leave(idsHandedOver = false, idsHolder = ''): void {
+	leave(idsHandedOver = false, idsHolder = '', copiesHolder = ''): void {
 		this.ctx.idsHandedOver = idsHandedOver;
 		this.ctx.idsHolder = idsHolder;
+		this.ctx.copiesHolder = copiesHolder;
 		this.ctx.isLeaving = true;
 	}
 
--- a/packages/core/src/ownership/membership-system.ts
+++ b/packages/core/src/ownership/membership-system.ts
@@ -48,7 +48,7 @@
 	const isAlone = getMembers(ctx).every(row => row.id === ctx.self.id);
 	if ((!isSteward || isAlone) && isSelfMember(ctx)) {
 		propose(ctx, 'leave', {
-			kind: RecordKind.Leave, instance: ctx.self.id, idsHandedOver: ctx.idsHandedOver, idsHolder: ctx.idsHolder,
+			kind: RecordKind.Leave, instance: ctx.self.id, idsHandedOver: ctx.idsHandedOver, idsHolder: ctx.idsHolder, copiesHolder: ctx.copiesHolder,
 		});
 		// Others may take over as soon as they fold the record, even if this member never reads it back.
 		ctx.hasProposedLeave = true;
--- a/packages/core/src/records/record.ts
+++ b/packages/core/src/records/record.ts
@@ -70,6 +70,8 @@
 	idsHandedOver: z.boolean().default(false),
 	/** Member of another failure domain that has all request ids of its own; empty if there is none. */
 	idsHolder: z.string().default(''),
+	/** Member that has all copies which it kept of the ids of others; empty if there is none. */
+	copiesHolder: z.string().default(''),
 });
 
 /** Evicts members, which lose their right to act; final once folded. */
--- a/packages/core/src/state/fold-instances.ts
+++ b/packages/core/src/state/fold-instances.ts
@@ -27,6 +27,7 @@
 		eviction: 0,
 		idsHandedOver: false,
 		idsHolder: '',
+		copiesHolder: '',
 	});
 	const former = tables.instances.get(record.former ?? '');
 	if (former?.name === record.name) {
@@ -49,6 +50,7 @@
 
 	row.idsHandedOver = record.idsHandedOver;
 	row.idsHolder = record.idsHolder;
+	row.copiesHolder = record.copiesHolder;
 	row.state = InstanceState.Removed;
 	pruneRemoved(tables);
 	return accepted;
--- a/packages/core/src/state/snapshot.ts
+++ b/packages/core/src/state/snapshot.ts
@@ -15,6 +15,7 @@
 	eviction: z.number(),
 	idsHandedOver: z.boolean(),
 	idsHolder: z.string().default(''),
+	copiesHolder: z.string().default(''),
 });
 
 const targetSchema = z.object({
--- a/packages/core/src/state/tables.ts
+++ b/packages/core/src/state/tables.ts
@@ -32,6 +32,8 @@
 	idsHandedOver: boolean;
 	/** Member of another failure domain to which it gave all request ids of its own before it left; empty if there is none. */
 	idsHolder: string;
+	/** Member to which it gave all copies of the ids of others before it left; empty if there is none. */
+	copiesHolder: string;
 };
 
 /** Target and its steward. */
--- a/packages/router/src/entry/peer-at-most-once-guard.test.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.test.ts
@@ -230,6 +230,37 @@
 	t.is(restarted.begin('new'), BeginResultKind.Unknown);
 });
 
+// The holder of the ids of an instance that left was itself replaced, and the one other member of the instance's domain killed.
+test('the ids of an instance that left are found where their holder has handed them on', async t => {
+	const left = {state: InstanceState.Removed, idsHandedOver: true};
+	const tables = makeTablesAfterMove({...left, idsHolder: 'far'}, removed);
+	Object.assign(tables.instances.get('far')!, {...left, copiesHolder: 'next'});
+	tables.instances.set('next', makeInstanceRow('next', 'c', {joined: 5}));
+	const {guard, begin} = setUp(tables, {next: new FakePeer([[record('stored')]])});
+	await guard.waitForFormerIds('p', 0);
+	t.is(begin('stored'), BeginResultKind.Unknown);
+	t.is(begin('new'), BeginResultKind.Fresh);
+	const evicted = setUp(tables, {next: new FakePeer([[record('stored')]])});
+	tables.instances.get('far')!.copiesHolder = '';
+	await evicted.guard.waitForFormerIds('p', 0);
+	t.is(evicted.begin('new'), BeginResultKind.Unknown);
+});
+
+test('an instance that leaves names the member that took all copies', async t => {
+	const tables = makeTables([makeInstanceRow('self', 'a'), makeInstanceRow('near', 'a'), makeInstanceRow('old', 'b'), makeInstanceRow('older', 'b')], [], []);
+	const near = new FakePeer();
+	const {guard, backups} = setUp(tables, {near});
+	for (const instance of ['old', 'older']) {
+		backups.add(instance, {
+			...request, id: `of-${instance}`, state: 'unknown', ageMs: 0,
+		});
+	}
+
+	t.true(await guard.handOverBackups());
+	t.is(guard.copiesHolder, 'near');
+	t.deepEqual(near.stored, ['of-old', 'of-older']);
+});
+
 test('an instance that leaves gives its ids and those of later requests to a member of another domain', async t => {
 	const tables = makeTables([makeInstanceRow('self', 'a'), makeInstanceRow('near', 'a'), makeInstanceRow('far', 'c')], [], []);
 	const near = new FakePeer();
--- a/packages/router/src/entry/peer-at-most-once-guard.ts
+++ b/packages/router/src/entry/peer-at-most-once-guard.ts
@@ -61,11 +61,17 @@
 	private readonly removalTimes = new RemovalTimes();
 	/** Member of another failure domain that has all ids of this instance, once it leaves. */
 	private holder: InstanceRow | undefined;
+	private copiesHolderId = '';
 
 	constructor(private readonly options: PeerAtMostOnceGuardOptions) {
 		super();
 	}
 
+	/** Id of the member that has all copies which this instance kept of the ids of others, once it leaves; empty if there is none. */
+	get copiesHolder(): string {
+		return this.copiesHolderId;
+	}
+
 	override async waitForFormerIds(pool: string, shard: number): Promise<void> {
 		const key = shardKey(pool, shard);
 		const owned = this.findOwnedShard(pool, shard);
@@ -131,9 +137,13 @@
 
 	/** Hands the stored backups over to other instances before this one leaves; resolves to whether all were stored there. */
 	async handOverBackups(): Promise<boolean> {
-		const calls = [...this.options.backups.closeAndExport()]
-			.filter(([, records]) => records.length > 0)
-			.map(async ([instance, records]) => this.handOverBackupsFor(instance, records));
+		const copies = [...this.options.backups.closeAndExport()].filter(([, records]) => records.length > 0);
+		this.copiesHolderId = await this.handOverAllTo(this.backupInstances().find(({id}) => copies.every(([instance]) => instance !== id)), copies);
+		if (this.copiesHolderId !== '') {
+			return true;
+		}
+
+		const calls = copies.map(async ([instance, records]) => this.handOverBackupsFor(instance, records));
 		const areStored = await Promise.all(calls);
 		return areStored.every(Boolean);
 	}
@@ -169,6 +179,17 @@
 		}
 	}
 
+	/** Hands all copies over to one member, so that a record can name it; resolves to its id, empty if it did not store all. */
+	private async handOverAllTo(holder: InstanceRow | undefined, copies: ReadonlyArray<readonly [instance: string, records: readonly WireRecord[]]>): Promise<string> {
+		if (holder === undefined || copies.length === 0) {
+			return '';
+		}
+
+		const peer = this.options.peers.get(holder.peerAddr);
+		const areStored = await Promise.all(copies.map(async ([instance, records]) => peer.keepRequests(instance, records, callTimeoutMs)));
+		return areStored.every(Boolean) ? holder.id : '';
+	}
+
 	private async handOverBackupsFor(instance: string, records: readonly WireRecord[]): Promise<boolean> {
 		const {peers, member} = this.options;
 		// An instance without a row was removed so long ago that its ids have expired.
@@ -291,7 +312,8 @@
 			.filter(other => other.state === InstanceState.Member && other.id !== member().id);
 		const answers = await Promise.all(otherMembers.map(async other => ({other, isFetched: await this.fetchFrom(other, row.id, labels)})));
 		this.importRecords(labels.flatMap(label => backups.findByShard(row.id, label)));
-		if (row.idsHolder === member().id || answers.some(({other, isFetched}) => isFetched && other.id === row.idsHolder)) {
+		const holder = this.findPresentHolder(row);
+		if (holder === member().id || answers.some(({other, isFetched}) => isFetched && other.id === holder)) {
 			return true;
 		}
 
@@ -304,11 +326,29 @@
 		}
 
 		logger.warn('Stored request ids of a former steward may be incomplete.', {
-			steward: row.id, idsHolder: row.idsHolder, silent: silent.join(' '), lost: lost.join(' '), isMoved: this.mayHaveMovedBackups(row),
+			steward: row.id, idsHolder: row.idsHolder, holder, silent: silent.join(' '), lost: lost.join(' '), isMoved: this.mayHaveMovedBackups(row),
 		});
 		return false;
 	}
 
+	/** Returns the id of the member that has all ids of a removed instance: the one that it named, or the one to which that handed its copies on; empty if none is known. */
+	private findPresentHolder(row: InstanceRow): string {
+		const {instances} = this.options.member().tables;
+		const seen = new Set([row.id]);
+		let id = row.idsHolder;
+		while (id !== '' && !seen.has(id)) {
+			seen.add(id);
+			const holder = instances.get(id);
+			if (holder?.state === InstanceState.Member) {
+				return id;
+			}
+
+			id = holder?.copiesHolder ?? '';
+		}
+
+		return '';
+	}
+
 	/** Returns the instances that may have stored backups for `row` and were removed without handing them over. */
 	private findLostHolders(row: InstanceRow): InstanceRow[] {
 		return this.findBackupHolders(row).filter(({state, idsHandedOver}) => state !== InstanceState.Member && !idsHandedOver);
--- a/packages/router/src/host/member-host.ts
+++ b/packages/router/src/host/member-host.ts
@@ -206,8 +206,8 @@
 	}
 
 	/** Starts handing everything over; `left` resolves when that is done. The parameters are those of `Member.leave`. */
-	leave(idsHandedOver: boolean, idsHolder: string): void {
-		this.currentMember.leave(idsHandedOver, idsHolder);
+	leave(idsHandedOver: boolean, idsHolder: string, copiesHolder: string): void {
+		this.currentMember.leave(idsHandedOver, idsHolder, copiesHolder);
 		this.scheduleTick();
 	}
 
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -128,7 +128,7 @@
 		await sleep(keptConnectionsMs);
 		const drained = this.callerServer.drain();
 		const idsHandedOver = await this.guard.handOverBackups();
-		this.host.leave(idsHandedOver, await this.guard.handOverOwnIds());
+		this.host.leave(idsHandedOver, await this.guard.handOverOwnIds(), this.guard.copiesHolder);
 		await Promise.race([Promise.all([drained, this.host.left]), sleep(stopTimeoutMs)]);
 		await this.waitUntilIdle();
 		await sleep(lingerMs);
--- a/packages/router/src/mocks/members.ts
+++ b/packages/router/src/mocks/members.ts
@@ -9,7 +9,7 @@
 /** Returns the row of a member instance; its name serves as id and as all of its addresses. */
 export function makeInstanceRow(name: string, domain: string, changes: Partial<InstanceRow> = {}): InstanceRow {
 	return {
-		id: name, name, domain, peerAddr: name, internalAddr: name, controlAddr: name, joined: 1, state: InstanceState.Member, eviction: 0, idsHandedOver: false, idsHolder: '', ...changes,
+		id: name, name, domain, peerAddr: name, internalAddr: name, controlAddr: name, joined: 1, state: InstanceState.Member, eviction: 0, idsHandedOver: false, idsHolder: '', copiesHolder: '', ...changes,
 	};
 }
 
