--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -43,7 +43,7 @@
 	readonly telemetry: Telemetry;
 	/** Interval at which each target writes its entry again, in milliseconds. */
 	readonly heartbeatMs: number;
-	/** Called before the first configuration is read, so that no caller is served before what it loads is known. Reading waits until it resolves. */
+	/** Called with the first reading of the configuration, so that no caller is served before what it loads is known. The configuration is applied once it resolves. */
 	readonly loadSuspects?: () => Promise<void>;
 };
 
@@ -119,14 +119,9 @@
 		const {operators, telemetry, view, loadSuspects} = this.options;
 		while (this.isRunning && generation === this.generation) {
 			try {
-				if (view.configVersion === undefined) {
-					// eslint-disable-next-line no-await-in-loop
-					await loadSuspects?.();
-				}
-
 				// Reads must not overlap.
 				// eslint-disable-next-line no-await-in-loop
-				const change = await operators.next(operatorWaitMs);
+				const [change] = await Promise.all([operators.next(operatorWaitMs), view.configVersion === undefined ? loadSuspects?.() : undefined]);
 				if (generation !== this.generation || !this.isRunning) {
 					return;
 				}
@@ -138,6 +133,11 @@
 				}
 			} catch (err) {
 				telemetry.warn('news', 'The records of operators could not be read; trying again.', {err});
+				if (view.configVersion === undefined) {
+					// The records may have been read although the suspects were not.
+					operators.restart();
+				}
+
 				// eslint-disable-next-line no-await-in-loop
 				await sleep(retryDelayMs);
 			}
