--- a/packages/gateway/src/queue/crash-detector.test.ts
+++ b/packages/gateway/src/queue/crash-detector.test.ts
@@ -137,6 +137,18 @@
 	t.deepEqual(leaving.crashes, []);
 });
 
+test('a target that was draining and is ready again can crash', async t => {
+	const harness = new Harness();
+	harness.view.store.set(`target/${target.id}`, {...target, phase: TargetPhase.Draining});
+	harness.detector.applyView();
+	harness.view.store.set(`target/${target.id}`, target);
+	harness.detector.applyView();
+	const order = createOrder('1');
+	harness.send(order);
+	t.true(await harness.end(order, lost));
+	t.is(harness.crashes.length, 1);
+});
+
 test('a target that answers after it was taken for gone is reported to live', async t => {
 	const harness = new Harness();
 	const [first, second] = [createOrder('1'), createOrder('2')];
--- a/packages/gateway/src/queue/crash-detector.ts
+++ b/packages/gateway/src/queue/crash-detector.ts
@@ -119,6 +119,8 @@
 		for (const target of view.targets.values()) {
 			if (target.phase !== TargetPhase.Ready || view.isLeaving(target.id)) {
 				this.leaving.add(target.id);
+			} else {
+				this.leaving.delete(target.id);
 			}
 		}
 
