--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -25,6 +25,7 @@
 import {FeedReader} from './feed-reader.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {OwnerLog} from './owner-log.js';
+import {loadSuspects} from './load-suspects.js';
 import {Registration} from './registration.js';
 import {SuspectLog} from './suspect-log.js';
 
@@ -90,7 +91,7 @@
 		this.registration = new Registration({...options, directory: this.directory});
 		this.ownerLog = new OwnerLog(log);
 		this.suspectLog = new SuspectLog(log);
-		this.reader = new FeedReader({...options, loadSuspects: async () => this.suspectLog.load(this.leader?.suspects, options.view)});
+		this.reader = new FeedReader({...options, loadSuspects: async () => loadSuspects(this.suspectLog, this.leader?.suspects, options.view)});
 		this.knownInstances = new KnownInstances(options);
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -10,5 +10,6 @@
 export * from './leader.js';
 export * from './leader-channel.js';
 export * from './leader-record.js';
+export * from './load-suspects.js';
 export * from './suspect-log.js';
 export * from './suspect-registry.js';
--- a/packages/gateway/src/cluster/suspect-log.ts
+++ b/packages/gateway/src/cluster/suspect-log.ts
@@ -1,8 +1,6 @@
 import {z} from 'zod';
 import type {Suspect} from '@bluebellyard/core';
 import type {KeyedLog} from '../ports/index.js';
-import {suspectPart, type View} from '../view/index.js';
-import type {SuspectRegistry} from './suspect-registry.js';
 
 /** Topic that holds the requests under which targets ended repeatedly; operators release one by deleting its record. */
 export const suspectTopic = 'keyed.bluebellyard-suspects';
@@ -43,19 +41,6 @@
 		return {era, suspects};
 	}
 
-	/** Loads the stored suspects, into the registry if this instance leads and into its view otherwise, for a process that has heard of none from a leader. */
-	async load(registry: SuspectRegistry | undefined, view: View): Promise<void> {
-		if (registry !== undefined) {
-			await registry.load();
-			return;
-		}
-
-		const {suspects} = await this.list();
-		for (const [print, suspect] of suspects) {
-			view.store.set(`${suspectPart}/${print}`, suspect);
-		}
-	}
-
 	/** Writes a suspect; undefined deletes it. */
 	async write(print: string, suspect: Suspect | undefined): Promise<void> {
 		await this.log.append(suspectTopic, print, suspect === undefined ? '' : JSON.stringify(suspect));
--- a/packages/gateway/src/mocks/crash-simulation.ts
+++ b/packages/gateway/src/mocks/crash-simulation.ts
@@ -2,7 +2,9 @@
 import {
 	ErrorKind, ManualClock, RunMode, seededRandom, type TrialDecision, type TrialOutcome,
 } from '@bluebellyard/core';
-import {PeerOp, SuspectLog, SuspectRegistry} from '../cluster/index.js';
+import {
+	loadSuspects, PeerOp, SuspectLog, SuspectRegistry,
+} from '../cluster/index.js';
 import {CrashGuard} from '../dispatch/crash-guard.js';
 import {fingerprintOf} from '../dispatch/order-fingerprint.js';
 import {failure, type Order, type OrderResult} from '../dispatch/order.js';
@@ -201,7 +203,7 @@
 		this.after(restartMs, async () => {
 			if (this.leader === undefined) {
 				// Without a leader it reads the store before it serves.
-				await new SuspectLog(this.log).load(undefined, instance.view);
+				await loadSuspects(new SuspectLog(this.log), undefined, instance.view);
 				instance.isServing = true;
 			}
 		});
