--- a/packages/gateway/src/cluster/leader-channel.ts
+++ b/packages/gateway/src/cluster/leader-channel.ts
@@ -56,7 +56,7 @@
 		try {
 			return await net.call(node.addr, PeerOp.Trial, request, {timeoutMs: trialTimeoutMs}) as TrialDecision | undefined;
 		} catch (err) {
-			telemetry.warn('follower', 'The leader did not answer whether a suspected request may run.', {...request, err});
+			telemetry.warn('follower', 'The leader did not answer whether a suspected request may run.', {fingerprint: request.print, err});
 			return undefined;
 		}
 	}
--- a/packages/gateway/src/cluster/suspect-registry.ts
+++ b/packages/gateway/src/cluster/suspect-registry.ts
@@ -61,7 +61,7 @@
 
 			case PeerOp.TrialEnd: {
 				const {print, outcome} = value as TrialResult;
-				this.options.telemetry.trace('crashes', 'A trial of a suspected request has ended.', {print, outcome, ...this.describe(print)});
+				this.options.telemetry.trace('crashes', 'A trial of a suspected request has ended.', {fingerprint: print, outcome, ...this.describe(print)});
 				this.board.endTrial(print, outcome, this.options.clock.now());
 			}
 		}
@@ -73,7 +73,8 @@
 	/** Decides whether a suspected request may run now. */
 	requestTrial({print, maxMs}: TrialRequest): TrialDecision {
 		const decision = this.board.requestTrial(print, maxMs, this.options.clock.now());
-		this.options.telemetry.trace('crashes', decision.isGranted ? 'A suspected request may run as a trial.' : 'A suspected request may not run now.', {print, ...decision, ...this.describe(print)});
+		const msg = decision.isGranted ? 'A suspected request may run as a trial.' : 'A suspected request may not run now.';
+		this.options.telemetry.trace('crashes', msg, {fingerprint: print, ...decision, ...this.describe(print)});
 		this.publish();
 		return decision;
 	}
@@ -86,7 +87,7 @@
 			const prints = this.board.recordCrash(report, clock.now());
 			hasChanged ||= prints.length > 0;
 			if (prints.length > 0) {
-				telemetry.info('crashes', 'Requests are suspected of a crash.', {target: report.target, service: report.service, prints});
+				telemetry.info('crashes', 'Requests are suspected of a crash.', {target: report.target, service: report.service, fingerprints: prints});
 			}
 		}
 
@@ -139,13 +140,13 @@
 
 		for (const [print, {isQuarantined, crashes, service}] of suspects) {
 			if (isQuarantined && view.suspects.get(print)?.isQuarantined !== true) {
-				telemetry.info('crashes', 'A request is quarantined: targets end when they run it.', {print, service, targets: crashes.map(({target}) => target)});
+				telemetry.info('crashes', 'A request is quarantined: targets end when they run it.', {fingerprint: print, service, targets: crashes.map(({target}) => target)});
 			}
 		}
 
 		for (const [print, {crashes}] of view.suspects) {
 			if (!suspects.has(print)) {
-				telemetry.info('crashes', 'A request is no longer suspected.', {print, crashes: crashes.length});
+				telemetry.info('crashes', 'A request is no longer suspected.', {fingerprint: print, crashes: crashes.length});
 			}
 		}
 
@@ -188,7 +189,7 @@
 		if (this.stored !== undefined && era === this.era) {
 			for (const print of this.stored.keys()) {
 				if (!suspects.has(print) && this.board.release(print)) {
-					telemetry.info('crashes', 'An operator released a request.', {print});
+					telemetry.info('crashes', 'An operator released a request.', {fingerprint: print});
 				}
 			}
 		}
