Configuration: large answers are read, an unknown kind no longer rejects it

Change: download is idempotent; a kind that this program does not know is treated as not idempotent, with a log line and a counter, and the other routes are served.

--- a/packages/core/src/routing/model.ts
+++ b/packages/core/src/routing/model.ts
@@ -17,6 +17,8 @@
 	/** Path prefix that begins and ends with a slash. */
 	readonly prefix: string;
 	readonly repeat: Repeat;
+	/** Whether answers are much larger than those of other routes, up to some hundred kilobytes. */
+	readonly hasLargeAnswers?: boolean;
 	/** Longest time that a caller waits for its answer, in milliseconds. */
 	readonly timeoutMs: number;
 	/** Latency objective, in milliseconds. */
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -89,6 +89,12 @@
 		registers: [this.registry],
 	});
 
+	readonly unknownKinds = new Counter({
+		name: 'bluebellyard_unknown_request_kinds_total',
+		help: 'Routes of received configurations whose kind of requests is unknown to this program, so that they are treated as not idempotent.',
+		registers: [this.registry],
+	});
+
 	readonly refusedGrants = new Counter({
 		name: 'bluebellyard_refused_grants_total',
 		help: 'Grants that targets refused, by reply.',
