Teams: the interfaces between identity and rate limit

Team, digest of a key, priority and the abstract class TeamLimits, so that both parts can be built side by side.

--- a/packages/core/src/routing/model.ts
+++ b/packages/core/src/routing/model.ts
@@ -19,6 +19,8 @@
 	readonly repeat: Repeat;
 	/** Whether answers are much larger than those of other routes, up to some hundred kilobytes. */
 	readonly hasLargeAnswers?: boolean;
+	/** Whether callers need no key although there are teams. */
+	readonly isPublic?: boolean;
 	/** Longest time that a caller waits for its answer, in milliseconds. */
 	readonly timeoutMs: number;
 	/** Latency objective, in milliseconds. */
--- /dev/null
+++ b/packages/core/src/teams/index.ts
@@ -0,0 +1,2 @@
+export * from './team.js';
+export * from './team-limits.js';
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -16,6 +16,8 @@
 	/** Key, for a request to a sharded service. */
 	readonly key: number | undefined;
 	readonly priority: number;
+	/** Name of the caller's team; undefined without one. */
+	readonly team?: string;
 	/** Whether the request must run at most once. */
 	readonly isOnce: boolean;
 	readonly objectiveMs: number;
--- a/packages/gateway/src/ports/feed.ts
+++ b/packages/gateway/src/ports/feed.ts
@@ -1,5 +1,5 @@
 import type {
-	HostRoute, CallerLimits, Service, TargetInfo,
+	HostRoute, CallerLimits, Service, TargetInfo, Team,
 } from '@bluebellyard/core';
 
 /** Changes since the previous call. */
@@ -29,6 +29,10 @@
 	readonly routes: readonly HostRoute[];
 	readonly services: readonly Service[];
 	readonly limits: CallerLimits;
+	/** Teams of callers; undefined or empty if callers need no keys. */
+	readonly teams?: readonly Team[];
+	/** Digests of the teams' keys, with the name of the team. */
+	readonly teamKeys?: ReadonlyArray<readonly [digest: string, team: string]>;
 };
 
 /** Entry published by operators. */
