explain: where a request would go now, and why, without sending it

Operators could only learn from log lines of requests that had been sent.

Partial: waits of other domains' queues are known to their stewards only.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,8 +6,12 @@
 	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {DispatchQueues, isConnectionRefused, TargetClient} from './queue/index.js';
-import {CrashGuard, Dispatcher, type Order} from './dispatch/index.js';
-import {CallerServer, ProbeServer} from './front/index.js';
+import {
+	CrashGuard, Dispatcher, RequestExplainer, type Order,
+} from './dispatch/index.js';
+import {
+	answerExplain, CallerServer, explainPath, ProbeServer,
+} from './front/index.js';
 import {
 	Coordinator, PeerOp, type Report,
 } from './cluster/index.js';
@@ -159,7 +163,20 @@
 		this.health = new ProbeServer(async path => path === ports.healthPath
 			? {status: this.isReady ? 200 : 503, type: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
 			: undefined);
-		this.metrics = new ProbeServer(async () => ({status: 200, type: 'text/plain; version=0.0.4', body: await telemetry.metrics.text()}));
+		const explainer = new RequestExplainer({
+			self,
+			view,
+			net: this.net,
+			clock,
+			queueSnapshot: (queueId, priority) => this.queues.snapshot(queueId, priority),
+			viewAgeMs: () => this.coordinator.leaderContactAgeMs,
+		});
+		this.metrics = new ProbeServer(async path => {
+			const url = new URL(path, 'http://localhost');
+			return url.pathname === explainPath
+				? answerExplain(url, query => explainer.explain(query))
+				: {status: 200, type: 'text/plain; version=0.0.4', body: await telemetry.metrics.text()};
+		});
 	}
 
 	/** Whether this instance can serve callers. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export * from './cluster/suspect-log.js';
+export * from './front/explain-endpoint.js';
 export * from './queue/target-client.js';
 export * from './gateway.js';
 export * from './ports/index.js';
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -26,6 +26,14 @@
 	readonly coldRate: number;
 };
 
+/** State of a dispatch queue. */
+export type QueueSnapshot = {
+	readonly waiting: number;
+	readonly running: number;
+	/** Expected wait of a new request, in milliseconds; undefined if no target may receive work. */
+	readonly expectedWaitMs: number | undefined;
+};
+
 /** Options of a dispatch queue. */
 export type DispatchQueueOptions = {
 	readonly client: TargetClient;
@@ -87,6 +95,12 @@
 		return this.admission.inFlight;
 	}
 
+	/** Returns the state of the queue as a new request of a priority would find it. */
+	snapshot(priority: number): QueueSnapshot {
+		const expectedMs = this.admission.expectedWait(priority, this.options.clock.now());
+		return {waiting: this.queued, running: this.inFlight, expectedWaitMs: Number.isFinite(expectedMs) ? Math.round(expectedMs) : undefined};
+	}
+
 	/** Returns the long-term slowness of each target, by target id. */
 	targetSlowness(): Array<readonly [string, number]> {
 		return [...this.admission.allTargets()].map(limiter => [limiter.id, limiter.slowness.longTerm] as const);
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -10,7 +10,7 @@
 } from '../view/index.js';
 import {ConditionTracker} from './condition-tracker.js';
 import {CrashDetector} from './crash-detector.js';
-import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
+import {DispatchQueue, type QueueSnapshot, type QueueTarget} from './dispatch-queue.js';
 import type {TargetClient} from './target-client.js';
 
 /** Options of the dispatch queues. */
@@ -67,6 +67,11 @@
 		return this.estimator.estimate(route, objectiveMs);
 	}
 
+	/** Returns the state of a queue as a new request of a priority would find it; undefined if this instance has no such queue. */
+	snapshot(id: string, priority: number): QueueSnapshot | undefined {
+		return this.queues.get(id)?.snapshot(priority);
+	}
+
 	/** Returns the long-term slowness of the targets of all queues that have a steward, by target id. */
 	targetSlowness(): Array<readonly [string, number]> {
 		const stewarded = [...this.queues].filter(([id]) => this.options.view.findSteward(id) !== undefined);
