Balancing: selectors of domains in the core, and a play of their load

Cause: instances choose the domain with the lowest wait that they observed themselves.

DomainLoad and KeyedService share their distributions.

--- a/packages/core/src/admission/admission-queue.test.ts
+++ b/packages/core/src/admission/admission-queue.test.ts
@@ -30,6 +30,21 @@
 	t.is(queue.queued, 1);
 });
 
+// Instances compare queues by this load; a queue whose running work is not counted looks empty until its slots are full.
+test('the load is the waiting work and half of the running work, in slots of normal speed', t => {
+	const queue = makeQueue(2, ['a', 'b']);
+	t.deepEqual(queue.load(0), {capacity: 4, aheadMs: 0});
+	queue.offer(request(0), 0);
+	t.is(queue.load(0).aheadMs, 50);
+	for (let i = 0; i < 4; i += 1) {
+		queue.offer(request(0), 0);
+	}
+
+	t.is(queue.load(0).aheadMs, 300);
+	queue.removeTarget('a');
+	t.is(queue.load(0).capacity, 2);
+});
+
 test('the end of a request starts the next one', t => {
 	const queue = makeQueue(1);
 	const {starts: [first]} = queue.offer(request(0), 0);
--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -6,6 +6,7 @@
  * priority, and those that can still meet their objective before those that can't,
  * so that a burst does not make every request late.
  */
+import type {QueueLoad} from '../balancing/index.js';
 import {ErrorKind} from '../errors/index.js';
 import {findCheapestTarget} from './cheapest-target.js';
 import {ExclusiveRuns} from './exclusive-runs.js';
@@ -200,6 +201,17 @@
 		return this.estimateWait(request => request.priority <= priority && !isLate(request, now), now);
 	}
 
+	/** Returns the capacity and the work ahead of a new request of the lowest priority. */
+	load(now: number): QueueLoad {
+		let waitingMs = 0;
+		for (const request of this.waiting.values()) {
+			waitingMs += request.workMs;
+		}
+
+		// On average, half of the work of a request in flight is done.
+		return {capacity: this.capacity(now), aheadMs: waitingMs + (this.inFlight * (this.meanWorkMs ?? assumedWorkMs) / 2)};
+	}
+
 	private estimateWait(isAhead: (request: QueuedRequest) => boolean, now: number): number {
 		const capacity = this.capacity(now);
 		let running = 0;
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,1 +1,2 @@
 export * from './keyed-service.js';
+export * from './domain-load.js';
--- a/packages/core/src/mocks/keyed-service.ts
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -8,7 +8,7 @@
 import {
 	KeyLoad, keyCount, OwnershipMap, planKeyMoves, type EligibleOwner, type KeyMove, type KeyRates,
 } from '../keyspace/index.js';
-import {seededRandom} from '../random/index.js';
+import {drawLogNormal, drawPoisson, seededRandom} from '../random/index.js';
 
 /** A kind of request. Times are milliseconds. */
 export type PlayedRoute = {
@@ -128,7 +128,7 @@
 			this.endRequests(now);
 			if (now < durationMs) {
 				for (const route of routes) {
-					for (let n = this.draw(route.perSecond * tickMs / 1000); n > 0; n -= 1) {
+					for (let n = drawPoisson(this.random, route.perSecond * tickMs / 1000); n > 0; n -= 1) {
 						this.arrive(route, now);
 					}
 				}
@@ -185,7 +185,7 @@
 	}
 
 	private arrive(route: PlayedRoute, now: number): void {
-		const workMs = route.workMs * Math.exp((this.gauss() * route.spread) - ((route.spread ** 2) / 2));
+		const workMs = drawLogNormal(this.random, route.workMs, route.spread);
 		const caller = {
 			route, key: this.drawKey(now), firstAt: now, workMs, attempts: 0,
 		};
@@ -298,20 +298,4 @@
 		const rank = Math.floor(distinctKeys * (this.random() ** (1 / (1 - skew))));
 		return Math.min(keyCount - 1, Math.floor(rank * keyCount / distinctKeys));
 	}
-
-	/** Draws a number of arrivals by the Poisson distribution. */
-	private draw(mean: number): number {
-		let product = this.random();
-		let n = 0;
-		while (product > Math.exp(-mean)) {
-			product *= this.random();
-			n += 1;
-		}
-
-		return n;
-	}
-
-	private gauss(): number {
-		return Math.sqrt(-2 * Math.log(this.random())) * Math.cos(2 * Math.PI * this.random());
-	}
 }
--- a/packages/core/src/random/index.ts
+++ b/packages/core/src/random/index.ts
@@ -1,1 +1,2 @@
+export * from './distributions.js';
 export * from './seeded-random.js';
