Gateway: stewards tell the load of their queues; [balancing] mode

Cause: the selector by two choices needs the state of a queue as recent as the last answer, without a further message.

Change: the result of an order carries q, capacity and work ahead of the steward's queue, where the mode takes effect: [balancing] mode is two-choices, or auto (the default) while the active configuration has a route with large answers. SelectorSwitch evaluates this for each request, so it follows the configuration. Elsewhere a message is what it was, field by field.

--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -1,8 +1,8 @@
-import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {
-	ErrorKind, ManualClock, RunMode, TargetPhase,
+	BalancingMode, ErrorKind, ManualClock, TargetPhase,
 } from '@bluebellyard/core';
+import {usualOrder as order} from '../mocks/index.js';
 import {LinkError} from '../peers/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {sharedQueueId, View, type NodeInfo} from '../view/index.js';
@@ -16,26 +16,6 @@
 	};
 }
 
-const order: Order = {
-	requestId: 'r',
-	method: 'GET',
-	path: '/',
-	headers: [],
-	body: Buffer.alloc(0),
-	route: 'route',
-	service: 's',
-	key: undefined,
-	priority: 1,
-	isOnce: true,
-	objectiveMs: 500,
-	arrivedAt: 0,
-	objectiveAt: 500,
-	deadline: 2000,
-	excluded: [],
-	skipsRateLimited: false,
-	mode: RunMode.Usual,
-};
-
 /** Runs an idempotent order of which each attempt ends with the next of `results`, further ones with the last. */
 async function runAttempts(results: readonly OrderResult[]): Promise<OrderResult> {
 	const view = new View();
@@ -54,6 +34,7 @@
 		queues: {
 			run: async () => remaining.length > 1 ? remaining.shift()! : remaining[0],
 			estimateWorkMs: () => 100,
+			load: () => undefined,
 		},
 		net: {
 			async exchange() {
@@ -66,6 +47,7 @@
 		retryBudget: () => ({share: 1, perSecond: 1, burst: 10}),
 		random: () => 0,
 		guard: new CrashGuard(view, clock),
+		balancing: BalancingMode.Auto,
 		requestTrial: async () => undefined,
 		reportEnd() {
 			// No order is suspected.
@@ -99,6 +81,7 @@
 				return failure(ErrorKind.NoTarget, {});
 			},
 			estimateWorkMs: () => 100,
+			load: () => undefined,
 		},
 		net: {
 			async exchange() {
@@ -111,6 +94,7 @@
 		retryBudget: () => ({share: 0, perSecond: 0, burst: 0}),
 		random: () => 0,
 		guard: new CrashGuard(view, clock),
+		balancing: BalancingMode.Auto,
 		requestTrial: async () => undefined,
 		reportEnd() {
 			// No order is suspected.
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -3,12 +3,12 @@
  * instance or on the steward's, and decides whether a failed request is retried.
  */
 import {
-	ErrorKind, RetryBudget, type Clock, type RetryBudgetCfg,
+	ErrorKind, RetryBudget, type BalancingMode, type Clock, type DomainCandidate, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import type {DispatchQueues} from '../queue/index.js';
 import {PeerOp} from '../cluster/index.js';
 import {
-	isUnsent, noBytes, type Message, type PeerNet,
+	isUnsent, type Message, type PeerNet,
 } from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
@@ -17,14 +17,13 @@
 import {ClosedRanges} from './closed-ranges.js';
 import {combineResults} from './combine-results.js';
 import type {CrashGuard} from './crash-guard.js';
-import {DomainSelector, type DomainCandidate} from './domain-selector.js';
-import {
-	failure, type AnsweredResult, type FailedResult, type Order, type OrderResult,
-} from './order.js';
+import {failure, type Order, type OrderResult} from './order.js';
 import {fingerprintOf} from './order-fingerprint.js';
 import {RecentRefusals} from './recent-refusals.js';
+import {SelectorSwitch} from './selector-switch.js';
 import {TrialRunner, type TrialRunnerOptions} from './trial-runner.js';
 import {decodeOrder, encodeOrder, type WireOrder} from './wire-order.js';
+import {decodeResult, encodeResult} from './wire-result.js';
 
 /** Largest number of times that one request is passed to a dispatch queue, for whatever reason. */
 const maxAttempts = 5;
@@ -57,7 +56,7 @@
 export type DispatcherOptions = {
 	readonly self: NodeInfo;
 	readonly view: View;
-	readonly queues: Pick<DispatchQueues, 'run' | 'estimateWorkMs'>;
+	readonly queues: Pick<DispatchQueues, 'run' | 'estimateWorkMs' | 'load'>;
 	readonly net: Pick<PeerNet, 'exchange' | 'isUnreachable'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -66,11 +65,13 @@
 	/** Returns a random number from 0 to 1. */
 	readonly random: () => number;
 	readonly guard: CrashGuard;
+	/** How domains are selected for requests to services that are not sharded. */
+	readonly balancing: BalancingMode;
 } & Pick<TrialRunnerOptions, 'requestTrial' | 'reportEnd'>;
 
 /** Routes orders to dispatch queues. */
 export class Dispatcher {
-	private readonly domains = new DomainSelector();
+	private readonly selectors: SelectorSwitch;
 	private readonly closedRanges = new ClosedRanges();
 	private readonly refusals = new RecentRefusals();
 	private readonly budgets = new Map<string, RetryBudget>();
@@ -81,6 +82,7 @@
 		options.view.onChange(() => {
 			this.notifyWaiters();
 		});
+		this.selectors = new SelectorSwitch({view: options.view, telemetry: options.telemetry, mode: options.balancing});
 		this.trials = new TrialRunner({...options, waitForChange: async (ms, signal) => this.waitForChange(ms, signal)});
 	}
 
@@ -109,9 +111,7 @@
 		const isSteward = this.options.view.findSteward(wire.desk) === this.options.self.name;
 		const order = decodeOrder(wire, bytes, {now: this.options.clock.now(), skipsRateLimited: !isSteward});
 		const result = await this.options.queues.run(wire.desk, order, signal);
-		return result.kind === 'answer'
-			? {value: {...result, answer: {...result.answer, body: noBytes}}, bytes: result.answer.body}
-			: {value: result, bytes: noBytes};
+		return encodeResult(isSteward ? this.withLoad(result, wire.desk, order) : result);
 	}
 
 	/** Returns whether to retry. Charges the retry budget and, for a keyed service, waits before the retry. */
@@ -210,37 +210,37 @@
 	}
 
 	private async attemptShared(order: Order, signal: AbortSignal): Promise<OrderResult> {
-		const {view, self, clock, random} = this.options;
-		const counts = new Map<string, number>();
-		for (const target of view.usableTargets(order.service)) {
-			if (!order.excluded.includes(target.id)) {
-				counts.set(target.domain, (counts.get(target.domain) ?? 0) + 1);
-			}
-		}
-
-		const candidates: DomainCandidate[] = [...counts].map(([domain, targetCount]) => ({domain, targetCount, queueId: sharedQueueId(order.service, domain)}));
+		const {
+			self, clock, random, queues,
+		} = this.options;
+		const candidates = this.findCandidates(order);
 		const tried = new Set<string>();
 		for (;;) {
 			const untried = candidates.filter(candidate => !tried.has(candidate.domain));
-			const selected = this.domains.select(untried, {
-				ownDomain: self.domain, objectiveMs: order.objectiveMs, now: clock.now(), random: random(),
+			const selector = this.selectors.current;
+			const choice = selector.select(untried, {
+				ownDomain: self.domain, objectiveMs: order.objectiveMs, now: clock.now(), random,
 			});
-			if (selected === undefined) {
+			if (choice === undefined) {
 				return failure(ErrorKind.NoTarget, {retryAfterMs: this.closedRanges.retryAfterMs(), reason: `no target of ${order.service} may receive work`});
 			}
 
+			this.selectors.recordChoice(choice);
+			const selected = choice.candidate;
+			const recordEnd = selector.recordSend(selected, queues.estimateWorkMs(order.route, order.objectiveMs));
 			// eslint-disable-next-line no-await-in-loop
 			const result = await this.send(selected.queueId, order, signal);
 			const now = clock.now();
+			recordEnd();
 			if (result.kind === 'answer') {
-				this.domains.recordWait(selected.queueId, result.waitMs, now);
+				selector.recordAnswer(selected, result.waitMs, result.load, now);
 				return result;
 			}
 
 			tried.add(selected.domain);
 			const isRefused = result.target === undefined && result.isNotRun;
 			if (isRefused) {
-				this.domains.recordRefusal(selected.queueId, now);
+				selector.recordRefusal(selected, result.load, now);
 			}
 
 			// Only a refusal without a wait leaves enough time for another domain.
@@ -250,6 +250,35 @@
 		}
 	}
 
+	/** Returns the failure domains with targets that may receive an order to a service that is not sharded. */
+	private findCandidates({service, excluded}: Order): DomainCandidate[] {
+		const {view} = this.options;
+		const counts = new Map<string, {targetCount: number; slots: number}>();
+		for (const target of view.usableTargets(service)) {
+			if (!excluded.includes(target.id)) {
+				const {targetCount, slots} = counts.get(target.domain) ?? {targetCount: 0, slots: 0};
+				counts.set(target.domain, {targetCount: targetCount + 1, slots: slots + target.slots});
+			}
+		}
+
+		return [...counts].map(([domain, count]) => {
+			const queueId = sharedQueueId(service, domain);
+			return {
+				...count, domain, queueId, steward: view.findSteward(queueId),
+			};
+		});
+	}
+
+	/** Adds the load of a dispatch queue of which this instance is the steward to a result, where it is used. */
+	private withLoad(result: OrderResult, queueId: string, {service}: Order): OrderResult {
+		if (!this.selectors.isBalanced || this.isSharded(service)) {
+			return result;
+		}
+
+		const load = this.options.queues.load(queueId);
+		return load === undefined ? result : {...result, load};
+	}
+
 	/** Sends an order to the steward of a dispatch queue, or runs it here if no steward is known or reachable. */
 	private async send(queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
 		const {
@@ -257,8 +286,12 @@
 		} = this.options;
 		const name = view.findSteward(queueId);
 		const node = name === undefined ? undefined : view.store.get<NodeInfo>(`node/${name}`);
-		if (node === undefined || node.name === self.name || net.isUnreachable(node.addr)) {
-			return queues.run(queueId, {...order, skipsRateLimited: node?.name !== self.name}, signal);
+		if (node?.name === self.name) {
+			return this.withLoad(await queues.run(queueId, {...order, skipsRateLimited: false}, signal), queueId, order);
+		}
+
+		if (node === undefined || net.isUnreachable(node.addr)) {
+			return queues.run(queueId, {...order, skipsRateLimited: true}, signal);
 		}
 
 		const now = clock.now();
@@ -298,8 +331,7 @@
 		const wire = encodeOrder(order, queueId, now);
 		const timeoutMs = Math.max(1, Math.ceil(order.deadline - now + forwardSlackMs));
 		const reply = await this.options.net.exchange(addr, PeerOp.Request, {value: wire, bytes: order.body}, {signal, timeoutMs});
-		const result = reply.value as AnsweredResult | FailedResult;
-		return result.kind === 'answer' ? {...result, answer: {...result.answer, body: reply.bytes}} : result;
+		return decodeResult(reply);
 	}
 
 	/** Waits for a change of the view, the given time or an abort, whichever is first. */
--- a/packages/gateway/src/dispatch/index.ts
+++ b/packages/gateway/src/dispatch/index.ts
@@ -1,6 +1,5 @@
 export * from './closed-ranges.js';
 export * from './crash-guard.js';
-export * from './domain-selector.js';
 export * from './dispatcher.js';
 export * from './order.js';
 export * from './trial-runner.js';
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -1,5 +1,5 @@
 import type {Buffer} from 'node:buffer';
-import type {ErrorKind, RunMode} from '@bluebellyard/core';
+import type {ErrorKind, QueueLoad, RunMode} from '@bluebellyard/core';
 import type {Answer, HeaderList} from '../ports/index.js';
 
 /** A caller's request that is to be sent to a target. Times are monotonic milliseconds of this process. */
@@ -38,6 +38,8 @@
 	readonly answer: Answer;
 	readonly target: string;
 	readonly waitMs: number;
+	/** Load of the dispatch queue after the request; undefined if its steward did not tell it. */
+	readonly load?: QueueLoad;
 };
 
 /** Failure of a request without an answer of a target. */
@@ -56,6 +58,8 @@
 	readonly waitMs: number;
 	/** Cause of the failure, for the log. */
 	readonly reason: string;
+	/** Load of the dispatch queue after the request; undefined if its steward did not tell it. */
+	readonly load?: QueueLoad;
 };
 
 /** Result of an order. */
--- /dev/null
+++ b/packages/gateway/src/dispatch/wire-result.ts
@@ -0,0 +1,30 @@
+import type {QueueLoad} from '@bluebellyard/core';
+import {noBytes, type Message} from '../peers/index.js';
+import type {AnsweredResult, FailedResult, OrderResult} from './order.js';
+
+/** The result of an order as it is returned to the instance that forwarded it, without the body of the answer. */
+export type WireResult = (AnsweredResult | FailedResult) & {
+	/** Load of the dispatch queue as capacity, in slots of normal speed, and work ahead, in milliseconds; absent where it is not used and from instances of an earlier version. */
+	readonly q?: readonly [capacity: number, aheadMs: number];
+};
+
+/** Encodes a result, with the load of the dispatch queue if it is told. */
+export function encodeResult({load, ...result}: OrderResult): Message {
+	const told = load === undefined ? {} : {q: [Math.round(load.capacity * 100) / 100, Math.round(load.aheadMs)] as const};
+	return result.kind === 'answer'
+		? {value: {...result, ...told, answer: {...result.answer, body: noBytes}} satisfies WireResult, bytes: result.answer.body}
+		: {value: {...result, ...told} satisfies WireResult, bytes: noBytes};
+}
+
+/** Decodes a result from another instance. A load that is none is ignored. */
+export function decodeResult({value, bytes}: Message): OrderResult {
+	const {q, ...result} = value as WireResult;
+	const load = decodeLoad(q);
+	const known = load === undefined ? result : {...result, load};
+	return known.kind === 'answer' ? {...known, answer: {...known.answer, body: bytes}} : known;
+}
+
+function decodeLoad(q: unknown): QueueLoad | undefined {
+	const isLoad = Array.isArray(q) && q.length === 2 && q.every(number => typeof number === 'number' && number >= 0);
+	return isLoad ? {capacity: q[0] as number, aheadMs: q[1] as number} : undefined;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,6 +141,7 @@
 			random,
 			retryBudget: instances => toBudget(cfg, instances),
 			guard: this.guard,
+			balancing: cfg.balancing.mode,
 			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
 			reportEnd: (print, outcome) => {
 				this.coordinator.leaderChannel.report(PeerOp.TrialEnd, {print, outcome});
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -5,3 +5,4 @@
 export * from './memory-feed.js';
 export * from './memory-log.js';
 export * from './ownership-harness.js';
+export * from './usual-order.js';
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -5,7 +5,7 @@
  * only while it knows no steward or can't reach it.
  */
 import {
-	ErrorKind, AttemptOutcome, AdmissionQueue, RunMode, type Clock, type TargetLimiter, type TargetInfo, type WorkEstimator, type QueuedRequest, type QueueDecision,
+	ErrorKind, AttemptOutcome, AdmissionQueue, RunMode, type Clock, type TargetLimiter, type TargetInfo, type WorkEstimator, type QueueLoad, type QueuedRequest, type QueueDecision,
 } from '@bluebellyard/core';
 import type {CrashGuard} from '../dispatch/crash-guard.js';
 import {failure, type Order, type OrderResult} from '../dispatch/order.js';
@@ -87,6 +87,11 @@
 		return this.admission.inFlight;
 	}
 
+	/** Returns the capacity of the queue and the work ahead. */
+	load(): QueueLoad {
+		return this.admission.load(this.options.clock.now());
+	}
+
 	/** Returns the long-term slowness of each target, by target id. */
 	targetSlowness(): Array<readonly [string, number]> {
 		return [...this.admission.allTargets()].map(limiter => [limiter.id, limiter.slowness.longTerm] as const);
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -1,5 +1,5 @@
 import {
-	WorkEstimator, type Clock, type ConditionReport, type ReportedCrash,
+	WorkEstimator, type Clock, type ConditionReport, type QueueLoad, type ReportedCrash,
 } from '@bluebellyard/core';
 import type {CrashGuard} from '../dispatch/crash-guard.js';
 import type {Order, OrderResult} from '../dispatch/order.js';
@@ -92,6 +92,11 @@
 		return this.getQueue(id).run(order, signal);
 	}
 
+	/** Returns the load of a dispatch queue; undefined if this instance has none with the id. */
+	load(id: string): QueueLoad | undefined {
+		return this.queues.get(id)?.load();
+	}
+
 	private getQueue(id: string): DispatchQueue {
 		const known = this.queues.get(id);
 		if (known !== undefined) {
--- a/packages/gateway/src/settings/settings.test.ts
+++ b/packages/gateway/src/settings/settings.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {BalancingMode} from '@bluebellyard/core';
 import {GatewaySettingsError, loadSettings, parseSettings} from './settings.js';
 
 const validText = `[instance]
@@ -33,6 +34,14 @@
 	t.throws(() => parseSettings(`${validText}[targets]\nlocal-address=eth0\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[targets\] local-address/v});
 });
 
+test('the balancing mode is one of the listed ones, auto by default', t => {
+	t.is(parseSettings(validText).balancing.mode, BalancingMode.Auto);
+	t.is(parseSettings(`${validText}[balancing]\n`).balancing.mode, BalancingMode.Auto);
+	t.is(parseSettings(`${validText}[balancing]\nmode=two-choices\n`).balancing.mode, BalancingMode.TwoChoices);
+	t.is(parseSettings(`${validText}[balancing]\nmode=own-domain\n`).balancing.mode, BalancingMode.OwnDomain);
+	t.throws(() => parseSettings(`${validText}[balancing]\nmode=three-choices\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[balancing\] mode/v});
+});
+
 test('the error names a file that cannot be read', t => {
 	t.throws(() => loadSettings('/nowhere/settings.ini'), {any: true, instanceOf: GatewaySettingsError, message: /\/nowhere\/settings\.ini/v});
 });
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -2,6 +2,7 @@
  * Settings of the gateway: an INI file that is validated completely before the gateway starts.
  */
 import {readFileSync} from 'node:fs';
+import {BalancingMode} from '@bluebellyard/core';
 import {parse} from 'ini';
 import VError from 'verror';
 import {z} from 'zod';
@@ -72,6 +73,10 @@
 		/** Window over which both are counted, in seconds. */
 		window: seconds(10),
 	}).default({ratio: 0.2, extra: 50, window: 10_000}),
+	balancing: z.object({
+		/** How a failure domain is selected for a request to a service that is not sharded. */
+		mode: z.enum(BalancingMode).default(BalancingMode.Auto),
+	}).default({mode: BalancingMode.Auto}),
 	shutdown: z.object({
 		/** Time from a stop request until the process is killed, in seconds. */
 		grace: seconds(6),
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -63,6 +63,19 @@
 		registers: [this.registry],
 	});
 
+	readonly domainChoices = new Counter({
+		name: 'bluebellyard_domain_choices_total',
+		help: 'Failure domains selected for requests of shared services, while the mode is two-choices: own, first or second of two candidates.',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
+	readonly queueStateAge = new Gauge({
+		name: 'bluebellyard_queue_state_age_seconds',
+		help: 'Age of the state of the queue by which a failure domain was last selected.',
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -68,6 +68,7 @@
 	/** Sequence number at which each cached table was built, by key part. */
 	private readonly builtAtSeq = new Map<string, number>();
 	private hostRoutes = new HostRoutes([]);
+	private isLarge = false;
 	private servicesByName = new Map<string, Service>();
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
@@ -99,12 +100,16 @@
 
 	/** Routes of the active configuration. */
 	get routes(): HostRoutes {
-		this.rebuildIfChanged('route', () => {
-			this.hostRoutes = new HostRoutes([...this.store.withPrefix<HostRoute>('route/')].map(([, route]) => route));
-		});
+		this.rebuildRoutes();
 		return this.hostRoutes;
 	}
 
+	/** Whether a route of the active configuration has large answers. */
+	get hasLargeAnswers(): boolean {
+		this.rebuildRoutes();
+		return this.isLarge;
+	}
+
 	/** All known targets, by incarnation id. */
 	get targets(): ReadonlyMap<string, TargetInfo> {
 		this.rebuildIfChanged('target', () => {
@@ -307,6 +312,14 @@
 		}
 	}
 
+	private rebuildRoutes(): void {
+		this.rebuildIfChanged('route', () => {
+			const routes = [...this.store.withPrefix<HostRoute>('route/')].map(([, route]) => route);
+			this.hostRoutes = new HostRoutes(routes);
+			this.isLarge = routes.some(route => route.hasLargeAnswers === true);
+		});
+	}
+
 	private rebuildSuspects(): void {
 		this.rebuildIfChanged(suspectPart, () => {
 			this.suspectsByPrint = new Map([...this.store.withPrefix<Suspect>(`${suspectPart}/`)].map(([key, suspect]) => [key.slice(suspectPart.length + 1), suspect]));
