Admission: a test reports the load of unequal targets of one queue

Cause: how even the load is inside one queue was not measured.

Change: a test plays one queue in front of targets of speeds 0.7, 0.7 and 1.7 whose machines are 3 times slower a fifth of the time, and logs the share of the requests and the use of the slots of each; KeyedService.targetUse. findCheapestTarget is unchanged.

--- a/packages/core/src/mocks/keyed-service.ts
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -61,6 +61,15 @@
 	readonly busiestToMean: number;
 };
 
+/** What one target did. */
+export type TargetUse = {
+	readonly speed: number;
+	/** Share of all requests that were sent. */
+	readonly requestShare: number;
+	/** Share of the time of its slots in which they were in use. */
+	readonly busyShare: number;
+};
+
 type Caller = {
 	readonly route: PlayedRoute;
 	readonly key: number;
@@ -75,6 +84,9 @@
 	readonly queue: AdmissionQueue;
 	readonly slowWindows: Set<number>;
 	arrivals: number;
+	/** Requests sent to it, and the time that they ran. */
+	starts: number;
+	busyMs: number;
 };
 
 type Closure = {readonly move: KeyMove; readonly until: number};
@@ -111,7 +123,7 @@
 		this.random = seededRandom(cfg.seed);
 		const shared = new AdmissionQueue();
 		this.servers = cfg.speeds.map((speed, i) => ({
-			id: `t${i}`, speed, queue: cfg.isPooled === true ? shared : new AdmissionQueue(), slowWindows: this.drawSlowWindows(), arrivals: 0,
+			id: `t${i}`, speed, queue: cfg.isPooled === true ? shared : new AdmissionQueue(), slowWindows: this.drawSlowWindows(), arrivals: 0, starts: 0, busyMs: 0,
 		}));
 		for (const {id, queue} of this.servers) {
 			queue.setTarget({id, slots: cfg.slots, coldRate: 1000});
@@ -170,6 +182,14 @@
 		};
 	}
 
+	/** Returns what each target did so far. */
+	targetUse(): TargetUse[] {
+		const starts = this.servers.reduce((sum, server) => sum + server.starts, 0);
+		return this.servers.map(server => ({
+			speed: server.speed, requestShare: server.starts / starts, busyShare: server.busyMs / this.cfg.durationMs / this.cfg.slots,
+		}));
+	}
+
 	private owners(): EligibleOwner[] {
 		return this.servers.map(({id, queue}) => ({id, capacity: queue.target(id)!.capacity}));
 	}
@@ -217,8 +237,11 @@
 		for (const start of starts) {
 			const server = this.cfg.isPooled === true ? this.servers.find(({id}) => id === start.limiter.id)! : queueServer;
 			const {workMs} = this.callers.get(start.request.id)!;
+			const endsAt = this.findEnd(server, now, workMs / server.speed);
+			server.starts += 1;
+			server.busyMs += endsAt - now;
 			this.running.push({
-				server, start, startedAt: now, endsAt: this.findEnd(server, now, workMs / server.speed),
+				server, start, startedAt: now, endsAt,
 			});
 		}
 
