--- a/packages/core/src/balancing/domain-load.test.ts
+++ b/packages/core/src/balancing/domain-load.test.ts
@@ -8,13 +8,12 @@
 import type {DomainSelector} from './domain-selector.js';
 import {OwnDomainSelector} from './own-domain-selector.js';
 
-const cfg: Omit<DomainLoadCfg, 'seed' | 'createSelector'> = {
+const cfg: Omit<DomainLoadCfg, 'seed' | 'load' | 'createSelector'> = {
 	durationMs: 9000,
 	domains: 3,
 	instances: 69,
 	speeds: Array.from({length: 66}, (_, i) => [0.7, 1, 1, 1.3][i % 4]),
 	slots: 2,
-	load: 0.9,
 	workMs: 200,
 	spread: 0.5,
 	objectiveMs: 600,
@@ -25,8 +24,8 @@
 	transitMs: [2, 30],
 };
 
-function play(createSelector: () => DomainSelector, seed: number): DomainLoadResult {
-	return new DomainLoad({...cfg, createSelector, seed}).run();
+function play(createSelector: () => DomainSelector, played: {seed: number; load: number}): DomainLoadResult {
+	return new DomainLoad({...cfg, ...played, createSelector}).run();
 }
 
 function describe(name: string, result: DomainLoadResult): string {
@@ -35,10 +34,11 @@
 
 // With stale information all instances moved their requests to the same domain at the same moment; it was overloaded while
 // another one had room. Even load means that at most half of that time and of the late requests is left.
-for (const seed of [1, 2]) {
-	test(`load: queues are overloaded beside ones with room for at most half of the time, seed ${seed}`, t => {
-		const before = play(() => new OwnDomainSelector(), seed);
-		const after = play(() => new BalancedSelector(), seed);
+// At a load of 0.95 the better one of two drawn domains does not achieve this.
+for (const played of [{seed: 1, load: 0.9}, {seed: 2, load: 0.9}, {seed: 1, load: 0.95}]) {
+	test(`load: queues are overloaded beside ones with room for at most half of the time, load ${played.load}, seed ${played.seed}`, t => {
+		const before = play(() => new OwnDomainSelector(), played);
+		const after = play(() => new BalancedSelector(), played);
 		t.log(describe('own-domain', before));
 		t.log(describe('two-choices', after));
 		t.true(before.uneven > 0, 'the load does not show the failure');
