--- a/packages/core/src/mocks/keyed-service.ts
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -8,7 +8,7 @@
 import {
 	KeyLoad, keyCount, OwnershipMap, planKeyMoves, type EligibleOwner, type KeyMove, type KeyRates,
 } from '../keyspace/index.js';
-import {seededRandom} from '../random/index.js';
+import {drawLogNormal, drawPoisson, seededRandom} from '../random/index.js';
 
 /** A kind of request. Times are milliseconds. */
 export type PlayedRoute = {
@@ -61,6 +61,15 @@
 	readonly busiestToMean: number;
 };
 
+/** What one target did. */
+export type TargetUse = {
+	readonly speed: number;
+	/** Share of all requests that were sent. */
+	readonly requestShare: number;
+	/** Share of the time of its slots in which they were in use. */
+	readonly busyShare: number;
+};
+
 type Caller = {
 	readonly route: PlayedRoute;
 	readonly key: number;
@@ -75,6 +84,9 @@
 	readonly queue: AdmissionQueue;
 	readonly slowWindows: Set<number>;
 	arrivals: number;
+	/** Requests sent to it, and the time that they ran. */
+	starts: number;
+	busyMs: number;
 };
 
 type Closure = {readonly move: KeyMove; readonly until: number};
@@ -111,7 +123,7 @@
 		this.random = seededRandom(cfg.seed);
 		const shared = new AdmissionQueue();
 		this.servers = cfg.speeds.map((speed, i) => ({
-			id: `t${i}`, speed, queue: cfg.isPooled === true ? shared : new AdmissionQueue(), slowWindows: this.drawSlowWindows(), arrivals: 0,
+			id: `t${i}`, speed, queue: cfg.isPooled === true ? shared : new AdmissionQueue(), slowWindows: this.drawSlowWindows(), arrivals: 0, starts: 0, busyMs: 0,
 		}));
 		for (const {id, queue} of this.servers) {
 			queue.setTarget({id, slots: cfg.slots, coldRate: 1000});
@@ -128,7 +140,7 @@
 			this.endRequests(now);
 			if (now < durationMs) {
 				for (const route of routes) {
-					for (let n = this.draw(route.perSecond * tickMs / 1000); n > 0; n -= 1) {
+					for (let n = drawPoisson(this.random, route.perSecond * tickMs / 1000); n > 0; n -= 1) {
 						this.arrive(route, now);
 					}
 				}
@@ -170,6 +182,14 @@
 		};
 	}
 
+	/** Returns what each target did so far. */
+	targetUse(): TargetUse[] {
+		const starts = this.servers.reduce((sum, server) => sum + server.starts, 0);
+		return this.servers.map(server => ({
+			speed: server.speed, requestShare: server.starts / starts, busyShare: server.busyMs / this.cfg.durationMs / this.cfg.slots,
+		}));
+	}
+
 	private owners(): EligibleOwner[] {
 		return this.servers.map(({id, queue}) => ({id, capacity: queue.target(id)!.capacity}));
 	}
@@ -185,7 +205,7 @@
 	}
 
 	private arrive(route: PlayedRoute, now: number): void {
-		const workMs = route.workMs * Math.exp((this.gauss() * route.spread) - ((route.spread ** 2) / 2));
+		const workMs = drawLogNormal(this.random, route.workMs, route.spread);
 		const caller = {
 			route, key: this.drawKey(now), firstAt: now, workMs, attempts: 0,
 		};
@@ -217,8 +237,11 @@
 		for (const start of starts) {
 			const server = this.cfg.isPooled === true ? this.servers.find(({id}) => id === start.limiter.id)! : queueServer;
 			const {workMs} = this.callers.get(start.request.id)!;
+			const endsAt = this.findEnd(server, now, workMs / server.speed);
+			server.starts += 1;
+			server.busyMs += endsAt - now;
 			this.running.push({
-				server, start, startedAt: now, endsAt: this.findEnd(server, now, workMs / server.speed),
+				server, start, startedAt: now, endsAt,
 			});
 		}
 
@@ -298,20 +321,4 @@
 		const rank = Math.floor(distinctKeys * (this.random() ** (1 / (1 - skew))));
 		return Math.min(keyCount - 1, Math.floor(rank * keyCount / distinctKeys));
 	}
-
-	/** Draws a number of arrivals by the Poisson distribution. */
-	private draw(mean: number): number {
-		let product = this.random();
-		let n = 0;
-		while (product > Math.exp(-mean)) {
-			product *= this.random();
-			n += 1;
-		}
-
-		return n;
-	}
-
-	private gauss(): number {
-		return Math.sqrt(-2 * Math.log(this.random())) * Math.cos(2 * Math.PI * this.random());
-	}
 }
