Keys leave a target at once whose load surges, where that is switched on

Cause: load by key is measured with a half-life of 1.2 s and balanced every 500 ms. When 200 adjacent keys get 38% of the requests, the queue of their target is full before the plan sees it, and its callers are refused twice.

Receivers are judged by the higher of both measurements.

--- a/packages/core/src/admission/keyed-load.test.ts
+++ b/packages/core/src/admission/keyed-load.test.ts
@@ -51,6 +51,32 @@
 	retries: 1,
 };
 
+/** Targets of very different speed with room for three times the load, until a run of keys needs several targets at once. */
+const uneven: Omit<KeyedServiceCfg, 'seed'> = {
+	...patient,
+	durationMs: 16_000,
+	speeds: Array.from({length: 34}, (_, i) => [0.7, 0.7, 1.7][i % 3]),
+	slots: 6,
+	routes: [
+		{
+			name: 'check', perSecond: 190, workMs: 190, spread: 0.3, objectiveMs: 850, timeoutMs: 1200, priority: 2,
+		},
+		{
+			name: 'confirm', perSecond: 88, workMs: 250, spread: 0.8, objectiveMs: 1050, timeoutMs: 1500, priority: 1,
+		},
+	],
+	skew: 0.38,
+	hotRuns: [
+		{
+			fromMs: 3400, toMs: 8400, share: 0.38, firstKey: 32_000, keys: 200,
+		},
+		{
+			fromMs: 8900, toMs: 12_900, share: 0.38, firstKey: 50_000, keys: 200,
+		},
+	],
+	retries: 1,
+};
+
 /** Largest share of callers that a service with enough capacity may leave unserved beyond those that no placement could serve. */
 const maxUnservedShare = 0.01;
 
@@ -83,3 +109,21 @@
 	const {refusedAgain} = play(hasty);
 	t.true(refusedAgain <= maxRefusedAgainShare, `${refusedAgain}`);
 });
+
+// Load is measured over more than a second, so that a run of keys that became hot filled the queue of one target first.
+test('load: fewer callers are unserved if keys leave a surge at once', t => {
+	const usual = play(uneven);
+	const surge = play({...uneven, detectsSurges: true});
+	t.true(surge.unserved <= usual.unserved * 0.75, `${surge.unserved} ${usual.unserved}`);
+	t.true(surge.refusedAgain < usual.refusedAgain, `${surge.refusedAgain} ${usual.refusedAgain}`);
+	t.true(surge.moves <= usual.moves * 2, `${surge.moves} ${usual.moves}`);
+});
+
+// Random clusters of requests must not move keys back and forth.
+test('load: hardly more keys move without a surge', t => {
+	const calm = {...uneven, hotRuns: []};
+	const usual = play(calm);
+	const surge = play({...calm, detectsSurges: true});
+	t.true(surge.moves <= usual.moves * 1.5, `${surge.moves} ${usual.moves}`);
+	t.true(surge.unserved <= usual.unserved + maxUnservedShare, `${surge.unserved} ${usual.unserved}`);
+});
--- a/packages/core/src/keyspace/key-load.ts
+++ b/packages/core/src/keyspace/key-load.ts
@@ -3,6 +3,9 @@
 /** Half-life of a measurement, in milliseconds; short enough to detect hot keys within a second or two. */
 const defaultHalfLifeMs = 1200;
 
+/** Half-life for the detection of surges, in milliseconds; a few times the interval of reports. */
+export const recentHalfLifeMs = 400;
+
 /** Decayed work below which a key is dropped, in milliseconds. */
 const minWorkMs = 0.5;
 
@@ -32,6 +35,11 @@
 		return this.mean;
 	}
 
+	/** Load of one request in busy slots, as measured. */
+	get loadPerRequest(): number {
+		return (this.mean ?? 0) * Math.LN2 / this.halfLifeMs;
+	}
+
 	/** Records a request for a key. `workMs` is its expected duration on an idle target of normal speed. */
 	add(key: number, workMs: number, now: number): void {
 		this.startedAt ??= now;
--- a/packages/core/src/keyspace/plan-key-moves.test.ts
+++ b/packages/core/src/keyspace/plan-key-moves.test.ts
@@ -145,3 +145,20 @@
 	const {map: settled} = settle(map, rates, limited);
 	t.true(loads(settled, rates).get('a')! <= 0.05, `${loads(settled, rates).get('a')}`);
 });
+
+// Until the usual measurement shows a surge, the queue of its target is full.
+test('keys leave a target whose load has just risen', t => {
+	const map = OwnershipMap.empty().assign([{from: 0, to: 32_767, owner: 'a'}, {from: 32_768, to: 65_535, owner: 'b'}], 1);
+	const owners = [{id: 'a', capacity: 4}, {id: 'b', capacity: 4}];
+	const recent = {rates: Array.from({length: 100}, (_, i) => [i, 0.08] as const), loadPerRequest: 0.3};
+	const moves = planKeyMoves(map, owners, [], recent);
+	t.true(moves.length > 0);
+	t.true(moves.every(({to, owner}) => owner === 'b' && to < 100));
+	t.deepEqual(planKeyMoves(map, owners, []), []);
+});
+
+test('a few requests more than usual are no surge', t => {
+	const map = OwnershipMap.empty().assign([{from: 0, to: 32_767, owner: 'a'}, {from: 32_768, to: 65_535, owner: 'b'}], 1);
+	const recent = {rates: [[1, 1.2], [2, 1.8]] as const, loadPerRequest: 0.3};
+	t.deepEqual(planKeyMoves(map, [{id: 'a', capacity: 4}, {id: 'b', capacity: 4}], [], recent), []);
+});
--- a/packages/core/src/keyspace/plan-key-moves.ts
+++ b/packages/core/src/keyspace/plan-key-moves.ts
@@ -43,8 +43,15 @@
 /** Standard deviations by which a measured load must exceed the limit before keys move, so that noise moves few keys. */
 const minDeviations = 0.7;
 
-/** Returns the moves that are due now. */
-export function planKeyMoves(map: OwnershipMap, owners: readonly EligibleOwner[], rates: KeyRates): KeyMove[] {
+/** Load measured over a short time, to detect keys that become hot within a fraction of a second. */
+export type RecentLoad = {
+	readonly rates: KeyRates;
+	/** Load of one request in busy slots, as measured over that time; the shorter the time, the more one request counts. */
+	readonly loadPerRequest: number;
+};
+
+/** Returns the moves that are due now. Keys move away from a surge at once if `recent` is given. */
+export function planKeyMoves(map: OwnershipMap, owners: readonly EligibleOwner[], rates: KeyRates, recent?: RecentLoad): KeyMove[] {
 	if (owners.length === 0) {
 		return [];
 	}
@@ -55,9 +62,22 @@
 	}
 
 	const newOwners = planNewOwners(map, owners, rates);
-	return newOwners.length > 0 ? newOwners : planRebalance(map, owners, rates);
+	if (newOwners.length > 0) {
+		return newOwners;
+	}
+
+	const surge = recent === undefined ? [] : planSurge(map, owners, rates, recent);
+	return surge.length > 0 ? surge : planRebalance(map, owners, rates);
 }
 
+/** Returns whether a load that was measured over a short time certainly overloads a target, so that its keys must not wait for the usual plan. */
+function isSurging(busy: number, capacity: number, loadPerRequest: number): boolean {
+	return busy - (surgeDeviations * Math.sqrt(busy * loadPerRequest)) > highUtilization * capacity;
+}
+
+/** Standard deviations by which a load that was measured over a short time must exceed the limit; a few requests more or less are no surge. */
+const surgeDeviations = 2;
+
 type OwnerLoad = {
 	readonly owner: EligibleOwner;
 	busy: number;
@@ -216,19 +236,75 @@
 /** Moves load away from overloaded targets, as runs of adjacent busy keys. */
 function planRebalance(map: OwnershipMap, owners: readonly EligibleOwner[], rates: KeyRates): KeyMove[] {
 	const loads = sumLoads(map, owners, rates);
-	const capacity = owners.reduce((sum, owner) => sum + owner.capacity, 0);
-	const busy = [...loads.values()].reduce((sum, row) => sum + row.busy, 0);
-	const mean = busy / capacity;
-	const high = Math.max(highUtilization, mean * highRatio);
-	const maxMoves = Math.max(minMovesPerPlan, owners.length * movesPerOwner);
+	const high = Math.max(highUtilization, meanUtilization(loads) * highRatio);
+	return moveRuns(map, loads, rates, {isDonor: ({busy, owner}) => (busy - (minDeviations * standardDeviation(busy))) / owner.capacity > high});
+}
+
+/**
+ * Moves keys away from targets whose load has risen within a fraction of a second. The usual measurement shows such a
+ * rise only after a second or two, when the queue of the target is full. Receivers are judged by the higher one of both
+ * measurements, as keys that they have just received are missing in the usual one.
+ */
+function planSurge(map: OwnershipMap, owners: readonly EligibleOwner[], rates: KeyRates, recent: RecentLoad): KeyMove[] {
+	const surging = new Set<string>();
+	for (const [id, {busy, owner}] of sumLoads(map, owners, recent.rates)) {
+		if (isSurging(busy, owner.capacity, recent.loadPerRequest)) {
+			surging.add(id);
+		}
+	}
+
+	if (surging.size === 0) {
+		return [];
+	}
+
+	const higher = mergeHigher(rates, recent.rates);
+	const loads = sumLoads(map, owners, higher);
+	return moveRuns(map, loads, higher, {
+		isDonor: ({busy, owner}) => busy / owner.capacity > highUtilization,
+		kept: [...loads.values()].filter(({owner}) => !surging.has(owner.id)),
+	});
+}
+
+/** Returns the higher rate of each key, in order of keys. */
+function mergeHigher(a: KeyRates, b: KeyRates): KeyRates {
+	const merged = new Map(a);
+	for (const [key, busy] of b) {
+		merged.set(key, Math.max(busy, merged.get(key) ?? 0));
+	}
+
+	return [...merged].toSorted(([x], [y]) => x - y);
+}
+
+function meanUtilization(loads: ReadonlyMap<string, OwnerLoad>): number {
+	let busy = 0;
+	let capacity = 0;
+	for (const row of loads.values()) {
+		busy += row.busy;
+		capacity += row.owner.capacity;
+	}
+
+	return busy / capacity;
+}
+
+type DonorChoice = {
+	/** Returns whether the target with the highest utilization must lose keys. */
+	readonly isDonor: (row: OwnerLoad) => boolean;
+	/** Targets that lose no keys, whatever their utilization. */
+	readonly kept?: readonly OwnerLoad[];
+};
+
+/** Moves runs of busy keys from the target with the highest utilization to that with the lowest one, while that helps. */
+function moveRuns(map: OwnershipMap, loads: Map<string, OwnerLoad>, rates: KeyRates, {isDonor, kept = []}: DonorChoice): KeyMove[] {
+	const mean = meanUtilization(loads);
+	const maxMoves = Math.max(minMovesPerPlan, loads.size * movesPerOwner);
 	const moves: KeyMove[] = [];
 	/** Donors from which no move helps; others may still be overloaded. */
-	const stuck = new Set<OwnerLoad>();
+	const stuck = new Set<OwnerLoad>(kept);
 	let current = map;
 	while (moves.length < maxMoves && stuck.size < loads.size) {
 		const donor = findHighest(loads, row => stuck.has(row) ? Number.NEGATIVE_INFINITY : row.busy / row.owner.capacity);
 		const receiver = findHighest(loads, row => -row.busy / row.owner.capacity);
-		if (donor === receiver || (donor.busy - (minDeviations * standardDeviation(donor.busy))) / donor.owner.capacity <= high) {
+		if (donor === receiver || !isDonor(donor)) {
 			break;
 		}
 
--- a/packages/core/src/mocks/keyed-service.ts
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -6,7 +6,7 @@
 	AdmissionQueue, AttemptOutcome, WorkEstimator, type QueueDecision, type RequestStart,
 } from '../admission/index.js';
 import {
-	KeyLoad, keyCount, OwnershipMap, planKeyMoves, type EligibleOwner, type KeyMove, type KeyRates,
+	KeyLoad, keyCount, OwnershipMap, planKeyMoves, recentHalfLifeMs, type EligibleOwner, type KeyMove, type KeyRates,
 } from '../keyspace/index.js';
 import {seededRandom} from '../random/index.js';
 
@@ -46,6 +46,8 @@
 	readonly hotRuns: readonly HotRun[];
 	/** Number of times that a caller comes back after a refusal. */
 	readonly retries: number;
+	/** Whether keys move away from a surge at once. */
+	readonly detectsSurges?: boolean;
 	/** Whether any target may serve any request, as the bound for all placements. */
 	readonly isPooled?: boolean;
 };
@@ -83,6 +85,7 @@
 /** Time after the last arrival until which requests and callers that come back are played. */
 const tailMs = 3000;
 const planIntervalMs = 500;
+const surgePlanIntervalMs = 200;
 /** Interval at which instances report the requested keys to the leader. */
 const reportIntervalMs = 300;
 /** Time in which a moved range is closed. */
@@ -95,6 +98,7 @@
 	private readonly servers: Server[];
 	private readonly estimator = new WorkEstimator();
 	private readonly load = new KeyLoad();
+	private readonly recentLoad = new KeyLoad(recentHalfLifeMs);
 	private map: OwnershipMap;
 	private readonly callers = new Map<string, Caller>();
 	private readonly running: Array<{readonly server: Server; readonly start: RequestStart; readonly startedAt: number; readonly endsAt: number}> = [];
@@ -143,12 +147,13 @@
 			if (now % reportIntervalMs === 0) {
 				for (const [key, workMs] of this.reported) {
 					this.load.add(key, workMs, now);
+					this.recentLoad.add(key, workMs, now);
 				}
 
 				this.reported = [];
 			}
 
-			if (now % planIntervalMs === 0 && now > 0 && this.cfg.isPooled !== true) {
+			if (now % (this.cfg.detectsSurges === true ? surgePlanIntervalMs : planIntervalMs) === 0 && now > 0 && this.cfg.isPooled !== true) {
 				this.plan(now, fence);
 				fence += 1;
 			}
@@ -176,7 +181,8 @@
 
 	private plan(now: number, fence: number): void {
 		const rates: KeyRates = this.load.rates(now);
-		const moves = planKeyMoves(this.map, this.owners(), rates);
+		const recent = this.cfg.detectsSurges === true ? {rates: this.recentLoad.rates(now), loadPerRequest: this.recentLoad.loadPerRequest} : undefined;
+		const moves = planKeyMoves(this.map, this.owners(), rates, recent);
 		if (moves.length > 0) {
 			this.moves += moves.length;
 			this.map = this.map.assign(moves, fence);
--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -56,6 +56,8 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly timing: LeaseTiming;
+	/** Returns whether keys leave targets at once whose load surges. */
+	readonly detectsSurges?: () => boolean;
 	/** Interval at which each target writes its entry again, in milliseconds. */
 	readonly heartbeatMs: number;
 	/** Returns the measurements since the last call. */
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -51,6 +51,8 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly timing: LeaseTiming;
+	/** Returns whether keys leave targets at once whose load surges. */
+	readonly detectsSurges?: () => boolean;
 	/** State of a former leader on which the view of this instance is based. */
 	readonly baseState: BaseState | undefined;
 	/** Returns the measurements of this instance since the last call. */
@@ -281,6 +283,7 @@
 				manager.tick({
 					owners: this.findOwners(service.name, manager, now),
 					rates: () => this.measurements.rates(service.name, now),
+					recentLoad: this.options.detectsSurges?.() === true ? () => this.measurements.recentLoad(service.name, now) : undefined,
 					mayMove: hasStoreContact && !isRecovering && this.confirmation.isInPresentEra,
 				});
 			}
--- a/packages/gateway/src/cluster/measurements.ts
+++ b/packages/gateway/src/cluster/measurements.ts
@@ -1,4 +1,6 @@
-import {KeyLoad, type KeyRates} from '@bluebellyard/core';
+import {
+	KeyLoad, recentHalfLifeMs, type KeyRates, type RecentLoad,
+} from '@bluebellyard/core';
 import {ConditionBoard} from './condition-board.js';
 import type {Report} from './messages.js';
 
@@ -14,6 +16,8 @@
 export class Measurements {
 	private readonly conditions: ConditionBoard;
 	private readonly loads = new Map<string, KeyLoad>();
+	/** Loads measured over a short time. */
+	private readonly recentLoads = new Map<string, KeyLoad>();
 	/** Targets that announced their leaving. */
 	private readonly leaving: Set<string>;
 	private readonly slownessByTarget = new Map<string, number>();
@@ -31,8 +35,11 @@
 		for (const [service, pairs] of Object.entries(keys)) {
 			const load = this.loads.get(service) ?? new KeyLoad();
 			this.loads.set(service, load);
+			const recent = this.recentLoads.get(service) ?? new KeyLoad(recentHalfLifeMs);
+			this.recentLoads.set(service, recent);
 			for (let i = 0; i + 1 < pairs.length; i += 2) {
 				load.add(pairs[i], pairs[i + 1], now);
+				recent.add(pairs[i], pairs[i + 1], now);
 			}
 		}
 
@@ -67,6 +74,12 @@
 		return this.loads.get(service)?.rates(now) ?? [];
 	}
 
+	/** Returns the load of a service by key as measured over a short time, for the detection of surges. */
+	recentLoad(service: string, now: number): RecentLoad | undefined {
+		const load = this.recentLoads.get(service);
+		return load === undefined ? undefined : {rates: load.rates(now), loadPerRequest: load.loadPerRequest};
+	}
+
 	/** Returns the long-term slowness factor of a target; 1 is normal. */
 	slowness(target: string): number {
 		return this.slownessByTarget.get(target) ?? 1;
--- a/packages/gateway/src/cluster/ownership-manager-options.ts
+++ b/packages/gateway/src/cluster/ownership-manager-options.ts
@@ -1,5 +1,5 @@
 import type {
-	Clock, EligibleOwner, KeyRates, LeaseTiming, OwnershipMap,
+	Clock, EligibleOwner, KeyRates, LeaseTiming, OwnershipMap, RecentLoad,
 } from '@bluebellyard/core';
 import type {TargetControl, TargetRef} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
@@ -34,6 +34,8 @@
 	readonly owners: readonly EligibleOwner[];
 	/** Returns the load by key; called only when a plan is due. */
 	readonly rates: () => KeyRates;
+	/** Returns the load by key as measured over a short time; undefined if keys need not leave a surge at once. */
+	readonly recentLoad?: () => RecentLoad | undefined;
 	/** Whether keys may move to other owners; false while the store is unreachable. */
 	readonly mayMove: boolean;
 };
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -29,6 +29,9 @@
 /** Interval between two plans that balance load, in milliseconds; load is measured over seconds. */
 const balanceIntervalMs = 500;
 
+/** The same while keys leave surges at once, in milliseconds; about the interval at which the load is reported. */
+const surgeIntervalMs = 200;
+
 /** Delay before the removal of former owners is written, in milliseconds, so that another write can include it. */
 const cleanupDelayMs = 400;
 
@@ -178,7 +181,7 @@
 		this.silentOwners.probe(new Set(this.map.ranges.map(range => range.owner)));
 	}
 
-	private plan({owners, rates}: TickInput, now: number): void {
+	private plan({owners, rates, recentLoad}: TickInput, now: number): void {
 		if (owners.length === 0) {
 			return;
 		}
@@ -193,14 +196,14 @@
 		const hasUnusableOwner = this.map.ranges.some(range => !usableIds.has(range.owner));
 		const isFirstAssignment = this.map.ranges.every(range => range.owner === '');
 		const isSettling = isFirstAssignment && now - this.ownersChangedAt < settleMs && now - this.firstOwnerAt < maxSettleMs;
-		const isBalanceDue = now - this.lastPlanAt >= balanceIntervalMs;
+		const isBalanceDue = now - this.lastPlanAt >= (recentLoad === undefined ? balanceIntervalMs : surgeIntervalMs);
 		if (isSettling || !(hasUnusableOwner || isBalanceDue)) {
 			this.writeCleanup(now);
 			return;
 		}
 
 		this.lastPlanAt = now;
-		const moves = planKeyMoves(this.map, owners, rates());
+		const moves = planKeyMoves(this.map, owners, rates(), recentLoad?.());
 		if (moves.length === 0) {
 			this.writeCleanup(now);
 			return;
