--- a/packages/gateway/src/dispatch/selector-switch.ts
+++ b/packages/gateway/src/dispatch/selector-switch.ts
@@ -11,6 +11,11 @@
 	readonly telemetry: Telemetry;
 };
 
+/** Returns whether load is balanced by what is known of all queues and keys, as the setting and the active configuration ask for. */
+export function isLoadBalanced(mode: BalancingMode, view: Pick<View, 'hasLargeAnswers'>): boolean {
+	return mode === BalancingMode.TwoChoices || (mode === BalancingMode.Auto && view.hasLargeAnswers);
+}
+
 /** Provides the selector of domains that the setting and the active configuration ask for. */
 export class SelectorSwitch {
 	private readonly ownDomain = new OwnDomainSelector();
@@ -26,8 +31,7 @@
 
 	/** Whether domains are selected by two choices, so that the load of queues is told to other instances. */
 	get isBalanced(): boolean {
-		const {mode, view} = this.options;
-		return mode === BalancingMode.TwoChoices || (mode === BalancingMode.Auto && view.hasLargeAnswers);
+		return isLoadBalanced(this.options.mode, this.options.view);
 	}
 
 	/** The selector to use at present. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 } from '@bluebellyard/core';
 import {DispatchQueues, isConnectionRefused, TargetClient} from './queue/index.js';
 import {
-	CrashGuard, Dispatcher, RequestExplainer, type Order,
+	CrashGuard, Dispatcher, isLoadBalanced, RequestExplainer, type Order,
 } from './dispatch/index.js';
 import {
 	answerExplain, CallerServer, explainPath, ProbeServer,
@@ -102,7 +102,7 @@
 			: {value: this.coordinator.handle(op as PeerOp, message), bytes: noBytes}, clock, addr => this.isFar(addr));
 		this.client = new TargetClient(ports.wire, clock, cfg.targets['local-address']);
 		this.coordinator = new Coordinator({
-			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
+			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), detectsSurges: () => isLoadBalanced(cfg.balancing.mode, view), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
 		this.guard = new CrashGuard(view, clock);
 		this.queues = new DispatchQueues({
