--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,7 +102,17 @@
 			: {value: this.coordinator.handle(op as PeerOp, message), bytes: noBytes}, clock, addr => this.isFar(addr));
 		this.client = new TargetClient(ports.wire, clock, cfg.targets['local-address']);
 		this.coordinator = new Coordinator({
-			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), detectsSurges: () => isLoadBalanced(cfg.balancing.mode, view), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
+			...ports,
+			self,
+			view,
+			net: this.net,
+			clock,
+			telemetry,
+			random,
+			timing: toTiming(cfg),
+			detectsSurges: () => isLoadBalanced(cfg.balancing.mode, view),
+			heartbeatMs: cfg.targets.heartbeat,
+			report: () => this.report(),
 		});
 		this.guard = new CrashGuard(view, clock);
 		this.queues = new DispatchQueues({
