Errors: a missing or unknown key, and a team over its limit

Cause: requests with a key of no team and requests beyond a team's limit need refusals of their own; callers and operators must tell them from overload.

Nothing raises them yet.

--- a/packages/core/src/errors/error-kind.ts
+++ b/packages/core/src/errors/error-kind.ts
@@ -4,6 +4,10 @@
 export enum ErrorKind {
 	/** No rule matches the method and path. */
 	NoRoute = 'no-route',
+	/** The route needs a key of a team; the request has none, or one that no team has. */
+	UnknownKey = 'unknown-key',
+	/** The team of the caller is over its limit of requests. */
+	TeamLimit = 'team-limit',
 	/** The request line, a header or the key is malformed. */
 	BadRequest = 'bad-request',
 	/** The body is larger than the configured limit. */
@@ -90,6 +94,10 @@
 /** Answers by kind of error. */
 export const answerTable: Readonly<Record<ErrorKind, AnswerRow>> = {
 	[ErrorKind.NoRoute]: {status: 404, outcome: notRun, text: 'No rule matches this request.'},
+	[ErrorKind.UnknownKey]: {status: 401, outcome: notRun, text: 'This request needs the key of a team.'},
+	[ErrorKind.TeamLimit]: {
+		status: 429, outcome: notRun, retryAfter: 1, text: 'The team has reached its limit of requests.',
+	},
 	[ErrorKind.BadRequest]: {status: 400, outcome: notRun, text: 'The request is malformed.'},
 	[ErrorKind.BodyTooLarge]: {status: 413, outcome: notRun, text: 'The body is too large.'},
 	[ErrorKind.CallerTimeout]: {status: 408, outcome: notRun, text: 'The request arrived too slowly.'},
