View: teams and digests of their keys are part of the configuration

Cause: each instance must find the team of a key on its own, also without contact, and a revoked key must go with the version that revokes it.

Change: rows team/NAME and team-key/DIGEST, replaced with the configuration and kept with it; a look-up reads two rows. The store groups its rows by the first segment of their keys, since reading the rows of a prefix and building the changes for a ping went through all rows, which 100,000 keys would have made the leader's main work. The order of rows in a message is as before.

--- a/packages/gateway/src/view/delta-store.ts
+++ b/packages/gateway/src/view/delta-store.ts
@@ -12,15 +12,37 @@
 /** Number of removed keys that are kept so that lagging replicas can catch up without a full copy. */
 const maxTombstones = 4096;
 
+type Row = {
+	readonly value: unknown;
+	readonly text: string;
+	readonly seq: number;
+	/** Order in which keys were added; deltas list their rows in this order. */
+	readonly place: number;
+};
+
+/** Rows that share the first path segment of their keys. */
+type Part = {
+	/** Sequence number of the last change. */
+	seq: number;
+	readonly rows: Map<string, Row>;
+};
+
+/** Returns the first path segment of a key. */
+function partOf(key: string): string {
+	const slash = key.indexOf('/');
+	return slash === -1 ? key : key.slice(0, slash);
+}
+
 /** Key-value store that numbers its changes, so that replicas receive only the changes that they lack. */
 export class DeltaStore {
 	private seq = 0;
 	/** Oldest sequence number from which a delta can be built. */
 	private oldestBase = 0;
-	private readonly rows = new Map<string, {readonly value: unknown; readonly text: string; readonly seq: number}>();
+	private nextPlace = 0;
+	private readonly rows = new Map<string, Row>();
+	/** The same rows by the first path segment of the key, so that a part with many rows does not slow down reads of the others. */
+	private readonly parts = new Map<string, Part>();
 	private readonly tombstones = new Map<string, number>();
-	/** Sequence number of the last change, by the first path segment of the key. */
-	private readonly partSeqs = new Map<string, number>();
 
 	/** Sequence number of the last change. */
 	get lastSeq(): number {
@@ -29,7 +51,7 @@
 
 	/** Returns the sequence number of the last change to the key `part` or to a key under `part/`; 0 if there was none. */
 	lastSeqOfPart(part: string): number {
-		return this.partSeqs.get(part) ?? 0;
+		return this.parts.get(part)?.seq ?? 0;
 	}
 
 	/** Returns the value of a key. */
@@ -39,7 +61,8 @@
 
 	/** Yields the keys that begin with a prefix, with their values. */
 	* withPrefix<T>(prefix: string): Generator<readonly [key: string, value: T]> {
-		for (const [key, row] of this.rows) {
+		const rows = prefix.includes('/') ? this.parts.get(partOf(prefix))?.rows ?? [] : this.rows;
+		for (const [key, row] of rows) {
 			if (key.startsWith(prefix)) {
 				yield [key, row.value as T];
 			}
@@ -49,13 +72,18 @@
 	/** Sets a value. Returns false if it equals the present one. */
 	set(key: string, value: unknown): boolean {
 		const text = JSON.stringify(value);
-		if (this.rows.get(key)?.text === text) {
+		const previous = this.rows.get(key);
+		if (previous?.text === text) {
 			return false;
 		}
 
-		this.incrementSeq(key);
+		const part = this.changePart(key);
+		const row = {
+			value, text, seq: this.seq, place: previous?.place ?? this.nextPlace++,
+		};
 		this.tombstones.delete(key);
-		this.rows.set(key, {value, text, seq: this.seq});
+		this.rows.set(key, row);
+		part.rows.set(key, row);
 		return true;
 	}
 
@@ -65,7 +93,7 @@
 			return false;
 		}
 
-		this.incrementSeq(key);
+		this.changePart(key).rows.delete(key);
 		this.tombstones.delete(key);
 		this.tombstones.set(key, this.seq);
 		this.trimTombstones();
@@ -76,10 +104,14 @@
 	deltaSince(seq: number): Delta {
 		const isFull = seq < this.oldestBase || seq > this.seq;
 		const after = isFull ? 0 : seq;
+		const changed = [...this.parts.values()]
+			.filter(part => part.seq > after)
+			.flatMap(part => [...part.rows].filter(([, row]) => row.seq > after))
+			.toSorted(([, a], [, b]) => a.place - b.place);
 		return {
 			isFull,
 			seq: this.seq,
-			set: [...this.rows].filter(([, row]) => row.seq > after).map(([key, row]) => [key, row.value] as const),
+			set: changed.map(([key, row]) => [key, row.value] as const),
 			gone: isFull ? [] : [...this.tombstones].filter(([, removedAt]) => removedAt > after).map(([key]) => key),
 		};
 	}
@@ -104,10 +136,14 @@
 		}
 	}
 
-	private incrementSeq(key: string): void {
+	/** Numbers a change of a key and returns its part. */
+	private changePart(key: string): Part {
 		this.seq += 1;
-		const slash = key.indexOf('/');
-		this.partSeqs.set(slash === -1 ? key : key.slice(0, slash), this.seq);
+		const name = partOf(key);
+		const part: Part = this.parts.get(name) ?? {seq: 0, rows: new Map()};
+		part.seq = this.seq;
+		this.parts.set(name, part);
+		return part;
 	}
 
 	private trimTombstones(): void {
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -4,10 +4,11 @@
  * replicates it to all instances.
  */
 import {
-	bodyLengthOf, HostRoutes, TargetPhase, type CallerLimits, type HostRoute, type Service, type Suspect, type TargetInfo,
+	bodyLengthOf, HostRoutes, TargetPhase, type CallerLimits, type HostRoute, type Service, type Suspect, type TargetInfo, type Team,
 } from '@bluebellyard/core';
 import type {GatewayConfig} from '../ports/index.js';
 import {DeltaStore, type Delta} from './delta-store.js';
+import {isTeamRow, TeamTable, teamRows} from './team-table.js';
 
 /** A key range by which requests of callers are routed. */
 export type OwnedRange = {
@@ -65,6 +66,7 @@
 /** Typed access to the replicated state. */
 export class View {
 	readonly store = new DeltaStore();
+	private readonly teamTable = new TeamTable(this.store);
 	/** Sequence number at which each cached table was built, by key part. */
 	private readonly builtAtSeq = new Map<string, number>();
 	private hostRoutes = new HostRoutes([]);
@@ -105,6 +107,16 @@
 		return this.hostRoutes;
 	}
 
+	/** Teams of the active configuration. */
+	get teams(): readonly Team[] {
+		return this.teamTable.teams;
+	}
+
+	/** Whether the active configuration has teams, so that callers need keys. */
+	get hasTeams(): boolean {
+		return this.teams.length > 0;
+	}
+
 	/** All known targets, by incarnation id. */
 	get targets(): ReadonlyMap<string, TargetInfo> {
 		this.rebuildIfChanged('target', () => {
@@ -159,6 +171,11 @@
 		this.listeners.add(listener);
 	}
 
+	/** Returns the team that has the key with a digest; undefined if no team has it. */
+	findTeam(digest: string): Team | undefined {
+		return this.teamTable.find(digest);
+	}
+
 	/** Returns the range of a sharded service that contains the key. */
 	findRange(service: string, key: number): ({from: number} & OwnedRange) | undefined {
 		this.rebuildIfChanged('keys', () => {
@@ -236,6 +253,10 @@
 		const services = new Map(config.services.map(service => [`service/${service.name}`, service]));
 		this.replacePrefix('route/', routes);
 		this.replacePrefix('service/', services);
+		for (const [prefix, rows] of teamRows(config)) {
+			this.replacePrefix(prefix, rows);
+		}
+
 		this.store.set('config', {version: config.version, limits: config.limits} satisfies ConfigHeader);
 		this.keepsConfig = false;
 		return true;
@@ -289,7 +310,7 @@
 
 	/** Returns changes that leave the configuration as it is. */
 	private withOwnConfig(delta: Delta): Delta {
-		const isConfigKey = (key: string) => key === 'config' || key.startsWith('route/') || key.startsWith('service/');
+		const isConfigKey = (key: string) => key === 'config' || key.startsWith('route/') || key.startsWith('service/') || isTeamRow(key);
 		const ownConfig = delta.isFull ? this.store.deltaSince(-1).set.filter(([key]) => isConfigKey(key)) : [];
 		return {
 			...delta,
