Callers state their team by a key; targets are told the team

Cause: a configuration with teams restricts routes to callers with a key, gives teams a priority of their own and lets targets know the team.

Change: TeamAdmission decides once the route is known and before the body is read: 401 for a missing or unknown key on a route that is not public, 429 over the limit (TeamLimits, optional; Gateway passes none yet), else the team and a permit, which is given back if the request has not run. Headers with credentials are removed there and nowhere else, so that no key gets to targets, other instances or logs. The team goes with the order (tm between instances) and is written to the target by the platform's wire; the order's priority is that of the team, if it has one. Refusals and answers are logged with the team; counters of admitted and rejected requests name at most 128 teams.

--- a/packages/gateway/src/dispatch/wire-order.ts
+++ b/packages/gateway/src/dispatch/wire-order.ts
@@ -34,6 +34,8 @@
 	readonly x: readonly string[];
 	/** Run mode; absent from instances of an earlier version. */
 	readonly rm?: RunMode;
+	/** Name of the caller's team; absent without one. */
+	readonly tm?: string;
 };
 
 /** Encodes an order for the dispatch queue of another instance. */
@@ -55,6 +57,7 @@
 		left: Math.round(order.deadline - now),
 		x: order.excluded,
 		rm: order.mode,
+		...(order.team !== undefined && {tm: order.team}),
 	};
 }
 
@@ -78,5 +81,6 @@
 		excluded: wire.x,
 		skipsRateLimited,
 		mode: wire.rm ?? RunMode.Usual,
+		team: wire.tm,
 	};
 }
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -3,12 +3,13 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	RequestAgeEstimator, ErrorKind, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute,
+	RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type Team,
 } from '@bluebellyard/core';
 import {
 	failure, type Dispatcher, type FailedResult, type Order, type OrderResult,
 } from '../dispatch/index.js';
 import type {CallerHeaders, Wire} from '../ports/index.js';
+import type {AdmittedRequest, TeamAdmission} from '../teams/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {listen, waitForPendingReads} from '../net/index.js';
@@ -29,15 +30,26 @@
 type Outcome = {
 	readonly result: OrderResult;
 	readonly route?: HostRoute;
+	/** Team of the caller. */
+	readonly team?: Team;
 	/** Whether the caller had been refused before, as far as the remaining time tells. */
 	readonly hasReturned?: boolean;
 };
 
+/** A request that may run, before its body is read. */
+type AcceptedRequest = {
+	readonly headers: CallerHeaders;
+	readonly route: HostRoute;
+	readonly admitted: AdmittedRequest;
+	readonly arrivedAt: number;
+};
+
 /** Options of the server. */
 export type CallerServerOptions = {
 	readonly view: View;
 	readonly wire: Wire;
 	readonly dispatcher: Pick<Dispatcher, 'run'>;
+	readonly admission: Pick<TeamAdmission, 'decide' | 'settle'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	/** Called with the key of each request for a sharded service. */
@@ -118,11 +130,11 @@
 		this.openRequests += 1;
 		const headers = wire.readCaller(req.headers);
 		try {
-			const {result, route, hasReturned} = await this.answer(req, headers, arrivedAt, abort);
-			this.send(res, req, result);
-			this.recordResult(headers, route, result, clock.now() - arrivedAt);
-			if (hasReturned === true) {
-				telemetry.metrics.returns.inc({result: describeReturn(result)});
+			const outcome = await this.answer(req, headers, arrivedAt, abort);
+			this.send(res, req, outcome.result);
+			this.recordResult(headers, outcome, clock.now() - arrivedAt);
+			if (outcome.hasReturned === true) {
+				telemetry.metrics.returns.inc({result: describeReturn(outcome.result)});
 			}
 		} catch (err) {
 			telemetry.error('front', 'Request failed inside the gateway.', {id: headers.requestId, err});
@@ -134,8 +146,7 @@
 	}
 
 	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: AbortController): Promise<Outcome> {
-		const {view, dispatcher, clock} = this.options;
-		const {signal} = abort;
+		const {view, admission, clock} = this.options;
 		if (view.configVersion === undefined) {
 			return {result: failure(ErrorKind.NotReady, {retryAfterMs: startingRetryMs, reason: 'no configuration yet'})};
 		}
@@ -145,38 +156,58 @@
 			return {result: failure(ErrorKind.NoRoute, {reason: `version ${view.configVersion}`})};
 		}
 
+		const admitted = admission.decide(route, headers.apiKey, clock.now());
+		const {team} = admitted;
+		if (!admitted.isAdmitted) {
+			return {route, team, result: admitted.result};
+		}
+
+		const outcome = await this.run(req, {
+			headers, route, admitted, arrivedAt,
+		}, abort);
+		admission.settle(admitted, outcome.result);
+		return {...outcome, route, team};
+	}
+
+	/** Reads the body of a request and runs it. */
+	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: AbortController): Promise<Outcome> {
+		const {view, dispatcher, clock} = this.options;
+		const {signal} = abort;
 		const body = await readBody(req, view.limits.bodyBytes);
 		if (body === undefined) {
-			return {route, result: failure(signal.aborted ? ErrorKind.CallerDisconnectedBeforeSend : ErrorKind.BodyTooLarge, {reason: 'the request body exceeds the limit or could not be read'})};
+			return {result: failure(signal.aborted ? ErrorKind.CallerDisconnectedBeforeSend : ErrorKind.BodyTooLarge, {reason: 'the request body exceeds the limit or could not be read'})};
 		}
 
 		// If the event loop lags, callers may have left before their request was read.
 		await waitForPendingReads();
 		if (signal.aborted) {
-			return {route, result: failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'})};
+			return {result: failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'})};
 		}
 
-		const order = this.toOrder(req, {
-			headers, route, body, arrivedAt,
-		});
+		const order = this.toOrder(req, accepted, body);
 		const result = await new Promise<OrderResult>(resolve => {
 			const timer = setTimeout(() => {
 				resolve(failure(ErrorKind.TargetTimeout, {isNotRun: false, reason: 'no result at the deadline'}));
 				abort.abort();
 			}, Math.max(1, order.deadline - clock.now() + answerSlackMs));
-			void dispatcher.run(order, route.maxTargets, signal).then(outcome => {
+			void dispatcher.run(order, accepted.route.maxTargets, signal).then(outcome => {
 				clearTimeout(timer);
 				resolve(outcome);
 			});
 		});
-		return {route, result, hasReturned: order.objectiveAt - order.arrivedAt < order.objectiveMs};
+		return {result, hasReturned: order.objectiveAt - order.arrivedAt < order.objectiveMs};
 	}
 
-	private toOrder(req: IncomingMessage, {headers, route, body, arrivedAt}: {headers: CallerHeaders; route: HostRoute; body: Buffer; arrivedAt: number}): Order {
+	private toOrder(req: IncomingMessage, {headers, route, admitted, arrivedAt}: AcceptedRequest, body: Buffer): Order {
+		const {view, wire} = this.options;
+		const {team} = admitted;
+		const pairs = toPairs(req.rawHeaders);
+		// The configuration may have changed while the body was read.
+		const hasTeams = admitted.hasTeams || view.hasTeams;
 		const service = this.getSplit(route.name).next(route.services);
 		const timeoutMs = Math.min(headers.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
 		const ageMs = headers.callerTimeoutMs === undefined ? 0 : this.ages.estimate(route.name, headers.callerTimeoutMs);
-		if (headers.key !== undefined && this.options.view.allServices.get(service)?.isSharded === true) {
+		if (headers.key !== undefined && view.allServices.get(service)?.isSharded === true) {
 			this.options.onKeyedRequest(service, headers.key, route);
 		}
 
@@ -184,12 +215,13 @@
 			requestId: headers.requestId,
 			method: req.method ?? 'GET',
 			path: req.url ?? '/',
-			headers: toPairs(req.rawHeaders),
+			headers: hasTeams ? wire.withoutCredentials(pairs) : pairs,
 			body,
 			route: route.name,
 			service,
 			key: headers.key,
-			priority: route.priority,
+			priority: priorityOf(route, team),
+			team: team?.name,
 			isOnce: route.repeat === Repeat.Once,
 			objectiveMs: route.objectiveMs,
 			arrivedAt,
@@ -213,6 +245,12 @@
 		}
 
 		if (result.kind === 'failure') {
+			if (result.error === ErrorKind.UnknownKey) {
+				for (const [name, value] of this.options.wire.toChallenge()) {
+					res.setHeader(name, value);
+				}
+			}
+
 			sendFailure(res, result);
 			return;
 		}
@@ -234,10 +272,11 @@
 		res.end(body);
 	}
 
-	private recordResult(headers: CallerHeaders, route: HostRoute | undefined, result: OrderResult, tookMs: number): void {
+	private recordResult(headers: CallerHeaders, {route, team, result}: Outcome, tookMs: number): void {
 		const {telemetry} = this.options;
 		const fields = {
 			id: headers.requestId, route: route?.name, key: headers.key, tookMs: Math.round(tookMs), waitMs: Math.round(result.waitMs), target: result.target, version: this.options.view.configVersion,
+			...(team !== undefined && {team: team.name}),
 		};
 		telemetry.metrics.latency.observe({route: route?.name ?? 'none'}, tookMs / 1000);
 		if (result.kind === 'answer') {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
 import type {GatewaySettings} from './settings/index.js';
+import {TeamAdmission} from './teams/index.js';
 import {type Telemetry} from './telemetry/index.js';
 import {View, type NodeInfo} from './view/index.js';
 
@@ -150,6 +151,7 @@
 			view,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
+			admission: new TeamAdmission({view, metrics: telemetry.metrics}),
 			clock,
 			telemetry,
 			onKeyedRequest: (service, key, route) => {
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -6,3 +6,4 @@
 export * from './memory-feed.js';
 export * from './memory-log.js';
 export * from './ownership-harness.js';
+export * from './plain-wire.js';
--- a/packages/gateway/src/ports/wire.ts
+++ b/packages/gateway/src/ports/wire.ts
@@ -12,6 +12,8 @@
 	readonly callerTimeoutMs: number | undefined;
 	/** Key of a sharded service; undefined if absent or invalid. */
 	readonly key: number | undefined;
+	/** Key by which the caller states its team; undefined if absent. A secret: it must get into no log line, message or view. */
+	readonly apiKey: string | undefined;
 };
 
 /** Load reported by a target. */
@@ -51,6 +53,8 @@
 	readonly timeLeftMs: number;
 	/** Name of the target that may run the request. */
 	readonly target: string;
+	/** Name of the caller's team; undefined without one. */
+	readonly team?: string;
 };
 
 /** Encodes and decodes the headers defined by the platform. */
@@ -59,6 +63,12 @@
 
 	abstract readTarget(headers: IncomingHttpHeaders): TargetHeaders;
 
+	/** Returns a caller's headers without those that state its key or its team, all occurrences. */
+	abstract withoutCredentials(headers: HeaderList): HeaderList;
+
+	/** Returns the headers of an answer that asks the caller for a key. */
+	abstract toChallenge(): HeaderList;
+
 	/** Returns the headers for a target: the caller's without the hop-by-hop ones, plus the gateway's own. */
 	abstract toTarget(callerHeaders: HeaderList, own: TargetRequestHeaders): Record<string, string>;
 
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -235,6 +235,7 @@
 			path: order.path,
 			headers: order.headers,
 			body: order.body,
+			team: order.team,
 			timeLeftMs: Math.max(1, Math.floor(order.deadline - startedAt + answerSlackMs)),
 			isOnce: order.isOnce,
 			connections: target.slots + spareConnections,
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -20,6 +20,8 @@
 	readonly path: string;
 	readonly headers: HeaderList;
 	readonly body: Buffer;
+	/** Name of the caller's team; undefined without one. */
+	readonly team?: string;
 	readonly timeLeftMs: number;
 	/** Whether the request must run at most once. It then uses a new connection, or one that was used within the last `reuseForOnceMs`. */
 	readonly isOnce: boolean;
@@ -96,7 +98,9 @@
 		client.dispatch({
 			method: req.method,
 			path: req.path,
-			headers: this.wire.toTarget(req.headers, {requestId: req.requestId, timeLeftMs: req.timeLeftMs, target: req.target}),
+			headers: this.wire.toTarget(req.headers, {
+				requestId: req.requestId, timeLeftMs: req.timeLeftMs, target: req.target, team: req.team,
+			}),
 			body: req.body.length === 0 ? null : req.body,
 		}, exchange);
 		const result = await exchange.result;
--- /dev/null
+++ b/packages/gateway/src/teams/index.ts
@@ -0,0 +1,1 @@
+export * from './team-admission.js';
--- a/packages/gateway/src/telemetry/index.ts
+++ b/packages/gateway/src/telemetry/index.ts
@@ -1,3 +1,4 @@
+export * from './bounded-labels.js';
 export * from './bounded-writer.js';
 export * from './metrics.js';
 export * from './telemetry.js';
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -1,10 +1,14 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {BoundedLabels} from './bounded-labels.js';
 
 /** Upper bounds of the latency buckets, in seconds; they range from a fast answer to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
+/** Largest number of teams with a label of their own. */
+const maxTeamLabels = 128;
+
 /** Counters, gauges and histograms of one instance. */
 export class Metrics {
 	readonly registry = new Registry();
@@ -63,6 +67,22 @@
 		registers: [this.registry],
 	});
 
+	/** Values of the label `team`. */
+	readonly teamLabels = new BoundedLabels(maxTeamLabels);
+
+	readonly teamRequests = new Counter({
+		name: 'bluebellyard_team_requests_total',
+		help: 'Requests received here with the key of a team, by team and result: admitted, or rejected over its limit.',
+		labelNames: ['team', 'result'],
+		registers: [this.registry],
+	});
+
+	readonly unknownKeys = new Counter({
+		name: 'bluebellyard_unknown_keys_total',
+		help: 'Requests rejected since they had no key of a team.',
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
