--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -158,7 +158,12 @@
 			if (entry.kind === 'evacuation') {
 				this.evacuations.set(key, entry.domain);
 			} else if (view.setConfig(entry.config)) {
-				telemetry.info('news', 'A new configuration is active.', {version: entry.config.version, routes: entry.config.routes.length});
+				const {
+					version, routes, teams, teamKeys,
+				} = entry.config;
+				telemetry.info('news', 'A new configuration is active.', {
+					version, routes: routes.length, ...(teams !== undefined && {teams: teams.length, teamKeys: teamKeys?.length}),
+				});
 			}
 		}
 
