Tests of teams share their limits

Cause: two test files had the same stand-in for the limits of teams.

Change: CountedLimits among the mocks.

--- a/packages/gateway/src/front/caller-teams.test.ts
+++ b/packages/gateway/src/front/caller-teams.test.ts
@@ -8,33 +8,16 @@
 import {text} from 'node:stream/consumers';
 import test, {type ExecutionContext} from 'ava';
 import {
-	digestKey, ErrorKind, ManualClock, systemClock, TeamLimits, type Team, type TeamPermit, type TeamPermitDecision,
+	digestKey, ErrorKind, ManualClock, systemClock,
 } from '@bluebellyard/core';
 import {failure, type Order, type OrderResult} from '../dispatch/index.js';
-import {createConfig, PlainWire} from '../mocks/index.js';
+import {CountedLimits, createConfig, PlainWire} from '../mocks/index.js';
 import type {GatewayConfig} from '../ports/index.js';
 import {TeamAdmission} from '../teams/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {View} from '../view/index.js';
 import {CallerServer} from './caller-server.js';
 
-class OnePermit extends TeamLimits {
-	left = 1;
-
-	override admit({name}: Team): TeamPermitDecision {
-		if (this.left === 0) {
-			return {permit: undefined, retryAfterMs: 340};
-		}
-
-		this.left -= 1;
-		return {permit: {team: name}};
-	}
-
-	override giveBack(_permit: TeamPermit): void {
-		this.left += 1;
-	}
-}
-
 const teams = {
 	teams: [{name: 'urgent', priority: 0, burst: 0}, {name: 'limited', ratePerSecond: 10, burst: 0}],
 	teamKeys: [[digestKey('k1'), 'urgent'], [digestKey('k2'), 'limited']],
@@ -44,7 +27,7 @@
 class Harness {
 	readonly view = new View();
 	readonly orders: Order[] = [];
-	readonly limits = new OnePermit();
+	readonly limits = new CountedLimits(1);
 	readonly agent = new Agent({keepAlive: true, maxSockets: 1});
 	result: OrderResult = failure(ErrorKind.NoTarget, {});
 	port = 0;
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -1,3 +1,4 @@
+export * from './counted-limits.js';
 export * from './create-config.js';
 export * from './fake-target-control.js';
 export * from './feed-harness.js';
--- a/packages/gateway/src/teams/team-admission.test.ts
+++ b/packages/gateway/src/teams/team-admission.test.ts
@@ -1,37 +1,14 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {
-	digestKey, ErrorKind, TeamLimits, type Team, type TeamPermit, type TeamPermitDecision,
+	digestKey, ErrorKind, type Team, type TeamLimits,
 } from '@bluebellyard/core';
 import {failure, type OrderResult} from '../dispatch/index.js';
-import {createConfig} from '../mocks/index.js';
+import {CountedLimits, createConfig} from '../mocks/index.js';
 import {Metrics} from '../telemetry/index.js';
 import {View} from '../view/index.js';
 import {TeamAdmission, type AdmittedRequest} from './team-admission.js';
 
-/** Limits with a fixed number of permits for all teams together. */
-class CountedLimits extends TeamLimits {
-	readonly asked: string[] = [];
-
-	constructor(public left: number) {
-		super();
-	}
-
-	override admit({name}: Team): TeamPermitDecision {
-		this.asked.push(name);
-		if (this.left === 0) {
-			return {permit: undefined, retryAfterMs: 340};
-		}
-
-		this.left -= 1;
-		return {permit: {team: name}};
-	}
-
-	override giveBack(_permit: TeamPermit): void {
-		this.left += 1;
-	}
-}
-
 const limited: Team = {name: 'limited', ratePerSecond: 10, burst: 5};
 const free: Team = {name: 'free', priority: 0, burst: 0};
 const teams = {teams: [limited, free], teamKeys: [[digestKey('k1'), 'limited'], [digestKey('k2'), 'free']]} as const;
