A recent refusal applies to requests of the same team only

Cause: for 100 ms after its steward refused a request, an instance refuses others of the same route and queue itself. With teams these may be more urgent, or wait in the team's own order, so that a flooding team's refusals would have refused the others, too.

Change: refusals are remembered by queue, route and team. Without teams nothing changes.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -263,7 +263,7 @@
 
 		const now = clock.now();
 		const left = {objectiveMs: order.objectiveAt - now, deadlineMs: order.deadline - now};
-		const retryAfterMs = this.refusals.retryAfterMs(queueId, order.route, left, now);
+		const retryAfterMs = this.refusals.retryAfterMs(queueId, order, left, now);
 		if (retryAfterMs !== undefined) {
 			return failure(ErrorKind.DeadlineTooClose, {retryAfterMs, reason: `${node.name} refused a similar request recently`});
 		}
@@ -271,7 +271,7 @@
 		try {
 			const result = await this.forward(node.addr, queueId, order, signal);
 			if (result.kind === 'failure' && result.error === ErrorKind.DeadlineTooClose) {
-				this.refusals.record(queueId, order.route, left, {now: clock.now(), retryAfterMs: result.retryAfterMs});
+				this.refusals.record(queueId, order, left, {now: clock.now(), retryAfterMs: result.retryAfterMs});
 			}
 
 			return result;
--- a/packages/gateway/src/dispatch/recent-refusals.ts
+++ b/packages/gateway/src/dispatch/recent-refusals.ts
@@ -1,9 +1,14 @@
+import type {Order} from './order.js';
+
 /** Time for which a refusal of a dispatch queue is applied to later requests, in milliseconds; the queue that refused takes at least three times as long to drain. */
 const validMs = 100;
 
 /** Largest number of refusals kept at a time. */
 const maxRefusals = 2048;
 
+/** What requests share that a dispatch queue orders alike; the team decides the priority beside the route. */
+export type RefusedKind = Pick<Order, 'route' | 'team'>;
+
 /** Time that a request has left, in milliseconds. */
 export type TimeLeft = {
 	/** Time until the answer misses the latency objective. */
@@ -28,17 +33,17 @@
 	private readonly refusals = new Map<string, Refusal>();
 
 	/** Records that a request was refused because it had too little time left. */
-	record(queueId: string, route: string, left: TimeLeft, {now, retryAfterMs}: {now: number; retryAfterMs: number}): void {
+	record(queueId: string, kind: RefusedKind, left: TimeLeft, {now, retryAfterMs}: {now: number; retryAfterMs: number}): void {
 		if (this.refusals.size >= maxRefusals) {
 			this.refusals.clear();
 		}
 
-		this.refusals.set(key(queueId, route), {left, at: now, retryAt: now + retryAfterMs});
+		this.refusals.set(key(queueId, kind), {left, at: now, retryAt: now + retryAfterMs});
 	}
 
 	/** Returns the retry delay in milliseconds for a request that has no more time left than the refused one, or undefined if the request may be sent. */
-	retryAfterMs(queueId: string, route: string, left: TimeLeft, now: number): number | undefined {
-		const refusal = this.refusals.get(key(queueId, route));
+	retryAfterMs(queueId: string, kind: RefusedKind, left: TimeLeft, now: number): number | undefined {
+		const refusal = this.refusals.get(key(queueId, kind));
 		if (refusal === undefined || now - refusal.at >= validMs) {
 			return undefined;
 		}
@@ -48,6 +53,6 @@
 	}
 }
 
-function key(queueId: string, route: string): string {
-	return `${queueId} ${route}`;
+function key(queueId: string, {route, team = ''}: RefusedKind): string {
+	return `${queueId} ${route} ${team}`;
 }
