--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
 import type {GatewaySettings} from './settings/index.js';
+import {TeamAdmission} from './teams/index.js';
 import {type Telemetry} from './telemetry/index.js';
 import {View, type NodeInfo} from './view/index.js';
 
@@ -165,6 +166,7 @@
 			view,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
+			admission: new TeamAdmission({view, metrics: telemetry.metrics}),
 			clock,
 			telemetry,
 			onKeyedRequest: (service, key, route) => {
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -1,3 +1,5 @@
+export * from './counted-limits.js';
+export * from './create-config.js';
 export * from './fake-target-control.js';
 export * from './feed-harness.js';
 export * from './held-log.js';
@@ -6,3 +8,4 @@
 export * from './memory-log.js';
 export * from './ownership-harness.js';
 export * from './usual-order.js';
+export * from './plain-wire.js';
