Test of forwarded orders names no header of the platform

Cause: names of the platform's wire belong to platform/ only.

Change: another header in wire-order.test.ts.

--- a/packages/gateway/src/dispatch/wire-order.test.ts
+++ b/packages/gateway/src/dispatch/wire-order.test.ts
@@ -9,7 +9,7 @@
 	requestId: 'id',
 	method: 'GET',
 	path: '/a',
-	headers: [['Host', 'h'], ['Authorization', 'Basic b']],
+	headers: [['Host', 'h'], ['X-Own', 'b']],
 	body: Buffer.alloc(0),
 	route: 'r',
 	service: 's',
