Overload: lag meter and admission control of an instance, with their load

Cause: instances with 0.203 of a core accept more requests than they have CPU time for; the requests wait inside the process and end late or not at all.

Change: LagMeter takes the delay of this process from the lateness of a 20 ms timer; LocalAdmission admits or rejects a request by priority, objective and delay. Nothing uses them yet. BusyProcess plays an event loop with a share of a core.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './errors/index.js';
 export * from './keyspace/index.js';
 export * from './ownership/index.js';
+export * from './overload/index.js';
 export * from './policy/index.js';
 export * from './random/index.js';
 export * from './records/index.js';
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,1 +1,2 @@
+export * from './busy-process.js';
 export * from './keyed-service.js';
--- /dev/null
+++ b/packages/core/src/overload/index.ts
@@ -0,0 +1,2 @@
+export * from './lag-meter.js';
+export * from './local-admission.js';
