Stewards: instances with little delay get new stewardships first

Cause: requests that other instances forward are not rejected by the admission check of an overloaded steward, so it should get few dispatch queues.

Change: reports carry the delay of the instance, absent if it does not measure it. New stewardships go by cores / (1 + delay / 50 ms); stewards that have a queue keep it, and steward-plan.ts is as before. A filter instead of a weight would give every new queue to the one instance without delay.

--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -109,7 +109,9 @@
 				this.schedulePublish();
 			},
 		});
-		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes()});
+		this.stewards = new StewardAssignment({
+			...options, liveNodes: () => this.followers.liveNodes(), delayMs: name => this.measurements.delayMs(name),
+		});
 	}
 
 	/** Adds an instance that announced itself. */
--- a/packages/gateway/src/cluster/measurements.ts
+++ b/packages/gateway/src/cluster/measurements.ts
@@ -17,6 +17,7 @@
 	/** Targets that announced their leaving. */
 	private readonly leaving: Set<string>;
 	private readonly slownessByTarget = new Map<string, number>();
+	private readonly delaysByInstance = new Map<string, number>();
 
 	/** Begins with what the former leader published: limits by target id, and targets that leave. */
 	constructor(limits: ReadonlyMap<string, number>, leaving: Iterable<string>, now: number) {
@@ -26,7 +27,7 @@
 
 	/** Applies the report of an instance. */
 	apply(reporter: string, {
-		keys, slowness, conditions, leavingTargets,
+		keys, slowness, conditions, leavingTargets, delayMs,
 	}: Report, now: number): void {
 		for (const [service, pairs] of Object.entries(keys)) {
 			const load = this.loads.get(service) ?? new KeyLoad();
@@ -36,6 +37,7 @@
 			}
 		}
 
+		this.delaysByInstance.set(reporter, delayMs ?? 0);
 		for (const [target, factor] of slowness) {
 			this.slownessByTarget.set(target, factor);
 		}
@@ -72,6 +74,11 @@
 		return this.slownessByTarget.get(target) ?? 1;
 	}
 
+	/** Returns the time that work waits for CPU time in an instance, in milliseconds; 0 if it is not known. */
+	delayMs(instance: string): number {
+		return this.delaysByInstance.get(instance) ?? 0;
+	}
+
 	/** Converts a limit in requests per second of a service to slots of normal speed; infinite without a limit. */
 	toSlots(service: string, limit: number | undefined): number {
 		const workMs = this.loads.get(service)?.meanWorkMs ?? assumedWorkMs;
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -75,6 +75,8 @@
 	readonly leavingTargets?: readonly string[];
 	/** Targets that ended recently while requests of the instance ran there; absent from instances of an earlier version. */
 	readonly crashes?: readonly ReportedCrash[];
+	/** Time that work waits for CPU time in the instance, in milliseconds; absent if it does not measure it. */
+	readonly delayMs?: number;
 	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
 };
--- a/packages/gateway/src/cluster/steward-assignment.ts
+++ b/packages/gateway/src/cluster/steward-assignment.ts
@@ -10,8 +10,13 @@
 	readonly reader: Pick<FeedReader, 'remainingColdMs'>;
 	/** Returns the instances that may be stewards. */
 	readonly liveNodes: () => readonly NodeInfo[];
+	/** Returns the time that work waits for CPU time in an instance, in milliseconds. */
+	readonly delayMs: (instance: string) => number;
 };
 
+/** Delay at which an instance gets half of the new stewardships that its processor time stands for, in milliseconds; instances reject requests from about this delay on. */
+const halfShareDelayMs = 50;
+
 /** Keeps the stewards in the view up to date with targets, services and live instances. */
 export class StewardAssignment {
 	private readonly options: StewardAssignmentOptions;
@@ -24,7 +29,7 @@
 
 	/** Assigns dispatch queues to stewards when targets, services or live instances have changed. */
 	update(now: number): void {
-		const {view, liveNodes} = this.options;
+		const {view, liveNodes, delayMs} = this.options;
 		const live = liveNodes();
 		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...live.map(node => node.incarnation)].join(' ');
 		if (inputs === this.inputs) {
@@ -39,7 +44,8 @@
 			queues.set(queueId, {queueId, domain: target.domain});
 		}
 
-		const plan = planStewards([...queues.values()], live, queueId => view.findSteward(queueId));
+		const candidates = live.map(node => ({...node, cores: node.cores / (1 + (delayMs(node.name) / halfShareDelayMs))}));
+		const plan = planStewards([...queues.values()], candidates, queueId => view.findSteward(queueId));
 		this.updateColdTimes(plan, now);
 		view.replacePrefix('steward/', new Map([...plan].map(([queueId, name]) => [`steward/${queueId}`, name])));
 	}
