Gateway: an instance that is short of CPU time rejects before it reads the body

Change: instances with fewer cores than [overload] cores (0, off; deploy: 0.25) check each request after its route is known: ErrorKind.InstanceBusy, 503, not run, with retry-after. Gauge bluebellyard_delay_seconds, counter bluebellyard_overload_rejections_total by route, log part overload at start and end. A rejected request with a body of up to 64 KiB keeps its connection; a larger one or one of unknown length closes it, as other early refusals do. Off, no timer runs and refusals are sent as before. The wire and view of the test of callers moved to mocks, as two tests use them.

--- a/packages/core/src/errors/error-kind.ts
+++ b/packages/core/src/errors/error-kind.ts
@@ -56,6 +56,8 @@
 	Stopping = 'stopping',
 	/** The instance has not loaded its state yet. */
 	NotReady = 'not-ready',
+	/** The instance is short of CPU time. */
+	InstanceBusy = 'instance-busy',
 	/** The caller disconnected; its request may have run. */
 	CallerDisconnected = 'caller-gone',
 	/** The caller disconnected before its request was sent. */
@@ -150,6 +152,9 @@
 	[ErrorKind.NotReady]: {
 		status: 503, outcome: notRun, retryAfter: 1, text: 'The instance is starting.',
 	},
+	[ErrorKind.InstanceBusy]: {
+		status: 503, outcome: notRun, retryAfter: 1, text: 'The instance is overloaded.',
+	},
 	[ErrorKind.CallerDisconnected]: {status: 499, outcome: unknown, text: 'The caller closed the connection.'},
 	[ErrorKind.CallerDisconnectedBeforeSend]: {status: 499, outcome: notRun, text: 'The caller closed the connection before the request was sent.'},
 	[ErrorKind.Internal]: {status: 500, outcome: unknown, text: 'Internal error.'},
--- a/packages/gateway/src/front/caller-server.test.ts
+++ b/packages/gateway/src/front/caller-server.test.ts
@@ -1,50 +1,12 @@
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 import test from 'ava';
-import {
-	ErrorKind, ManualClock, Repeat, systemClock,
-} from '@bluebellyard/core';
+import {ErrorKind, ManualClock, systemClock} from '@bluebellyard/core';
 import {failure, type Dispatcher, type Order} from '../dispatch/index.js';
-import {
-	Wire, type CallerHeaders, type HeaderList, type TargetHeaders,
-} from '../ports/index.js';
+import {createConfiguredView, PlainWire} from '../mocks/index.js';
 import {Telemetry} from '../telemetry/index.js';
-import {View} from '../view/index.js';
 import {CallerServer} from './caller-server.js';
 
-class PlainWire extends Wire {
-	override readCaller(headers: Record<string, string | string[] | undefined>): CallerHeaders {
-		return {requestId: String(headers.id), callerTimeoutMs: 2000, key: undefined};
-	}
-
-	override readTarget(): TargetHeaders {
-		throw new Error('not used');
-	}
-
-	override toTarget(): Record<string, string> {
-		return {};
-	}
-
-	override toCaller(headers: HeaderList): HeaderList {
-		return headers;
-	}
-}
-
-function createConfiguredView(): View {
-	const view = new View();
-	view.setConfig({
-		version: 1,
-		routes: [{
-			name: 'r', host: 'a.example', prefix: '/', repeat: Repeat.Idempotent, timeoutMs: 2000, objectiveMs: 500, priority: 1, maxTargets: 1, services: [{service: 's', weight: 1}],
-		}],
-		services: [],
-		limits: {
-			headerBytes: 1000, bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000,
-		},
-	});
-	return view;
-}
-
 /** Worker script: sends one request on each of `count` connections and closes its side immediately. */
 const leavingCallers = `
 const {workerData: {port, count, flag}} = require('node:worker_threads');
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -12,6 +12,7 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {listen, waitForPendingReads} from '../net/index.js';
+import type {OverloadCheck} from './overload-check.js';
 import {sendFailure, getHttpStatus} from './refusal.js';
 
 /** Largest header block that the parser accepts, in bytes; the configured limit is checked separately. */
@@ -26,6 +27,9 @@
 /** Retry delay reported while this instance has no configuration, in milliseconds. */
 const startingRetryMs = 400;
 
+/** Largest rest of a rejected request's body that is read and discarded so that its connection stays open, in bytes; a larger one costs more than a new connection. */
+const maxDiscardedBytes = 65_536;
+
 type Outcome = {
 	readonly result: OrderResult;
 	readonly route?: HostRoute;
@@ -40,6 +44,8 @@
 	readonly dispatcher: Pick<Dispatcher, 'run'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	/** Admission check of this instance; undefined if it is off. */
+	readonly overload?: Pick<OverloadCheck, 'check'> | undefined;
 	/** Called with the key of each request for a sharded service. */
 	readonly onKeyedRequest: (service: string, key: number, route: HostRoute) => void;
 };
@@ -145,6 +151,11 @@
 			return {result: failure(ErrorKind.NoRoute, {reason: `version ${view.configVersion}`})};
 		}
 
+		const rejection = this.options.overload?.check(route, headers.callerTimeoutMs);
+		if (rejection !== undefined) {
+			return {route, ...rejection};
+		}
+
 		const body = await readBody(req, view.limits.bodyBytes);
 		if (body === undefined) {
 			return {route, result: failure(signal.aborted ? ErrorKind.CallerDisconnectedBeforeSend : ErrorKind.BodyTooLarge, {reason: 'the request body exceeds the limit or could not be read'})};
@@ -208,7 +219,7 @@
 	}
 
 	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
-		if (this.isStopping || !req.complete) {
+		if (this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)))) {
 			res.setHeader('connection', 'close');
 		}
 
@@ -268,6 +279,15 @@
 	return result.isNotRun ? 'refused' : 'failed';
 }
 
+function isOverload(result: OrderResult): boolean {
+	return result.kind === 'failure' && result.error === ErrorKind.InstanceBusy;
+}
+
+/** Returns whether the body of a request is known to be small; the server discards it after the answer. */
+function hasSmallBody({headers}: IncomingMessage): boolean {
+	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxDiscardedBytes;
+}
+
 function targetField({target}: FailedResult): {target: string | undefined} {
 	return {target};
 }
--- a/packages/gateway/src/front/index.ts
+++ b/packages/gateway/src/front/index.ts
@@ -1,3 +1,4 @@
 export * from './caller-server.js';
+export * from './overload-check.js';
 export * from './probe-server.js';
 export * from './refusal.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,9 @@
 } from '@bluebellyard/core';
 import {DispatchQueues, isConnectionRefused, TargetClient} from './queue/index.js';
 import {CrashGuard, Dispatcher, type Order} from './dispatch/index.js';
-import {CallerServer, ProbeServer} from './front/index.js';
+import {
+	CallerServer, createOverloadCheck, ProbeServer, type OverloadCheck,
+} from './front/index.js';
 import {
 	Coordinator, PeerOp, type Report,
 } from './cluster/index.js';
@@ -71,6 +73,8 @@
 	private readonly queues: DispatchQueues;
 	private readonly dispatcher: Dispatcher;
 	private readonly callers: CallerServer;
+	/** Admission check; undefined if it is off for this instance. */
+	private readonly overload: OverloadCheck | undefined;
 	private readonly health: ProbeServer;
 	private readonly metrics: ProbeServer;
 	private readonly requestedKeys = new Map<string, number[]>();
@@ -146,7 +150,11 @@
 				this.coordinator.leaderChannel.report(PeerOp.TrialEnd, {print, outcome});
 			},
 		});
+		this.overload = createOverloadCheck(self.cores, cfg.overload.cores, {
+			clock, telemetry, estimateWorkMs: (route, objectiveMs) => this.queues.estimateWorkMs(route, objectiveMs),
+		});
 		this.callers = new CallerServer({
+			overload: this.overload,
 			view,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
@@ -177,6 +185,7 @@
 			await this.metrics.start(listen.metrics.host, listen.metrics.port);
 		}
 
+		this.overload?.start();
 		this.coordinator.start();
 		this.gauges = setInterval(() => {
 			this.updateGauges();
@@ -210,6 +219,7 @@
 	/** Closes all connections and ports immediately. */
 	async close(): Promise<void> {
 		clearInterval(this.gauges);
+		this.overload?.stop();
 		this.coordinator.stop();
 		this.callers.close();
 		this.health.close();
@@ -241,6 +251,7 @@
 			conditions: this.queues.reportConditions(),
 			crashes: this.guard.reports(),
 			leavingTargets: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
+			...(this.overload !== undefined && {delayMs: Math.round(this.overload.delayMs)}),
 			isLeaving: this.isStopping,
 		};
 	}
@@ -249,6 +260,7 @@
 		const {metrics} = this.telemetry;
 		metrics.queued.set(this.queues.queued);
 		metrics.inFlight.set(this.queues.inFlight);
+		metrics.delay.set((this.overload?.delayMs ?? 0) / 1000);
 		metrics.viewAge.set(this.coordinator.leaderContactAgeMs / 1000);
 		metrics.leads.set(this.coordinator.isLeader ? 1 : 0);
 		metrics.logLinesDropped.set(this.telemetry.suppressedLines);
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -1,3 +1,4 @@
+export * from './create-configured-view.js';
 export * from './fake-target-control.js';
 export * from './feed-harness.js';
 export * from './held-log.js';
@@ -5,3 +6,4 @@
 export * from './memory-feed.js';
 export * from './memory-log.js';
 export * from './ownership-harness.js';
+export * from './plain-wire.js';
--- a/packages/gateway/src/settings/settings.test.ts
+++ b/packages/gateway/src/settings/settings.test.ts
@@ -33,6 +33,12 @@
 	t.throws(() => parseSettings(`${validText}[targets]\nlocal-address=eth0\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[targets\] local-address/v});
 });
 
+test('the admission check is off unless the settings name a number of cores', t => {
+	t.is(parseSettings(validText).overload.cores, 0);
+	t.is(parseSettings(`${validText}[overload]\ncores=0.25\n`).overload.cores, 0.25);
+	t.throws(() => parseSettings(`${validText}[overload]\ncores=-1\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[overload\] cores/v});
+});
+
 test('the error names a file that cannot be read', t => {
 	t.throws(() => loadSettings('/nowhere/settings.ini'), {any: true, instanceOf: GatewaySettingsError, message: /\/nowhere\/settings\.ini/v});
 });
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -72,6 +72,10 @@
 		/** Window over which both are counted, in seconds. */
 		window: seconds(10),
 	}).default({ratio: 0.2, extra: 50, window: 10_000}),
+	overload: z.object({
+		/** CPU time in cores below which the instance rejects requests while it is short of it; 0 turns this off. */
+		cores: z.coerce.number().min(0).default(0),
+	}).default({cores: 0}),
 	shutdown: z.object({
 		/** Time from a stop request until the process is killed, in seconds. */
 		grace: seconds(6),
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -123,6 +123,19 @@
 		registers: [this.registry],
 	});
 
+	readonly delay = new Gauge({
+		name: 'bluebellyard_delay_seconds',
+		help: 'Time that work waits for CPU time in this process, while the admission check is on.',
+		registers: [this.registry],
+	});
+
+	readonly overloadRejections = new Counter({
+		name: 'bluebellyard_overload_rejections_total',
+		help: 'Requests that the admission check rejected because this instance is short of CPU time, by route.',
+		labelNames: ['route'],
+		registers: [this.registry],
+	});
+
 	readonly queued = new Gauge({
 		name: 'bluebellyard_queued',
 		help: 'Requests that wait for a slot at this instance.',
