Gateway: an early refusal creates no abort signal

Cause: in a profile of rejected requests createAbortSignal took 5 % of the time in CallerServer.serve, although nothing is aborted before the body is read.

Change: the signal is taken from its controller after the early refusals.

--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -141,7 +141,6 @@
 
 	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: AbortController): Promise<Outcome> {
 		const {view, dispatcher, clock} = this.options;
-		const {signal} = abort;
 		if (view.configVersion === undefined) {
 			return {result: failure(ErrorKind.NotReady, {retryAfterMs: startingRetryMs, reason: 'no configuration yet'})};
 		}
@@ -156,6 +155,8 @@
 			return {route, ...rejection};
 		}
 
+		// The controller creates its signal on first use, which requests that were refused before do not pay for.
+		const {signal} = abort;
 		const body = await readBody(req, view.limits.bodyBytes);
 		if (body === undefined) {
 			return {route, result: failure(signal.aborted ? ErrorKind.CallerDisconnectedBeforeSend : ErrorKind.BodyTooLarge, {reason: 'the request body exceeds the limit or could not be read'})};
