Log: a JSON line is built without lists of pairs

Change: formatJson copies the fields once instead of over lists of pairs. The lines are the same.

Tests of logging, telemetry and whole-path pass.

--- a/packages/router/src/logging/logging.ts
+++ b/packages/router/src/logging/logging.ts
@@ -65,8 +65,14 @@
 
 function formatJson(event: LogEvent): string {
 	const {fields, ...rest} = event;
-	const plain = Object.entries(fields).map(([name, value]) => [name, value instanceof Error ? value.message : value]);
-	return JSON.stringify({...Object.fromEntries(plain), ...rest});
+	const line: Record<string, unknown> = {...fields};
+	for (const name of Object.keys(line)) {
+		if (line[name] instanceof Error) {
+			line[name] = line[name].message;
+		}
+	}
+
+	return JSON.stringify(Object.assign(line, rest));
 }
 
 function formatLine(event: LogEvent): string {
