--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,2 +1,3 @@
+export * from './busy-process.js';
 export * from './keyed-service.js';
 export * from './domain-load.js';
--- a/packages/gateway/src/front/caller-server.test.ts
+++ b/packages/gateway/src/front/caller-server.test.ts
@@ -3,10 +3,9 @@
 import test from 'ava';
 import {ErrorKind, ManualClock, systemClock} from '@bluebellyard/core';
 import {failure, type Dispatcher, type Order} from '../dispatch/index.js';
-import {createConfig, PlainWire} from '../mocks/index.js';
+import {createConfiguredView, PlainWire} from '../mocks/index.js';
 import {TeamAdmission} from '../teams/index.js';
 import {Telemetry} from '../telemetry/index.js';
-import {View} from '../view/index.js';
 import {CallerServer} from './caller-server.js';
 
 /** Worker script: sends one request on each of `count` connections and closes its side immediately. */
@@ -33,8 +32,7 @@
 			return failure(ErrorKind.NoTarget, {});
 		},
 	};
-	const view = new View();
-	view.setConfig(createConfig(1));
+	const view = createConfiguredView();
 	const telemetry = new Telemetry(new ManualClock());
 	const server = new CallerServer({
 		view, wire: new PlainWire(), dispatcher, admission: new TeamAdmission({view, metrics: telemetry.metrics}), clock: systemClock, telemetry, onKeyedRequest() {
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -13,6 +13,7 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {listen, waitForPendingReads} from '../net/index.js';
+import type {OverloadCheck} from './overload-check.js';
 import {sendFailure, getHttpStatus} from './refusal.js';
 
 /** Largest header block that the parser accepts, in bytes; the configured limit is checked separately. */
@@ -27,6 +28,9 @@
 /** Retry delay reported while this instance has no configuration, in milliseconds. */
 const startingRetryMs = 400;
 
+/** Largest rest of a rejected request's body that is read and discarded so that its connection stays open, in bytes; a larger one costs more than a new connection. */
+const maxDiscardedBytes = 65_536;
+
 type Outcome = {
 	readonly result: OrderResult;
 	readonly route?: HostRoute;
@@ -52,6 +56,8 @@
 	readonly admission: Pick<TeamAdmission, 'decide' | 'settle'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
+	/** Admission check of this instance; undefined if it is off. */
+	readonly overload?: Pick<OverloadCheck, 'check'> | undefined;
 	/** Called with the key of each request for a sharded service. */
 	readonly onKeyedRequest: (service: string, key: number, route: HostRoute) => void;
 };
@@ -162,7 +168,8 @@
 			return {route, team, result: admitted.result};
 		}
 
-		const outcome = await this.run(req, {
+		const rejection = this.options.overload?.check(route, priorityOf(route, team), headers.callerTimeoutMs);
+		const outcome = rejection ?? await this.run(req, {
 			headers, route, admitted, arrivedAt,
 		}, abort);
 		admission.settle(admitted, outcome.result);
@@ -172,6 +179,7 @@
 	/** Reads the body of a request and runs it. */
 	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: AbortController): Promise<Outcome> {
 		const {view, dispatcher, clock} = this.options;
+		// The controller creates its signal on first use, which requests that were refused before do not pay for.
 		const {signal} = abort;
 		const body = await readBody(req, view.limits.bodyBytes);
 		if (body === undefined) {
@@ -240,7 +248,7 @@
 	}
 
 	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
-		if (this.isStopping || !req.complete) {
+		if (this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)))) {
 			res.setHeader('connection', 'close');
 		}
 
@@ -307,6 +315,15 @@
 	return result.isNotRun ? 'refused' : 'failed';
 }
 
+function isOverload(result: OrderResult): boolean {
+	return result.kind === 'failure' && result.error === ErrorKind.InstanceBusy;
+}
+
+/** Returns whether the body of a request is known to be small; the server discards it after the answer. */
+function hasSmallBody({headers}: IncomingMessage): boolean {
+	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxDiscardedBytes;
+}
+
 function targetField({target}: FailedResult): {target: string | undefined} {
 	return {target};
 }
--- a/packages/gateway/src/front/index.ts
+++ b/packages/gateway/src/front/index.ts
@@ -1,4 +1,5 @@
 export * from './caller-server.js';
 export * from './explain-endpoint.js';
+export * from './overload-check.js';
 export * from './probe-server.js';
 export * from './refusal.js';
--- a/packages/gateway/src/mocks/create-config.ts
+++ b/packages/gateway/src/mocks/create-config.ts
@@ -1,5 +1,6 @@
 import {Repeat} from '@bluebellyard/core';
 import type {GatewayConfig} from '../ports/index.js';
+import {View} from '../view/index.js';
 
 /** Returns a configuration with a route `r` of all paths and a public route `p` of `/public/`, both of host `a.example`. */
 export function createConfig(version: number, teams: Pick<GatewayConfig, 'teams' | 'teamKeys'> = {}): GatewayConfig {
@@ -18,3 +19,10 @@
 		...teams,
 	};
 }
+
+/** Returns the view of that configuration. */
+export function createConfiguredView(): View {
+	const view = new View();
+	view.setConfig(createConfig(1));
+	return view;
+}
--- a/packages/gateway/src/settings/settings.test.ts
+++ b/packages/gateway/src/settings/settings.test.ts
@@ -42,6 +42,12 @@
 	t.throws(() => parseSettings(`${validText}[balancing]\nmode=three-choices\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[balancing\] mode/v});
 });
 
+test('the admission check is off unless the settings name a number of cores', t => {
+	t.is(parseSettings(validText).overload.cores, 0);
+	t.is(parseSettings(`${validText}[overload]\ncores=0.25\n`).overload.cores, 0.25);
+	t.throws(() => parseSettings(`${validText}[overload]\ncores=-1\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[overload\] cores/v});
+});
+
 test('the error names a file that cannot be read', t => {
 	t.throws(() => loadSettings('/nowhere/settings.ini'), {any: true, instanceOf: GatewaySettingsError, message: /\/nowhere\/settings\.ini/v});
 });
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -77,6 +77,10 @@
 		/** How a failure domain is selected for a request to a service that is not sharded. */
 		mode: z.enum(BalancingMode).default(BalancingMode.Auto),
 	}).default({mode: BalancingMode.Auto}),
+	overload: z.object({
+		/** CPU time in cores below which the instance rejects requests while it is short of it; 0 turns this off. */
+		cores: z.coerce.number().min(0).default(0),
+	}).default({cores: 0}),
 	shutdown: z.object({
 		/** Time from a stop request until the process is killed, in seconds. */
 		grace: seconds(6),
