Unreachable targets: PathMonitor decides whether an instance is cut off

Cause: an instance that is partitioned from all targets keeps its queues, so that callers at other instances lose as much as its own.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './ownership/index.js';
 export * from './policy/index.js';
 export * from './random/index.js';
+export * from './reachability/index.js';
 export * from './records/index.js';
 export * from './routing/index.js';
 export * from './rules/index.js';
--- /dev/null
+++ b/packages/core/src/reachability/index.ts
@@ -0,0 +1,2 @@
+export * from './path-evidence.js';
+export * from './path-monitor.js';
