Unreachable targets: checks, report to the leader, queues and leadership move

An instance that is cut off tells the leader (PeerOp.CutOff, Report.isCutOff), which publishes cut/INSTANCE and assigns no queue to it unless all are cut off; a cut-off leader hands over. Waiting and unsent requests are given back with NotSteward, which the dispatcher sends elsewhere without retry budget; idempotent ones without a response end as a lost connection; those that must run at most once wait. Another instance that is found cut off makes an instance check its own path once: a quiet one would be found only after it had taken over the queues. A connection that is refused while the instance is cut off is no longer a crash of the target.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -16,6 +16,7 @@
 import {electionDelayMs} from './election-delay.js';
 import {FollowedLeader} from './followed-leader.js';
 import {handleLeaderMessage} from './handle-leader-message.js';
+import {LeadHandover} from './lead-handover.js';
 import {Leader} from './leader.js';
 import {LeaderChannel} from './leader-channel.js';
 import {
@@ -35,12 +36,6 @@
 /** Largest random part of election delays, in milliseconds, so that few instances stand at the same time. */
 const maxRandomDelayMs = 400;
 
-/** Minimum time that an instance leads before it hands over to a larger one, in milliseconds; the instances of a starting deployment are known by then. */
-const minLeadMs = 4000;
-
-/** Ratio of processor time from which a larger instance should lead instead. */
-const handoverCoresRatio = 2;
-
 /** Time after a change of the leader in which no instance takes over because of its store contact, in milliseconds. */
 const minFollowMs = 2500;
 
@@ -74,7 +69,7 @@
 	private readonly knownInstances: KnownInstances;
 	private readonly election: LeaderElection;
 	private leader: Leader | undefined;
-	private leadingSince = Number.NEGATIVE_INFINITY;
+	private readonly handover: LeadHandover;
 	private readonly followed: FollowedLeader;
 	/** State of the view; undefined if it does not match any state that a leader sent. */
 	private viewState: ViewState | undefined;
@@ -97,6 +92,7 @@
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
 		});
 		this.followed = new FollowedLeader(clock.now());
+		this.handover = new LeadHandover(options);
 		this.leaderChannel = new LeaderChannel({...options, leader: () => this.leader, leaderNode: () => this.followed.node});
 		this.nextElectionAt = clock.now() + this.drawElectionDelayMs();
 	}
@@ -127,10 +123,8 @@
 	/** Resigns as steward and leader; the instance continues to answer messages. */
 	leave(): void {
 		this.isLeaving = true;
-		const others = this.leader?.followers.liveNodes().filter(node => node.name !== this.options.self.name) ?? [];
-		const successor = others.toSorted((a, b) => b.cores - a.cores).at(0);
-		if (successor !== undefined) {
-			this.requestTakeover(successor);
+		if (this.leader !== undefined) {
+			this.handover.leave(this.leader);
 		}
 	}
 
@@ -176,7 +170,8 @@
 			case PeerOp.Crash:
 			case PeerOp.Alive:
 			case PeerOp.Trial:
-			case PeerOp.TrialEnd: {
+			case PeerOp.TrialEnd:
+			case PeerOp.CutOff: {
 				return this.leader === undefined ? undefined : handleLeaderMessage(this.leader, op, body);
 			}
 		}
@@ -188,7 +183,10 @@
 		this.registration.announceAgain(view.storeEra);
 		if (this.leader !== undefined) {
 			this.leader.tick();
-			this.handOverToLarger(now);
+			if (!this.isLeaving) {
+				this.handover.tick(this.leader, now);
+			}
+
 			return;
 		}
 
@@ -199,28 +197,6 @@
 		}
 	}
 
-	private requestTakeover(successor: NodeInfo): void {
-		const {net, telemetry} = this.options;
-		telemetry.info('leader', 'Handing leadership over.', {to: successor.name, cores: successor.cores, ...this.leadership});
-		net.call(successor.addr, PeerOp.TakeOver, this.leadership.term).catch((err: unknown) => {
-			telemetry.warn('leader', 'The successor did not answer.', {to: successor.name, err});
-		});
-	}
-
-	/** Hands over to a much larger instance: leading takes processor time that a small one lacks for its own requests. */
-	private handOverToLarger(now: number): void {
-		const {self} = this.options;
-		if (this.isLeaving || now - this.leadingSince < minLeadMs || this.leader?.isRecovering === true) {
-			return;
-		}
-
-		const larger = this.leader?.followers.liveNodes().find(node => node.cores >= self.cores * handoverCoresRatio);
-		if (larger !== undefined) {
-			this.leadingSince = now;
-			this.requestTakeover(larger);
-		}
-	}
-
 	private drawElectionDelayMs(): number {
 		return electionDelayMs(this.options.self, this.knownInstances.all()) + (this.options.random() * maxRandomDelayMs);
 	}
@@ -342,7 +318,7 @@
 			isRecovering: record.isRecovering,
 		});
 		const wasStoreUnreachable = clock.now() - this.storeFailedAt < leaderTimeoutMs || this.followed.storeAgeMs > maxLeaderStoreAgeMs;
-		this.leadingSince = clock.now();
+		this.handover.recordStart(clock.now());
 		this.followed.node = self;
 		const leader = new Leader({
 			...this.options,
--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -13,3 +13,5 @@
 export * from './load-suspects.js';
 export * from './suspect-log.js';
 export * from './suspect-registry.js';
+export * from './cut-off-instances.js';
+export * from './lead-handover.js';
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -12,6 +12,7 @@
 	leavingPart, limitPart, type NodeInfo, type View,
 } from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
+import {CutOffInstances} from './cut-off-instances.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
 import type {Directory} from './directory.js';
 import type {FeedReader} from './feed-reader.js';
@@ -67,6 +68,8 @@
 	readonly followers: FollowerSync;
 	/** Requests under which targets ended. */
 	readonly suspects: SuspectRegistry;
+	/** Instances that are cut off from the targets. */
+	readonly cutOff: CutOffInstances;
 	private readonly managers = new Map<string, OwnershipManager>();
 	private readonly measurements: Measurements;
 	/** Each target seen in this term, also after its removal, in the order of the first sight. */
@@ -104,11 +107,9 @@
 				this.handlePong(node, pong);
 			},
 		});
-		this.suspects = new SuspectRegistry({
-			...options, onChange: () => {
-				this.schedulePublish();
-			},
-		});
+		const onChange = this.schedulePublish.bind(this);
+		this.suspects = new SuspectRegistry({...options, onChange});
+		this.cutOff = new CutOffInstances({...options, onChange});
 		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes()});
 	}
 
@@ -160,6 +161,7 @@
 		this.endRecovery(now);
 		this.applyReport(this.options.self.name, this.options.report(), now);
 		this.publishConditions();
+		this.cutOff.prune(this.followers.liveNodes());
 		this.suspects.tick(now);
 		for (const target of view.targets.values()) {
 			this.seenTargets.set(target.id, target);
@@ -366,6 +368,7 @@
 	private applyReport(reporter: string, report: Report, now: number): void {
 		this.measurements.apply(reporter, report, now);
 		this.suspects.recordCrashes(report.crashes ?? []);
+		this.cutOff.record(reporter, report.isCutOff === true && !report.isLeaving);
 	}
 
 	/** Removes expired former leaders from the record, so that later leaders do not wait for them. */
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -32,6 +32,8 @@
 	Trial = 'trial',
 	/** Such a run has ended. */
 	TrialEnd = 'trial-end',
+	/** An instance is cut off from the targets, or reaches them again. */
+	CutOff = 'cut-off',
 	/** A request for a dispatch queue of this instance. */
 	Request = 'work',
 }
@@ -77,6 +79,8 @@
 	readonly crashes?: readonly ReportedCrash[];
 	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
+	/** Whether the instance is cut off from the targets; absent from instances of an earlier version. */
+	readonly isCutOff?: boolean;
 };
 
 /** Answer to a heartbeat. */
@@ -118,12 +122,19 @@
 	readonly outcome: TrialOutcome;
 };
 
-/** A report to the leader: a key that its owner does not hold, the id of a target that leaves, one that ended or lives after all, the result of a trial. */
+/** Whether an instance is cut off from the targets. */
+export type CutOffReport = {
+	readonly instance: string;
+	readonly isCutOff: boolean;
+};
+
+/** A report to the leader: a key that its owner does not hold, the id of a target that leaves, one that ended or lives after all, the result of a trial, whether this instance is cut off. */
 export type TargetReport
 	= | readonly [op: PeerOp.Disowned, value: NotOwnerReport]
 		| readonly [op: PeerOp.Leaving | PeerOp.Alive, value: string]
 		| readonly [op: PeerOp.Crash, value: ReportedCrash]
-		| readonly [op: PeerOp.TrialEnd, value: TrialResult];
+		| readonly [op: PeerOp.TrialEnd, value: TrialResult]
+		| readonly [op: PeerOp.CutOff, value: CutOffReport];
 
 /** Limit for an unpacked view; many times the size of a configuration with thousands of routes. */
 const maxDeltaBytes = 64 * 1024 * 1024;
--- a/packages/gateway/src/cluster/steward-assignment.ts
+++ b/packages/gateway/src/cluster/steward-assignment.ts
@@ -1,6 +1,7 @@
 import {
 	sharedQueueId, targetQueueId, type NodeInfo, type View,
 } from '../view/index.js';
+import {withoutCutOff} from './cut-off-instances.js';
 import type {FeedReader} from './feed-reader.js';
 import {planStewards, type QueueToAssign} from './steward-plan.js';
 
@@ -25,7 +26,7 @@
 	/** Assigns dispatch queues to stewards when targets, services or live instances have changed. */
 	update(now: number): void {
 		const {view, liveNodes} = this.options;
-		const live = liveNodes();
+		const live = withoutCutOff(liveNodes(), name => view.isCutOff(name));
 		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...live.map(node => node.incarnation)].join(' ');
 		if (inputs === this.inputs) {
 			return;
--- a/packages/gateway/src/cluster/steward-plan.test.ts
+++ b/packages/gateway/src/cluster/steward-plan.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type {NodeInfo} from '../view/index.js';
+import {withoutCutOff} from './cut-off-instances.js';
 import {planStewards} from './steward-plan.js';
 
 function node(name: string, domain: string, cores = 0.5): NodeInfo {
@@ -37,3 +38,21 @@
 test('without a live instance nothing is assigned', t => {
 	t.is(planStewards(queues, [], noSteward).size, 0);
 });
+
+/** Plans with some instances cut off from the targets. */
+function planWithout(cutOff: readonly string[], current: ReadonlyMap<string, string>): Map<string, string> {
+	return planStewards(queues, withoutCutOff(nodes, name => cutOff.includes(name)), queueId => current.get(queueId));
+}
+
+test('the queues of an instance that is cut off move inside the domain, or to another one if all of it is cut off', t => {
+	const before = planWithout([], new Map());
+	t.true([...planWithout(['a1'], before).values()].every(name => name === 'a2'));
+	const elsewhere = planWithout(['a1', 'a2'], before);
+	t.true([...elsewhere.values()].every(name => name === 'b1'));
+	t.true([...planWithout(['a2'], elsewhere).values()].every(name => name === 'a1'));
+});
+
+test('if all instances are cut off, nothing moves', t => {
+	const before = planWithout([], new Map());
+	t.deepEqual(planWithout(['a1', 'a2', 'b1'], before), before);
+});
--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -66,6 +66,7 @@
 		retryBudget: () => ({share: 1, perSecond: 1, burst: 10}),
 		random: () => 0,
 		guard: new CrashGuard(view, clock),
+		isReleased: () => false,
 		requestTrial: async () => undefined,
 		reportEnd() {
 			// No order is suspected.
@@ -111,6 +112,7 @@
 		retryBudget: () => ({share: 0, perSecond: 0, burst: 0}),
 		random: () => 0,
 		guard: new CrashGuard(view, clock),
+		isReleased: () => false,
 		requestTrial: async () => undefined,
 		reportEnd() {
 			// No order is suspected.
@@ -147,3 +149,87 @@
 		t.like(result, {kind: 'failure', error: ErrorKind.ConnectionLost, isNotRun: false});
 	}
 });
+
+type ReturnSetup = {
+	/** Whether each instance gives all orders back, by name. */
+	readonly returns: Readonly<Record<string, boolean>>;
+	readonly isReleased?: boolean;
+	readonly cutOff?: readonly string[];
+};
+
+/** Runs an order at `e1` for a queue whose steward is `e2`, without any retry budget. Returns who received it, and the result. */
+async function runWithReturns({returns, isReleased = false, cutOff = []}: ReturnSetup): Promise<{receivers: string[]; result: OrderResult}> {
+	const view = new View();
+	for (const name of ['e1', 'e2', 'e3']) {
+		view.store.set(`node/${name}`, node(name));
+	}
+
+	for (const name of cutOff) {
+		view.store.set(`cut/${name}`, true);
+	}
+
+	view.store.set('target/i', {
+		id: 'i', name: 'i', service: 's', addr: '10.0.0.1:1', domain: 'x', slots: 2, phase: TargetPhase.Ready, bornAt: 1, coldLeftMs: 0,
+	});
+	view.store.set(`steward/${sharedQueueId('s', 'x')}`, isReleased ? 'e1' : 'e2');
+	const receivers: string[] = [];
+	const receive = (name: string): OrderResult => {
+		receivers.push(name);
+		return returns[name]
+			? failure(ErrorKind.NotSteward, {})
+			: {
+				kind: 'answer', answer: {
+					status: 200, headers: [], body: Buffer.alloc(0), isFramed: true,
+				}, target: 'i', waitMs: 0,
+			};
+	};
+
+	const clock = new ManualClock();
+	const dispatcher = new Dispatcher({
+		self: node('e1'),
+		view,
+		queues: {
+			run: async () => receive('e1'),
+			estimateWorkMs: () => 100,
+		},
+		net: {
+			exchange: async addr => ({value: receive(addr.split(':')[0]), bytes: Buffer.alloc(0)}),
+			isUnreachable: () => false,
+		},
+		clock,
+		telemetry: new Telemetry(clock),
+		retryBudget: () => ({share: 0, perSecond: 0, burst: 0}),
+		random: () => 0,
+		guard: new CrashGuard(view, clock),
+		isReleased: () => isReleased,
+		requestTrial: async () => undefined,
+		reportEnd() {
+			// No order is suspected.
+		},
+	});
+	return {result: await dispatcher.run(order, 1, new AbortController().signal), receivers};
+}
+
+test('an order that the steward gives back is run here, without retry budget', async t => {
+	const {receivers, result} = await runWithReturns({returns: {e2: true}});
+	t.deepEqual(receivers, ['e2', 'e1']);
+	t.is(result.kind, 'answer');
+});
+
+test('an instance that is cut off sends the orders of its own queues to one that is not', async t => {
+	const {receivers, result} = await runWithReturns({returns: {e1: true}, isReleased: true, cutOff: ['e1', 'e2']});
+	t.deepEqual(receivers, ['e3']);
+	t.is(result.kind, 'answer');
+});
+
+test('an order goes to another instance when one that is cut off, too, gives it back', async t => {
+	const {receivers, result} = await runWithReturns({returns: {e1: true, e2: true}, isReleased: true});
+	t.deepEqual(receivers, ['e2', 'e3']);
+	t.is(result.kind, 'answer');
+});
+
+test('an order that all instances give back is refused as not run', async t => {
+	const {receivers, result} = await runWithReturns({returns: {e1: true, e2: true, e3: true}});
+	t.like(result, {kind: 'failure', error: ErrorKind.NotSteward, isNotRun: true});
+	t.true(receivers.length <= 20);
+});
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -22,6 +22,7 @@
 	failure, type AnsweredResult, type FailedResult, type Order, type OrderResult,
 } from './order.js';
 import {fingerprintOf} from './order-fingerprint.js';
+import {QueueRouter} from './queue-router.js';
 import {RecentRefusals} from './recent-refusals.js';
 import {TrialRunner, type TrialRunnerOptions} from './trial-runner.js';
 import {decodeOrder, encodeOrder, type WireOrder} from './wire-order.js';
@@ -32,12 +33,15 @@
 /** Delay before a request is retried at the same target, in milliseconds; multiplied by the number of attempts. */
 const sameTargetDelayMs = 60;
 
+/** Largest number of times that one attempt is passed on because an instance gave it back. */
+const maxReturns = 3;
+
 /** Time after the deadline at which a forwarded request is aborted, in milliseconds. */
 const forwardSlackMs = 120;
 
 /** Failures after which a retry may succeed. */
 const retryableErrors = new Set([
-	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable,
+	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable, ErrorKind.NotSteward,
 ]);
 
 /** Returns whether a result must or can't be improved by a retry. What may have crashed its target is not taken to the next one. */
@@ -66,6 +70,8 @@
 	/** Returns a random number from 0 to 1. */
 	readonly random: () => number;
 	readonly guard: CrashGuard;
+	/** Returns whether another instance should run the orders of this one, since this one is cut off from the targets. */
+	readonly isReleased: () => boolean;
 } & Pick<TrialRunnerOptions, 'requestTrial' | 'reportEnd'>;
 
 /** Routes orders to dispatch queues. */
@@ -76,11 +82,13 @@
 	private readonly budgets = new Map<string, RetryBudget>();
 	private readonly waiters = new Set<() => void>();
 	private readonly trials: TrialRunner;
+	private readonly router: QueueRouter;
 
 	constructor(private readonly options: DispatcherOptions) {
 		options.view.onChange(() => {
 			this.notifyWaiters();
 		});
+		this.router = new QueueRouter(options);
 		this.trials = new TrialRunner({...options, waitForChange: async (ms, signal) => this.waitForChange(ms, signal)});
 	}
 
@@ -250,17 +258,26 @@
 		}
 	}
 
-	/** Sends an order to the steward of a dispatch queue, or runs it here if no steward is known or reachable. */
+	/** Sends an order to the steward of a dispatch queue. An order that an instance gives back unsent goes to another one; this costs no retry budget. */
 	private async send(queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
-		const {
-			view, self, net, queues, telemetry, clock,
-		} = this.options;
-		const name = view.findSteward(queueId);
-		const node = name === undefined ? undefined : view.store.get<NodeInfo>(`node/${name}`);
-		if (node === undefined || node.name === self.name || net.isUnreachable(node.addr)) {
-			return queues.run(queueId, {...order, skipsRateLimited: node?.name !== self.name}, signal);
+		for (let returns = 0; ; returns += 1) {
+			const {node, isSteward} = this.router.select(queueId);
+			// Where the order goes depends on whether it was given back.
+			// eslint-disable-next-line no-await-in-loop
+			const result = await (node === undefined
+				? this.options.queues.run(queueId, {...order, skipsRateLimited: !isSteward}, signal)
+				: this.sendTo(node, queueId, order, signal));
+			if (result.kind === 'answer' || result.error !== ErrorKind.NotSteward || returns >= maxReturns || signal.aborted) {
+				return result;
+			}
+
+			this.router.recordReturn(queueId, (node ?? this.options.self).name);
 		}
+	}
 
+	/** Forwards an order to another instance, or runs it here if that one can't be reached. */
+	private async sendTo(node: NodeInfo, queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
+		const {queues, telemetry, clock} = this.options;
 		const now = clock.now();
 		const left = {objectiveMs: order.objectiveAt - now, deadlineMs: order.deadline - now};
 		const retryAfterMs = this.refusals.retryAfterMs(queueId, order.route, left, now);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,9 @@
 import {
 	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
-import {DispatchQueues, isConnectionRefused, TargetClient} from './queue/index.js';
+import {
+	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, TargetClient,
+} from './queue/index.js';
 import {CrashGuard, Dispatcher, type Order} from './dispatch/index.js';
 import {CallerServer, ProbeServer} from './front/index.js';
 import {
@@ -35,6 +37,9 @@
 /** Time since the leader was heard from which it may have named another steward, in milliseconds; it waits at least as long for an instance that does not answer. */
 const stewardContactMs = 1000;
 
+/** Time for which a connection that checks a path to the targets must stay open, in milliseconds; a middlebox may accept and reset it. */
+const minCheckOpenMs = 15;
+
 /** Largest number of list entries per service in a report; each key takes two, itself and its expected run time. */
 const maxReportedEntries = 4000;
 
@@ -68,6 +73,7 @@
 	private readonly net: PeerNet;
 	private readonly client: TargetClient;
 	private readonly guard: CrashGuard;
+	private readonly paths: PathChecker;
 	private readonly queues: DispatchQueues;
 	private readonly dispatcher: Dispatcher;
 	private readonly callers: CallerServer;
@@ -101,9 +107,25 @@
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
 		this.guard = new CrashGuard(view, clock);
+		this.paths = new PathChecker({
+			selfName: name,
+			view,
+			clock,
+			telemetry,
+			random,
+			canConnect: async (addr, timeoutMs) => await probeConnection({
+				addr, localAddress: cfg.targets['local-address'], timeoutMs, minOpenMs: minCheckOpenMs,
+			}) === ProbeOutcome.Connected,
+			isUnreachable: addr => this.net.isUnreachable(addr),
+			onChange: isCutOff => {
+				this.coordinator.leaderChannel.report(PeerOp.CutOff, {instance: name, isCutOff});
+				this.queues.releaseIfCutOff();
+			},
+		});
 		this.queues = new DispatchQueues({
 			selfName: name,
 			view,
+			paths: this.paths,
 			client: this.client,
 			clock,
 			telemetry,
@@ -141,6 +163,7 @@
 			random,
 			retryBudget: instances => toBudget(cfg, instances),
 			guard: this.guard,
+			isReleased: () => this.paths.isReleased,
 			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
 			reportEnd: (print, outcome) => {
 				this.coordinator.leaderChannel.report(PeerOp.TrialEnd, {print, outcome});
@@ -211,6 +234,7 @@
 	async close(): Promise<void> {
 		clearInterval(this.gauges);
 		this.coordinator.stop();
+		this.paths.stop();
 		this.callers.close();
 		this.health.close();
 		this.metrics.close();
@@ -242,6 +266,7 @@
 			crashes: this.guard.reports(),
 			leavingTargets: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
 			isLeaving: this.isStopping,
+			isCutOff: this.paths.isCutOff,
 		};
 	}
 
@@ -250,6 +275,11 @@
 		metrics.queued.set(this.queues.queued);
 		metrics.inFlight.set(this.queues.inFlight);
 		metrics.viewAge.set(this.coordinator.leaderContactAgeMs / 1000);
+		metrics.cutOffInstances.reset();
+		for (const instance of this.view.cutOffInstances) {
+			metrics.cutOffInstances.set({instance}, 1);
+		}
+
 		metrics.leads.set(this.coordinator.isLeader ? 1 : 0);
 		metrics.logLinesDropped.set(this.telemetry.suppressedLines);
 	}
--- a/packages/gateway/src/queue/crash-detector.test.ts
+++ b/packages/gateway/src/queue/crash-detector.test.ts
@@ -48,6 +48,7 @@
 	readonly crashes: ReportedCrash[] = [];
 	readonly alive: string[] = [];
 	isRefused = true;
+	isCutOff = false;
 	readonly detector: CrashDetector;
 
 	constructor() {
@@ -58,6 +59,7 @@
 			telemetry: new Telemetry(clock),
 			view: this.view,
 			isRefused: async () => this.isRefused,
+			isCutOff: async () => this.isCutOff,
 			onCrash: report => {
 				this.crashes.push(report);
 			},
@@ -104,6 +106,16 @@
 	t.deepEqual(harness.crashes, []);
 });
 
+test('a connection that is refused while this instance is cut off from all targets is no crash', async t => {
+	const harness = new Harness();
+	harness.isCutOff = true;
+	const [first, second] = [createOrder('1'), createOrder('2')];
+	harness.send(first, second);
+	t.false(await harness.end(first, lost));
+	t.false(await harness.end(second, createResult(AttemptOutcome.Unreachable, ConnectionFault.Refused)));
+	t.deepEqual(harness.crashes, []);
+});
+
 test('a target whose record is removed after a run was lost or timed out has ended', async t => {
 	for (const result of [lost, createResult(AttemptOutcome.TimedOut)]) {
 		const harness = new Harness();
--- a/packages/gateway/src/queue/crash-detector.ts
+++ b/packages/gateway/src/queue/crash-detector.ts
@@ -1,4 +1,3 @@
-import {connect} from 'node:net';
 import {
 	AttemptOutcome, RunLedger, TargetPhase, type Clock, type ReportedCrash,
 } from '@bluebellyard/core';
@@ -6,6 +5,7 @@
 import type {Order} from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
+import {probeConnection, ProbeOutcome} from './probe-connection.js';
 import {ConnectionFault, type TargetResult} from './target-client.js';
 
 /** Longest wait for the answer to a connection attempt that checks whether a target is gone, in milliseconds; a few round trips. */
@@ -37,6 +37,8 @@
 	readonly view: View;
 	/** Resolves to whether an address refuses connections, i.e. no process listens there. */
 	readonly isRefused: (addr: string) => Promise<boolean>;
+	/** Resolves to whether this instance is cut off from all targets, so that a refused connection tells nothing of one of them. */
+	readonly isCutOff: () => Promise<boolean>;
 	/** Called when a target ended while requests ran there. */
 	readonly onCrash: (report: ReportedCrash) => void;
 	/** Called when a target answers that was reported before. */
@@ -87,7 +89,7 @@
 				}
 
 				this.ledger.recordLoss(id, order, now);
-				if (this.leaving.has(id) || !(this.ledger.isGone(id) || await this.probe(addr))) {
+				if (this.leaving.has(id) || !(this.ledger.isGone(id) || await this.probe(addr)) || await this.options.isCutOff()) {
 					return false;
 				}
 
@@ -97,7 +99,7 @@
 
 			case AttemptOutcome.Unreachable: {
 				this.ledger.recordEnd(id, order);
-				if (fault === ConnectionFault.Refused && this.ledger.hasLost(id)) {
+				if (fault === ConnectionFault.Refused && this.ledger.hasLost(id) && !await this.options.isCutOff()) {
 					this.report(id, CrashEvidence.Refused);
 				}
 
@@ -181,23 +183,5 @@
 
 /** Resolves to whether connections to an address are refused; false if they are accepted or nothing answers in time. */
 export async function isConnectionRefused(addr: string, localAddress: string | undefined): Promise<boolean> {
-	const colon = addr.lastIndexOf(':');
-	return new Promise(resolve => {
-		const socket = connect({host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)), localAddress});
-		const finish = (isRefused: boolean) => {
-			clearTimeout(timer);
-			socket.destroy();
-			resolve(isRefused);
-		};
-
-		const timer = setTimeout(() => {
-			finish(false);
-		}, probeTimeoutMs);
-		socket.once('connect', () => {
-			finish(false);
-		});
-		socket.on('error', (err: NodeJS.ErrnoException) => {
-			finish(err.code === 'ECONNREFUSED');
-		});
-	});
+	return await probeConnection({addr, localAddress, timeoutMs: probeTimeoutMs}) === ProbeOutcome.Refused;
 }
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -12,6 +12,7 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {CrashDetector} from './crash-detector.js';
 import {SenderRole, type ConditionTracker} from './condition-tracker.js';
+import type {PathChecker} from './path-checker.js';
 import type {TargetClient, TargetResult} from './target-client.js';
 
 /** Connections kept to a target beyond its slots, for requests whose answer is still being transferred. */
@@ -37,6 +38,8 @@
 	readonly guard: Pick<CrashGuard, 'findSuspect'>;
 	/** Returns whether this instance is the steward of the queue. */
 	readonly isSteward: () => boolean;
+	/** Watches the connections to targets, and tells whether another instance should run the orders of this one. */
+	readonly paths: Pick<PathChecker, 'watch' | 'isReleased'>;
 	/** Returns whether this instance would know by now if it were no longer the steward. */
 	readonly hasLeaderContact: () => boolean;
 	/** Called when a target answers that it does not own the key of an order. */
@@ -63,6 +66,9 @@
 /** Retry delay reported with a failed attempt, in milliseconds. */
 const refusalRetryMs = 100;
 
+/** Reason of orders that are given back. */
+const releaseReason = 'another instance runs the desk';
+
 /** Queues orders for a group of targets, applies the limits of each target and sends the orders. */
 export class DispatchQueue {
 	private readonly options: DispatchQueueOptions;
@@ -124,7 +130,11 @@
 
 	/** Queues an order and sends it once a target has a free slot. Never rejects. */
 	async run(order: Order, signal: AbortSignal): Promise<OrderResult> {
-		const {clock, estimator} = this.options;
+		const {clock, estimator, paths} = this.options;
+		if (paths.isReleased) {
+			return failure(ErrorKind.NotSteward, {retryAfterMs: refusalRetryMs, reason: releaseReason});
+		}
+
 		const now = clock.now();
 		const request: QueuedRequest = {
 			id: String(this.nextId++),
@@ -158,6 +168,15 @@
 		});
 	}
 
+	/** Gives back the orders that wait, as another instance runs the queue. */
+	release(): void {
+		for (const [id] of this.pending) {
+			if (this.admission.cancel(id)) {
+				this.settle(id, failure(ErrorKind.NotSteward, {retryAfterMs: refusalRetryMs, reason: releaseReason}));
+			}
+		}
+	}
+
 	/** Applies what is known about the limits of the targets, and whether this instance may use them. */
 	private refreshLimits(now: number): void {
 		const {isSteward, hasLeaderContact, tracker} = this.options;
@@ -227,6 +246,10 @@
 		const role = this.options.isSteward() ? SenderRole.Steward : SenderRole.Other;
 		this.options.tracker.recordSend(target.id, role);
 		this.options.crashes.recordSend(target, order);
+		const expectedMs = Math.max(1, request.workMs);
+		const watch = this.options.paths.watch({
+			target: target.id, expectedMs: expectedMs * limiter.slowness.factor, mayEnd: !order.isOnce && order.mode === RunMode.Usual,
+		});
 		const result = await client.send({
 			addr: target.addr,
 			target: target.name,
@@ -239,7 +262,9 @@
 			isOnce: order.isOnce,
 			connections: target.slots + spareConnections,
 			signal,
+			observer: watch,
 		});
+		watch.end(result);
 		const isTargetGone = await this.options.crashes.recordResult(target, order, result);
 		const now = clock.now();
 		this.options.tracker.recordResult(target.id, {
@@ -247,7 +272,6 @@
 		});
 		this.refreshLimits(now);
 		this.recordFeedback(order, limiter, result, now - startedAt);
-		const expectedMs = Math.max(1, request.workMs);
 		const decision = this.admission.finish(limiter, result.outcome, (now - startedAt) / expectedMs, now);
 		this.settle(request.id, this.toOrderResult(order, limiter.id, result, {waitMs, isTargetGone}));
 		this.applyDecision(decision);
@@ -284,6 +308,11 @@
 			};
 		}
 
+		if (outcome === AttemptOutcome.Unreachable && isNotRun && this.options.paths.isReleased) {
+			// No target was reached, so that another instance can run the order at no cost.
+			return failure(ErrorKind.NotSteward, {waitMs, reason, retryAfterMs: refusalRetryMs});
+		}
+
 		if (outcome === AttemptOutcome.NotRun) {
 			this.options.onNotOwner(target, order);
 		}
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -11,6 +11,7 @@
 import {ConditionTracker} from './condition-tracker.js';
 import {CrashDetector} from './crash-detector.js';
 import {DispatchQueue, type QueueTarget} from './dispatch-queue.js';
+import type {PathChecker} from './path-checker.js';
 import type {TargetClient} from './target-client.js';
 
 /** Options of the dispatch queues. */
@@ -33,6 +34,7 @@
 	/** Called when a target answers that was reported before. */
 	readonly onAlive: (target: string) => void;
 	readonly guard: CrashGuard;
+	readonly paths: PathChecker;
 };
 
 /** The dispatch queues of this instance. A queue is created when its first order arrives. */
@@ -41,12 +43,14 @@
 	private readonly estimator = new WorkEstimator();
 	private readonly tracker: ConditionTracker;
 	private readonly crashes: CrashDetector;
+	/** Queues of which this instance is the steward. */
+	private readonly stewarded = new Set<string>();
 	/** Versions of the parts of the view that the queues were last updated from. */
 	private viewVersion = '';
 
 	constructor(private readonly options: DispatchQueuesOptions) {
 		this.tracker = new ConditionTracker(options);
-		this.crashes = new CrashDetector(options);
+		this.crashes = new CrashDetector({...options, isCutOff: async () => options.paths.settle()});
 		options.view.onChange(() => {
 			this.updateFromView();
 		});
@@ -92,6 +96,15 @@
 		return this.getQueue(id).run(order, signal);
 	}
 
+	/** Gives back the orders that wait, if another instance should run them. */
+	releaseIfCutOff(): void {
+		if (this.options.paths.isReleased) {
+			for (const queue of this.queues.values()) {
+				queue.release();
+			}
+		}
+	}
+
 	private getQueue(id: string): DispatchQueue {
 		const known = this.queues.get(id);
 		if (known !== undefined) {
@@ -102,6 +115,7 @@
 			...this.options, estimator: this.estimator, tracker: this.tracker, crashes: this.crashes, isSteward: () => this.options.view.findSteward(id) === this.options.selfName,
 		});
 		this.queues.set(id, queue);
+		this.releaseIfMoved(id, queue);
 		queue.setTargets(this.targetsByQueue().get(id) ?? []);
 		return queue;
 	}
@@ -119,13 +133,26 @@
 		const targets = this.targetsByQueue();
 		for (const [id, queue] of this.queues) {
 			const own = targets.get(id);
+			this.releaseIfMoved(id, queue);
 			queue.setTargets(own ?? []);
 			if (own === undefined && queue.queued === 0 && queue.inFlight === 0) {
 				this.queues.delete(id);
+				this.stewarded.delete(id);
 			}
 		}
 	}
 
+	/** Gives back the orders that wait in a queue that has passed to another steward. */
+	private releaseIfMoved(id: string, queue: DispatchQueue): void {
+		const {view, selfName} = this.options;
+		const steward = view.findSteward(id);
+		if (steward === selfName) {
+			this.stewarded.add(id);
+		} else if (this.stewarded.delete(id) && steward !== undefined) {
+			queue.release();
+		}
+	}
+
 	private targetsByQueue(): Map<string, QueueTarget[]> {
 		const {view} = this.options;
 		const byQueue = new Map<string, QueueTarget[]>();
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -10,6 +10,17 @@
 /** Largest body of an answer, in bytes. */
 const maxAnswerBytes = 64 * 1024 * 1024;
 
+/** Ends a request as one whose connection was lost. */
+export type EndAsLost = (reason: string, includesSent: boolean) => void;
+
+/** Observes the connection of a request. */
+export type ConnectionObserver = {
+	/** Called with the function that ends the request as one whose connection was lost; a request that was sent, only if `includesSent` is true. */
+	readonly onStart: (endAsLost: EndAsLost) => void;
+	/** Called when the response begins, with the monotonic time at which the connection was opened, in milliseconds. */
+	readonly onResponse: (connectedAt: number) => void;
+};
+
 /** One request for a target. */
 export type TargetRequest = {
 	readonly addr: string;
@@ -26,6 +37,7 @@
 	/** Largest number of idle connections kept to this target. */
 	readonly connections: number;
 	readonly signal: AbortSignal;
+	readonly observer?: ConnectionObserver;
 };
 
 /** What happened to the connection of an attempt. */
@@ -35,6 +47,10 @@
 	Lost = 'lost',
 	/** No process listens at the address. */
 	Refused = 'refused',
+	/** The connect got no answer in time. */
+	TimedOut = 'timed-out',
+	/** It could not be opened for another reason. */
+	Failed = 'failed',
 }
 
 /** Result of an attempt to run a request at a target. */
@@ -53,6 +69,13 @@
 	readonly reason: string;
 };
 
+/** Faults of a connection that could not be opened, by error code; any other code is `ConnectionFault.Failed`. */
+const connectFaults = new Map([
+	['ECONNREFUSED', ConnectionFault.Refused],
+	['ETIMEDOUT', ConnectionFault.TimedOut],
+	['UND_ERR_CONNECT_TIMEOUT', ConnectionFault.TimedOut],
+]);
+
 /** Longest idle time after which a connection may carry a request that must run at most once, in milliseconds; no target closes an idle connection this early. */
 const reuseForOnceMs = 50;
 
@@ -120,9 +143,11 @@
 			return last.client;
 		}
 
-		return new TrackedClient(`http://${req.addr}`, this.localAddress, () => {
+		const client = new TrackedClient(`http://${req.addr}`, this.localAddress, () => {
 			this.opened += 1;
+			client.connection.connectedAt = this.clock.now();
 		});
+		return client;
 	}
 
 	private release(req: TargetRequest, client: TrackedClient, {outcome}: TargetResult): void {
@@ -167,6 +192,11 @@
 			this.fail(this.isWritten ? AttemptOutcome.TimedOut : AttemptOutcome.Unreachable, 'no answer in time');
 		}, req.timeLeftMs);
 		req.signal.addEventListener('abort', this.onAbort, {once: true});
+		req.observer?.onStart((reason, includesSent) => {
+			if (includesSent || !this.isWritten) {
+				this.fail(this.isWritten ? AttemptOutcome.Broken : AttemptOutcome.Unreachable, reason);
+			}
+		});
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -180,6 +210,7 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		this.req.observer?.onResponse(this.connection.connectedAt);
 		if (status < 200) {
 			return;
 		}
@@ -210,7 +241,7 @@
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: NodeJS.ErrnoException): void {
 		const outcome = this.isWritten ? AttemptOutcome.Broken : AttemptOutcome.Unreachable;
-		const unsentFault = err.code === 'ECONNREFUSED' ? ConnectionFault.Refused : ConnectionFault.None;
+		const unsentFault = connectFaults.get(err.code ?? '') ?? ConnectionFault.Failed;
 		this.finish({...this.withoutAnswer(outcome, err.message), isNotRun: !this.isWritten, fault: this.isWritten ? ConnectionFault.Lost : unsentFault});
 	}
 
--- a/packages/gateway/src/queue/tracked-client.ts
+++ b/packages/gateway/src/queue/tracked-client.ts
@@ -20,6 +20,8 @@
 	socket: Socket | undefined;
 	/** Whether the connection ended with an error rather than an orderly close. */
 	hasFailed: boolean;
+	/** When it was opened, in monotonic milliseconds; set by the owner of the client. */
+	connectedAt: number;
 };
 
 /**
@@ -33,7 +35,7 @@
 
 	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. */
 	constructor(origin: string | URL, localAddress: string | undefined, onConnect: () => void) {
-		const state: ConnectionState = {socket: undefined, hasFailed: false};
+		const state: ConnectionState = {socket: undefined, hasFailed: false, connectedAt: Number.NEGATIVE_INFINITY};
 		super(origin, {
 			connect(options, callback) {
 				connector(options, (...args) => {
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -147,6 +147,13 @@
 		registers: [this.registry],
 	});
 
+	readonly cutOffInstances = new Gauge({
+		name: 'bluebellyard_cut_off_instances',
+		help: '1 for each instance that is cut off from all targets, as this instance knows it.',
+		labelNames: ['instance'],
+		registers: [this.registry],
+	});
+
 	/** Returns all metrics in the Prometheus text format. */
 	async text(): Promise<string> {
 		return this.registry.metrics();
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -49,6 +49,9 @@
 /** Part of the view with the requests under which targets ended, by fingerprint. */
 export const suspectPart = 'suspect';
 
+/** Part of the view with the instances that are cut off from the targets, by name. */
+export const cutPart = 'cut';
+
 /** Largest number of announcements that an instance remembers on its own; far more than targets leave within the life of a process that hears no leader. */
 const maxAnnouncements = 4096;
 
@@ -71,6 +74,7 @@
 	private servicesByName = new Map<string, Service>();
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
+	private cutOffNames: ReadonlySet<string> = new Set<string>();
 	private limitsById = new Map<string, number>();
 	private suspectsByPrint = new Map<string, Suspect>();
 	private suspectLengths = new Set<number>();
@@ -141,6 +145,19 @@
 		return this.evacuatedDomains;
 	}
 
+	/** Names of the instances that are cut off from the targets; another set after each change. */
+	get cutOffInstances(): ReadonlySet<string> {
+		this.rebuildIfChanged(cutPart, () => {
+			this.cutOffNames = new Set([...this.store.withPrefix<true>(`${cutPart}/`)].map(([key]) => key.slice(cutPart.length + 1)));
+		});
+		return this.cutOffNames;
+	}
+
+	/** Returns whether an instance is cut off from the targets. */
+	isCutOff(instance: string): boolean {
+		return this.cutOffInstances.has(instance);
+	}
+
 	/** Services of the active configuration, by name. */
 	get allServices(): ReadonlyMap<string, Service> {
 		this.rebuildIfChanged('service', () => {
