--- a/packages/gateway/src/cluster/lead-handover.test.ts
+++ b/packages/gateway/src/cluster/lead-handover.test.ts
@@ -17,6 +17,7 @@
 	readonly asked: string[] = [];
 	readonly ops = new Set<string>();
 	isRecovering = false;
+	storeAgeMs = 0;
 	readonly handover: LeadHandover;
 
 	constructor(private readonly live: readonly NodeInfo[]) {
@@ -42,7 +43,9 @@
 	}
 
 	get leader(): HandoverLeader {
-		return {leadership: {era: 1, term: 1}, isRecovering: this.isRecovering, followers: {liveNodes: () => [...this.live]}};
+		return {
+			leadership: {era: 1, term: 1}, isRecovering: this.isRecovering, storeAgeMs: this.storeAgeMs, followers: {liveNodes: () => [...this.live]},
+		};
 	}
 }
 
@@ -89,6 +92,17 @@
 	t.deepEqual(harness.asked, []);
 });
 
+test('a leader that is cut off keeps the lead while the store does not answer', t => {
+	const harness = new Harness([node('e0'), node('e1')]);
+	harness.storeAgeMs = 1001;
+	harness.setCutOff('e0');
+	harness.handover.tick(harness.leader, 5000);
+	t.deepEqual(harness.asked, []);
+	harness.storeAgeMs = 300;
+	harness.handover.tick(harness.leader, 5100);
+	t.deepEqual(harness.asked, ['e1']);
+});
+
 test('a leaving leader prefers a successor that is not cut off', t => {
 	const harness = new Harness([node('e0'), node('e1', 4), node('e2')]);
 	harness.setCutOff('e1');
--- a/packages/gateway/src/cluster/lead-handover.ts
+++ b/packages/gateway/src/cluster/lead-handover.ts
@@ -14,6 +14,12 @@
 /** Time after which a leader that is cut off asks another instance, if the last one has not taken over, in milliseconds. */
 const cutOffRetryMs = 1000;
 
+/**
+ * Age of the store contact up to which a leader that is cut off hands over, in milliseconds. While the store does not
+ * answer nobody can take over, and if it returns from an older copy meanwhile, only this leader knows its grants.
+ */
+const maxStoreAgeMs = 1000;
+
 /** Options of a handover. */
 export type LeadHandoverOptions = {
 	readonly self: NodeInfo;
@@ -25,7 +31,7 @@
 };
 
 /** The leader as the handover sees it. */
-export type HandoverLeader = Pick<Leader, 'leadership' | 'isRecovering'> & {readonly followers: Pick<Leader['followers'], 'liveNodes'>};
+export type HandoverLeader = Pick<Leader, 'leadership' | 'isRecovering' | 'storeAgeMs'> & {readonly followers: Pick<Leader['followers'], 'liveNodes'>};
 
 /** Hands leadership over to another instance when this one leaves, is cut off from the targets, or is much smaller. */
 export class LeadHandover {
@@ -77,7 +83,7 @@
 		const cores = Math.max(...usable.map(node => node.cores));
 		const largest = usable.filter(node => node.cores === cores);
 		const successor = largest[Math.floor(this.options.random() * largest.length)];
-		if (successor !== undefined && now - this.cutOffRequestAt >= cutOffRetryMs) {
+		if (successor !== undefined && leader.storeAgeMs <= maxStoreAgeMs && now - this.cutOffRequestAt >= cutOffRetryMs) {
 			this.cutOffRequestAt = now;
 			this.requestTakeover(successor, leader);
 		}
--- a/packages/gateway/src/mocks/path-simulation.ts
+++ b/packages/gateway/src/mocks/path-simulation.ts
@@ -158,7 +158,9 @@
 
 		const {node} = this.leader;
 		this.cutOff.record(node.name, this.leader.monitor.isCutOff);
-		this.handovers.get(node.name)!.tick({leadership: {era: 1, term: 1}, isRecovering: false, followers: {liveNodes: () => this.allNodes()}}, now);
+		this.handovers.get(node.name)!.tick({
+			leadership: {era: 1, term: 1}, isRecovering: false, storeAgeMs: 0, followers: {liveNodes: () => this.allNodes()},
+		}, now);
 	}
 
 	private allNodes(): NodeInfo[] {
