--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './overload/index.js';
 export * from './policy/index.js';
 export * from './random/index.js';
+export * from './reachability/index.js';
 export * from './records/index.js';
 export * from './routing/index.js';
 export * from './rules/index.js';
--- /dev/null
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -0,0 +1,42 @@
+import type {Clock, LeaseTiming} from '@bluebellyard/core';
+import type {PeerNet} from '../peers/index.js';
+import type {TargetControl} from '../ports/index.js';
+import type {Telemetry} from '../telemetry/index.js';
+import type {NodeInfo, View} from '../view/index.js';
+import type {Directory} from './directory.js';
+import type {FeedReader} from './feed-reader.js';
+import type {BaseState} from './follower-sync.js';
+import type {SendEnds} from './former-leaders.js';
+import type {LeaderRecord} from './leader-record.js';
+import type {Report} from './messages.js';
+import type {OwnerLog} from './owner-log.js';
+import type {SuspectLog} from './suspect-log.js';
+
+/** Options of `Leader`. */
+export type LeaderOptions = {
+	readonly self: NodeInfo;
+	/** Record of this term in the store. */
+	readonly record: LeaderRecord;
+	/** What the last leader told of the leaders before it. */
+	readonly knownEnds: SendEnds;
+	readonly view: View;
+	readonly net: PeerNet;
+	readonly ownerLog: OwnerLog;
+	readonly suspectLog: SuspectLog;
+	readonly directory: Directory;
+	readonly reader: FeedReader;
+	readonly control: TargetControl;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	readonly timing: LeaseTiming;
+	/** Returns whether keys leave targets at once whose load surges. */
+	readonly detectsSurges?: () => boolean;
+	/** State of a former leader on which the view of this instance is based. */
+	readonly baseState: BaseState | undefined;
+	/** Returns the measurements of this instance since the last call. */
+	readonly report: () => Report;
+	/** Returns whether this instance is about to stop. */
+	readonly isLeaving: () => boolean;
+	/** Called when another instance has become leader. */
+	readonly onSuperseded: () => void;
+};
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -3,28 +3,23 @@
  * publishes the view to all instances.
  */
 import {
-	OwnershipMap, type Clock, type LeaseTiming, type EligibleOwner, type Service, type TargetInfo,
+	OwnershipMap, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
-import type {PeerNet} from '../peers/index.js';
-import {StaleAppendError, type TargetControl} from '../ports/index.js';
-import type {Telemetry} from '../telemetry/index.js';
-import {
-	leavingPart, limitPart, type NodeInfo, type View,
-} from '../view/index.js';
+import {StaleAppendError} from '../ports/index.js';
+import {leavingPart, limitPart, type NodeInfo} from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
-import {FollowerSync, type BaseState} from './follower-sync.js';
-import type {Directory} from './directory.js';
-import type {FeedReader} from './feed-reader.js';
+import {CutOffInstances} from './cut-off-instances.js';
+import {FollowerSync} from './follower-sync.js';
 import type {SendEnds} from './former-leaders.js';
 import {LeadConfirmation} from './lead-confirmation.js';
-import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import type {LeaderOptions} from './leader-options.js';
+import {compareLeaderships, type Leadership} from './leader-record.js';
 import {Measurements} from './measurements.js';
 import type {NotOwnerReport, Pong, Report} from './messages.js';
-import type {OwnerLog, OwnerState} from './owner-log.js';
+import type {OwnerState} from './owner-log.js';
 import {findOwnerProcess} from './owner-process.js';
 import {OwnershipManager} from './ownership-manager.js';
 import {StewardAssignment} from './steward-assignment.js';
-import type {SuspectLog} from './suspect-log.js';
 import {SuspectRegistry} from './suspect-registry.js';
 import {findUsableOwners} from './usable-owners.js';
 
@@ -34,41 +29,14 @@
 /** Time for which changes are collected before they are published, in milliseconds. */
 const publishDelayMs = 15;
 
-/** Options of `Leader`. */
-export type LeaderOptions = {
-	readonly self: NodeInfo;
-	/** Record of this term in the store. */
-	readonly record: LeaderRecord;
-	/** What the last leader told of the leaders before it. */
-	readonly knownEnds: SendEnds;
-	readonly view: View;
-	readonly net: PeerNet;
-	readonly ownerLog: OwnerLog;
-	readonly suspectLog: SuspectLog;
-	readonly directory: Directory;
-	readonly reader: FeedReader;
-	readonly control: TargetControl;
-	readonly clock: Clock;
-	readonly telemetry: Telemetry;
-	readonly timing: LeaseTiming;
-	/** Returns whether keys leave targets at once whose load surges. */
-	readonly detectsSurges?: () => boolean;
-	/** State of a former leader on which the view of this instance is based. */
-	readonly baseState: BaseState | undefined;
-	/** Returns the measurements of this instance since the last call. */
-	readonly report: () => Report;
-	/** Returns whether this instance is about to stop. */
-	readonly isLeaving: () => boolean;
-	/** Called when another instance has become leader. */
-	readonly onSuperseded: () => void;
-};
-
 /** One term of leadership. */
 export class Leader {
 	/** Replication of the view to the other instances. */
 	readonly followers: FollowerSync;
 	/** Requests under which targets ended. */
 	readonly suspects: SuspectRegistry;
+	/** Instances that are cut off from the targets. */
+	readonly cutOff: CutOffInstances;
 	private readonly managers = new Map<string, OwnershipManager>();
 	private readonly measurements: Measurements;
 	/** Each target seen in this term, also after its removal, in the order of the first sight. */
@@ -106,14 +74,10 @@
 				this.handlePong(node, pong);
 			},
 		});
-		this.suspects = new SuspectRegistry({
-			...options, onChange: () => {
-				this.schedulePublish();
-			},
-		});
-		this.stewards = new StewardAssignment({
-			...options, liveNodes: () => this.followers.liveNodes(), delayMs: name => this.measurements.delayMs(name),
-		});
+		const onChange = this.schedulePublish.bind(this);
+		this.suspects = new SuspectRegistry({...options, onChange});
+		this.cutOff = new CutOffInstances({...options, onChange});
+		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes(), delayMs: name => this.measurements.delayMs(name)});
 	}
 
 	/** Adds an instance that announced itself. */
@@ -164,6 +128,7 @@
 		this.endRecovery(now);
 		this.applyReport(this.options.self.name, this.options.report(), now);
 		this.publishConditions();
+		this.cutOff.prune(this.followers.liveNodes());
 		this.suspects.tick(now);
 		for (const target of view.targets.values()) {
 			this.seenTargets.set(target.id, target);
@@ -371,6 +336,7 @@
 	private applyReport(reporter: string, report: Report, now: number): void {
 		this.measurements.apply(reporter, report, now);
 		this.suspects.recordCrashes(report.crashes ?? []);
+		this.cutOff.record(reporter, report.isCutOff === true && !report.isLeaving);
 	}
 
 	/** Removes expired former leaders from the record, so that later leaders do not wait for them. */
--- a/packages/gateway/src/dispatch/dispatcher-balancing.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher-balancing.test.ts
@@ -73,6 +73,7 @@
 		retryBudget: () => ({share: 1, perSecond: 1, burst: 10}),
 		random: () => 0.5,
 		guard: new CrashGuard(view, clock),
+		isReleased: () => false,
 		balancing,
 		requestTrial: async () => undefined,
 		reportEnd() {
