--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {
 	BalancingMode, ErrorKind, ManualClock, TargetPhase,
@@ -186,6 +187,7 @@
 		retryBudget: () => ({share: 0, perSecond: 0, burst: 0}),
 		random: () => 0,
 		guard: new CrashGuard(view, clock),
+		balancing: BalancingMode.Auto,
 		isReleased: () => isReleased,
 		requestTrial: async () => undefined,
 		reportEnd() {
--- a/packages/gateway/src/mocks/path-simulation.ts
+++ b/packages/gateway/src/mocks/path-simulation.ts
@@ -94,7 +94,9 @@
 
 		const nodes = [...this.instances.values()].map(({node}) => node);
 		this.leader = this.instances.get(nodes[Math.floor(random() * nodes.length)].name)!;
-		this.stewards = new StewardAssignment({view, reader: {remainingColdMs: () => 0}, delayMs: () => 0, liveNodes: () => nodes});
+		this.stewards = new StewardAssignment({
+			view, reader: {remainingColdMs: () => 0}, delayMs: () => 0, liveNodes: () => nodes,
+		});
 		this.cutOff = new CutOffInstances({
 			view, clock, telemetry, onChange: () => {
 				this.schedulePublish();
