--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -29,7 +29,7 @@
 
 /** Options of a dispatch queue. */
 export type DispatchQueueOptions = {
-	readonly client: TargetClient;
+	readonly client: Pick<TargetClient, 'send'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly estimator: WorkEstimator;
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -19,7 +19,7 @@
 	/** Name of this instance. */
 	readonly selfName: string;
 	readonly view: View;
-	readonly client: TargetClient;
+	readonly client: Pick<TargetClient, 'send'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	/** Returns whether the leader was heard recently enough that this instance would know of a new steward. */
@@ -34,7 +34,7 @@
 	/** Called when a target answers that was reported before. */
 	readonly onAlive: (target: string) => void;
 	readonly guard: CrashGuard;
-	readonly paths: PathChecker;
+	readonly paths: Pick<PathChecker, 'watch' | 'isReleased' | 'settle'>;
 };
 
 /** The dispatch queues of this instance. A queue is created when its first order arrives. */
