--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -37,7 +37,7 @@
 
 /** Options of a dispatch queue. */
 export type DispatchQueueOptions = {
-	readonly client: TargetClient;
+	readonly client: Pick<TargetClient, 'send'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly estimator: WorkEstimator;
