Teams: rate limit divided by a central count and published ceilings

Cause: teams need one limit over all instances without a message per request. Change: AllowanceMeter on each instance and AllowanceController on the leader, with a simulation of 3 to 450 instances.

--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,1 +1,3 @@
 export * from './keyed-service.js';
+export * from './team-fleet.js';
+export * from './team-fleet-cfg.js';
--- a/packages/core/src/teams/index.ts
+++ b/packages/core/src/teams/index.ts
@@ -1,2 +1,5 @@
+export * from './allowance-controller.js';
+export * from './allowance-meter.js';
 export * from './team.js';
 export * from './team-limits.js';
+export type * from './team-use.js';
