Gateway: rate limits of teams between instances and leader

Cause: the division of limits needs reports, published ceilings and a host. Without teams no field is sent. Teams are read from rows team/NAME in find-teams.ts.

--- a/packages/core/src/teams/allowance-controller.ts
+++ b/packages/core/src/teams/allowance-controller.ts
@@ -98,17 +98,14 @@
 		}
 	}
 
+	/** Records that an instance was heard that has admitted nothing of a team since its start. */
+	recordContact(instance: string, incarnation: string, now: number): void {
+		this.findSource(instance, incarnation, now).hasFullReport = true;
+	}
+
 	/** Records a report of an instance. The first full report of an incarnation is the base of the later ones. */
 	record(instance: string, incarnation: string, {seq, isFull, uses}: TeamUseReport, now: number): void {
-		let source = this.sources.get(instance);
-		if (source?.incarnation !== incarnation) {
-			source = {
-				incarnation, seq: 0, hasFullReport: false, heardAt: now, uses: new Map(),
-			};
-			this.sources.set(instance, source);
-		}
-
-		source.heardAt = now;
+		const source = this.findSource(instance, incarnation, now);
 		if (seq <= source.seq) {
 			return;
 		}
@@ -238,6 +235,20 @@
 		return state;
 	}
 
+	private findSource(instance: string, incarnation: string, now: number): Source {
+		const known = this.sources.get(instance);
+		if (known?.incarnation === incarnation) {
+			known.heardAt = now;
+			return known;
+		}
+
+		const source: Source = {
+			incarnation, seq: 0, hasFullReport: false, heardAt: now, uses: new Map(),
+		};
+		this.sources.set(instance, source);
+		return source;
+	}
+
 	private forgetSources(instances: readonly string[]): void {
 		if (this.sources.size <= instances.length) {
 			return;
--- a/packages/core/src/teams/allowance-meter.ts
+++ b/packages/core/src/teams/allowance-meter.ts
@@ -92,6 +92,11 @@
 		super();
 	}
 
+	/** Whether no team with a limit has sent a request. */
+	get isEmpty(): boolean {
+		return this.seq === 0 && this.accounts.size === 0;
+	}
+
 	/** Records the number of instances and the last contact with a leader. */
 	setContact({instances, heardAt, leader}: MeterContact): void {
 		this.instances = instances;
--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -107,7 +107,7 @@
 	}
 
 	/** Leadership that this instance holds or follows; term 0 before the first one. */
-	private get leadership(): Leadership {
+	get leadership(): Leadership {
 		return this.leader?.leadership ?? this.followed.leadership;
 	}
 
@@ -116,6 +116,12 @@
 		return this.isLeader ? 0 : this.options.clock.now() - this.followed.lastPingAt;
 	}
 
+	/** Time at which the leader was last heard; negative infinity before the first one. */
+	get leaderHeardAt(): number {
+		const {lastPingAt, leadership} = this.followed;
+		return this.isLeader ? this.options.clock.now() : (leadership.term === 0 ? Number.NEGATIVE_INFINITY : lastPingAt);
+	}
+
 	/** Registers this instance and starts to follow a leader. */
 	start(): void {
 		void this.register();
@@ -176,7 +182,8 @@
 			case PeerOp.Crash:
 			case PeerOp.Alive:
 			case PeerOp.Trial:
-			case PeerOp.TrialEnd: {
+			case PeerOp.TrialEnd:
+			case PeerOp.TeamUse: {
 				return this.leader === undefined ? undefined : handleLeaderMessage(this.leader, op, body);
 			}
 		}
--- a/packages/gateway/src/cluster/handle-leader-message.ts
+++ b/packages/gateway/src/cluster/handle-leader-message.ts
@@ -1,8 +1,8 @@
 import type {Leader} from './leader.js';
-import {PeerOp, type NotOwnerReport} from './messages.js';
+import {PeerOp, type NotOwnerReport, type TeamUseMessage} from './messages.js';
 
 /** Operations that only the leader carries out. */
-export type LeaderOp = PeerOp.Disowned | PeerOp.Leaving | PeerOp.Crash | PeerOp.Alive | PeerOp.Trial | PeerOp.TrialEnd;
+export type LeaderOp = PeerOp.Disowned | PeerOp.Leaving | PeerOp.Crash | PeerOp.Alive | PeerOp.Trial | PeerOp.TrialEnd | PeerOp.TeamUse;
 
 /** Handles a message for the leader and returns the answer. */
 export function handleLeaderMessage(leader: Leader, op: LeaderOp, value: unknown): unknown {
@@ -17,6 +17,10 @@
 			return true;
 		}
 
+		case PeerOp.TeamUse: {
+			return leader.teamCeilings.handle(value as TeamUseMessage, leader.leadership);
+		}
+
 		case PeerOp.Crash:
 		case PeerOp.Alive:
 		case PeerOp.Trial:
--- a/packages/gateway/src/cluster/leader-channel.ts
+++ b/packages/gateway/src/cluster/leader-channel.ts
@@ -4,11 +4,16 @@
 import type {NodeInfo} from '../view/index.js';
 import {handleLeaderMessage} from './handle-leader-message.js';
 import type {Leader} from './leader.js';
-import {PeerOp, type TargetReport, type TrialRequest} from './messages.js';
+import {
+	PeerOp, type TargetReport, type TeamCeilingsReply, type TeamUseMessage, type TrialRequest,
+} from './messages.js';
 
 /** Timeout for the question whether a suspected request may run, in milliseconds; a few round trips on a bad link. */
 const trialTimeoutMs = 400;
 
+/** Timeout of a report of the use of teams, in milliseconds; the next one carries the same totals. */
+const teamUseTimeoutMs = 1000;
+
 /** Options of a leader channel. */
 export type LeaderChannelOptions = {
 	/** Returns the leader if it is this instance. */
@@ -44,6 +49,23 @@
 		}
 	}
 
+	/** Reports the use of teams. Resolves to undefined if there is no leader or no answer, or if it is of an earlier version. */
+	async reportTeamUse(message: TeamUseMessage): Promise<TeamCeilingsReply | undefined> {
+		const {leader, leaderNode, net} = this.options;
+		const self = leader();
+		const node = leaderNode();
+		if (self !== undefined || node === undefined) {
+			return self?.teamCeilings.handle(message, self.leadership);
+		}
+
+		try {
+			return await net.call(node.addr, PeerOp.TeamUse, message, {timeoutMs: teamUseTimeoutMs}) as TeamCeilingsReply | undefined;
+		} catch {
+			// The next report has the same totals, and pings show whether the leader is lost.
+			return undefined;
+		}
+	}
+
 	/** Asks whether a suspected request may run. Resolves to undefined if there is no leader or no answer. */
 	async requestTrial(request: TrialRequest): Promise<TrialDecision | undefined> {
 		const {leader, leaderNode, net, telemetry} = this.options;
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -8,9 +8,7 @@
 import type {PeerNet} from '../peers/index.js';
 import {StaleAppendError, type TargetControl} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {
-	leavingPart, limitPart, type NodeInfo, type View,
-} from '../view/index.js';
+import type {NodeInfo, View} from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {FollowerSync, type BaseState} from './follower-sync.js';
 import type {Directory} from './directory.js';
@@ -23,9 +21,11 @@
 import type {OwnerLog, OwnerState} from './owner-log.js';
 import {findOwnerProcess} from './owner-process.js';
 import {OwnershipManager} from './ownership-manager.js';
+import {publishConditions} from './publish-conditions.js';
 import {StewardAssignment} from './steward-assignment.js';
 import type {SuspectLog} from './suspect-log.js';
 import {SuspectRegistry} from './suspect-registry.js';
+import {TeamCeilings} from './team-ceilings.js';
 import {findUsableOwners} from './usable-owners.js';
 
 /** Age of the store contact up to which keys may be moved, in milliseconds. */
@@ -67,6 +67,8 @@
 	readonly followers: FollowerSync;
 	/** Requests under which targets ended. */
 	readonly suspects: SuspectRegistry;
+	/** Division of the rate limits of teams. */
+	readonly teamCeilings: TeamCeilings;
 	private readonly managers = new Map<string, OwnershipManager>();
 	private readonly measurements: Measurements;
 	/** Each target seen in this term, also after its removal, in the order of the first sight. */
@@ -109,6 +111,7 @@
 				this.schedulePublish();
 			},
 		});
+		this.teamCeilings = new TeamCeilings(options);
 		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes()});
 	}
 
@@ -158,7 +161,7 @@
 
 		void this.confirmation.confirm();
 		this.endRecovery(now);
-		this.applyReport(this.options.self.name, this.options.report(), now);
+		this.applyReport(this.options.self, this.options.report(), now);
 		this.publishConditions();
 		this.suspects.tick(now);
 		for (const target of view.targets.values()) {
@@ -167,6 +170,7 @@
 
 		const before = view.store.lastSeq;
 		this.stewards.update(now);
+		this.teamCeilings.update();
 		if (this.confirmation.mayGrant(now)) {
 			this.tickManagers(now);
 		}
@@ -257,17 +261,8 @@
 		}
 	}
 
-	/** Publishes what targets say about themselves. Returns whether it changed. */
 	private publishConditions(): boolean {
-		const {view, clock} = this.options;
-		const getVersion = () => [limitPart, leavingPart].map(part => view.store.lastSeqOfPart(part)).join('/');
-		const before = getVersion();
-		const isKnown = (target: string) => view.targets.has(target);
-		const limits = this.measurements.limits(isKnown, clock.now());
-		view.replacePrefix(`${limitPart}/`, new Map([...limits].map(([target, limit]) => [`${limitPart}/${target}`, limit])));
-		const leaving = this.measurements.leavingTargets(isKnown);
-		view.replacePrefix(`${leavingPart}/`, new Map([...leaving].map(target => [`${leavingPart}/${target}`, true])));
-		return getVersion() !== before;
+		return publishConditions(this.options.view, this.measurements, this.options.clock.now());
 	}
 
 	private tickManagers(now: number): void {
@@ -355,7 +350,7 @@
 			return;
 		}
 
-		this.applyReport(node.name, pong.report, this.options.clock.now());
+		this.applyReport({name: node.name, incarnation: pong.incarnation}, pong.report, this.options.clock.now());
 		if (this.publishConditions()) {
 			this.schedulePublish();
 		}
@@ -363,8 +358,9 @@
 		this.confirmation.recordFollower(node.name, pong);
 	}
 
-	private applyReport(reporter: string, report: Report, now: number): void {
-		this.measurements.apply(reporter, report, now);
+	private applyReport({name, incarnation}: Pick<NodeInfo, 'name' | 'incarnation'>, report: Report, now: number): void {
+		this.measurements.apply(name, report, now);
+		this.teamCeilings.record(name, incarnation, report.teamUse);
 		this.suspects.recordCrashes(report.crashes ?? []);
 	}
 
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -4,7 +4,9 @@
 import type {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
-import type {ConditionReport, ReportedCrash, TrialOutcome} from '@bluebellyard/core';
+import type {
+	ConditionReport, ReportedCrash, TeamCeiling, TeamUseReport, TrialOutcome,
+} from '@bluebellyard/core';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
@@ -32,6 +34,8 @@
 	Trial = 'trial',
 	/** Such a run has ended. */
 	TrialEnd = 'trial-end',
+	/** An instance reports the use of teams before the leader asks for it. */
+	TeamUse = 'team-use',
 	/** A request for a dispatch queue of this instance. */
 	Request = 'work',
 }
@@ -75,6 +79,8 @@
 	readonly leavingTargets?: readonly string[];
 	/** Targets that ended recently while requests of the instance ran there; absent from instances of an earlier version. */
 	readonly crashes?: readonly ReportedCrash[];
+	/** Use of teams with a limit; absent without any, and from instances of an earlier version. */
+	readonly teamUse?: TeamUseReport;
 	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
 };
@@ -118,6 +124,18 @@
 	readonly outcome: TrialOutcome;
 };
 
+/** Use of teams at an instance, sent out of turn. */
+export type TeamUseMessage = {
+	readonly instance: string;
+	readonly incarnation: string;
+	readonly report: TeamUseReport;
+};
+
+/** Answer to such a report: the ceilings in force. */
+export type TeamCeilingsReply = Leadership & {
+	readonly ceilings: readonly TeamCeiling[];
+};
+
 /** A report to the leader: a key that its owner does not hold, the id of a target that leaves, one that ended or lives after all, the result of a trial. */
 export type TargetReport
 	= | readonly [op: PeerOp.Disowned, value: NotOwnerReport]
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 } from './ports/index.js';
 import type {GatewaySettings} from './settings/index.js';
 import {type Telemetry} from './telemetry/index.js';
+import {TeamRates} from './teams/index.js';
 import {View, type NodeInfo} from './view/index.js';
 
 /** Usual lease of a grant, in milliseconds: long enough for a change of the leader, short enough that the keys of a lost target are soon free again. */
@@ -65,6 +66,8 @@
 export class Gateway {
 	readonly view = new View();
 	readonly coordinator: Coordinator;
+	/** Rate limits of teams. */
+	readonly teamRates: TeamRates;
 	private readonly net: PeerNet;
 	private readonly client: TargetClient;
 	private readonly guard: CrashGuard;
@@ -100,6 +103,15 @@
 		this.coordinator = new Coordinator({
 			...ports, self, view, net: this.net, clock, telemetry, random, timing: toTiming(cfg), heartbeatMs: cfg.targets.heartbeat, report: () => this.report(),
 		});
+		this.teamRates = new TeamRates({
+			self,
+			view,
+			clock,
+			telemetry,
+			random,
+			leader: () => ({...this.coordinator.leadership, heardAt: this.coordinator.leaderHeardAt}),
+			sendUse: async message => this.coordinator.leaderChannel.reportTeamUse(message),
+		});
 		this.guard = new CrashGuard(view, clock);
 		this.queues = new DispatchQueues({
 			selfName: name,
@@ -235,7 +247,9 @@
 	private report(): Report {
 		const keys = Object.fromEntries(this.requestedKeys);
 		this.requestedKeys.clear();
+		const teamUse = this.teamRates.report();
 		return {
+			...(teamUse !== undefined && {teamUse}),
 			keys,
 			slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const),
 			conditions: this.queues.reportConditions(),
--- /dev/null
+++ b/packages/gateway/src/teams/index.ts
@@ -0,0 +1,2 @@
+export * from './find-teams.js';
+export * from './team-rates.js';
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -63,6 +63,13 @@
 		registers: [this.registry],
 	});
 
+	readonly teamRequests = new Counter({
+		name: 'bluebellyard_team_requests_total',
+		help: 'Requests of teams by result: admitted, or over-limit; teams beyond the first 128 as other.',
+		labelNames: ['team', 'result'],
+		registers: [this.registry],
+	});
+
 	readonly moves = new Counter({
 		name: 'bluebellyard_key_moves_total',
 		help: 'Ranges of keys that changed their owner.',
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -49,6 +49,9 @@
 /** Part of the view with the requests under which targets ended, by fingerprint. */
 export const suspectPart = 'suspect';
 
+/** Part of the view with the ceilings of teams for each instance, by team, in requests per second. */
+export const ceilingPart = 'ceiling';
+
 /** Largest number of announcements that an instance remembers on its own; far more than targets leave within the life of a process that hears no leader. */
 const maxAnnouncements = 4096;
 
@@ -72,6 +75,7 @@
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
 	private limitsById = new Map<string, number>();
+	private ceilingsByTeam = new Map<string, number>();
 	private suspectsByPrint = new Map<string, Suspect>();
 	private suspectLengths = new Set<number>();
 	/** Targets that announced their leaving to this instance itself. */
@@ -121,6 +125,14 @@
 		return this.limitsById;
 	}
 
+	/** Published ceilings of teams for each instance, in requests per second. */
+	get teamCeilings(): ReadonlyMap<string, number> {
+		this.rebuildIfChanged(ceilingPart, () => {
+			this.ceilingsByTeam = new Map([...this.store.withPrefix<number>(`${ceilingPart}/`)].map(([key, perSecond]) => [key.slice(ceilingPart.length + 1), perSecond]));
+		});
+		return this.ceilingsByTeam;
+	}
+
 	/** Requests under which targets ended, by fingerprint. */
 	get suspects(): ReadonlyMap<string, Suspect> {
 		this.rebuildSuspects();
