--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -7,11 +7,13 @@
  * so that a burst does not make every request late.
  */
 import {ErrorKind} from '../errors/index.js';
+import {TeamShares} from '../teams/index.js';
 import {findCheapestTarget} from './cheapest-target.js';
 import {ExclusiveRuns} from './exclusive-runs.js';
 import {
-	createRefusal, isLate, minRetryAfterMs, precedes, timeToRoom, type QueuedRequest, type RequestRefusal,
+	createRefusal, isLate, minRetryAfterMs, timeToRoom, type QueuedRequest, type RequestRefusal,
 } from './queued-request.js';
+import {StartOrder} from './start-order.js';
 import {TargetLimiter, type TargetLimiterCfg, type AttemptOutcome} from './target-limiter.js';
 
 /** A request to send now, with the limiter of its target. */
@@ -57,6 +59,7 @@
 	private readonly targets = new Map<string, TargetLimiter>();
 	private readonly waiting = new Map<string, QueuedRequest>();
 	private readonly exclusive = new ExclusiveRuns();
+	private readonly shares = new TeamShares();
 	/** Work of the requests in time that were admitted recently, as an exponentially decaying sum in milliseconds. */
 	private recentWorkMs = 0;
 	private recentWorkAt = 0;
@@ -134,6 +137,7 @@
 
 		this.recordAdmission(request, now);
 		this.waiting.set(request.id, request);
+		this.shares.add(request);
 		if (request.isAlone === true) {
 			this.exclusive.reserve(request, this.permittedTargets(now).filter(limiter => isEligible(limiter, request, now)), now);
 		}
@@ -151,6 +155,11 @@
 	/** Removes a waiting request; returns false when it does not wait here. */
 	cancel(id: string): boolean {
 		this.exclusive.release(id);
+		const request = this.waiting.get(id);
+		if (request !== undefined) {
+			this.shares.remove(request);
+		}
+
 		return this.waiting.delete(id);
 	}
 
@@ -164,6 +173,7 @@
 			}
 
 			this.waiting.delete(start.request.id);
+			this.shares.start(start.request, start.tag);
 			this.exclusive.recordStart(start.limiter, start.request, now);
 			start.limiter.recordStart(now);
 			starts.push(start);
@@ -171,6 +181,7 @@
 
 		const refusals = this.refuseUnlikely(now);
 		for (const {request} of refusals) {
+			this.shares.remove(request);
 			this.exclusive.release(request.id);
 		}
 
@@ -246,7 +257,8 @@
 			return now >= request.deadline ? createRefusal(request, ErrorKind.DeadlinePassed, minRetryAfterMs) : undefined;
 		}
 
-		const wait = this.estimateWait(other => precedes(other, request, now), now);
+		const order = this.startOrder(now, request);
+		const wait = this.estimateWait(other => order.precedes(other, request), now);
 		const lateWait = wait / this.lateShare(now);
 		const isInTime = now + wait + quickest <= request.objectiveAt;
 		if (isInTime || now + lateWait + quickest <= request.deadline) {
@@ -275,16 +287,24 @@
 		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, this.capacity(now))));
 	}
 
-	private nextStart(now: number): RequestStart | undefined {
+	/** Returns the order of the waiting requests and, if given, a new one. */
+	private startOrder(now: number, request?: QueuedRequest): StartOrder {
+		const isTagged = this.shares.isActive || request?.team !== undefined;
+		const requests = isTagged ? [...this.waiting.values(), ...(request === undefined ? [] : [request])] : [];
+		return new StartOrder(this.shares, {requests, capacity: isTagged ? Math.max(minCapacity, this.capacity(now)) : 0, now});
+	}
+
+	private nextStart(now: number): RequestStart & {readonly tag: number} | undefined {
 		const open = this.permittedTargets(now).filter(limiter => limiter.mayStart(now));
 		if (open.length === 0 || this.waiting.size === 0) {
 			return undefined;
 		}
 
+		const order = this.startOrder(now);
 		let best: QueuedRequest | undefined;
 		for (const request of this.waiting.values()) {
 			const mayStart = open.some(limiter => this.mayStartAt(limiter, request, now));
-			if (mayStart && (best === undefined || precedes(request, best, now))) {
+			if (mayStart && (best === undefined || order.precedes(request, best))) {
 				best = request;
 			}
 		}
@@ -295,7 +315,7 @@
 
 		const request = best;
 		const limiters = open.filter(limiter => this.mayStartAt(limiter, request, now));
-		return {request, limiter: findCheapestTarget(limiters, now)};
+		return {request, limiter: findCheapestTarget(limiters, now), tag: order.tagOf(request)};
 	}
 
 	private mayStartAt(limiter: TargetLimiter, request: QueuedRequest, now: number): boolean {
@@ -312,7 +332,8 @@
 		const capacity = Math.max(minCapacity, this.capacity(now));
 		const lateShare = this.lateShare(now);
 		const permitted = this.permittedTargets(now);
-		const queue = [...this.waiting.values()].toSorted((a, b) => precedes(a, b, now) ? -1 : 1);
+		const order = this.startOrder(now);
+		const queue = [...this.waiting.values()].toSorted((a, b) => order.precedes(a, b) ? -1 : 1);
 		let ahead = 0;
 		for (const request of queue) {
 			if (!permitted.some(limiter => isEligible(limiter, request, now))) {
--- a/packages/core/src/admission/queued-request.ts
+++ b/packages/core/src/admission/queued-request.ts
@@ -15,6 +15,8 @@
 	readonly deadline: number;
 	/** Expected duration on an idle target of normal speed, in milliseconds. */
 	readonly workMs: number;
+	/** Name of the caller's team; requests of teams are ordered fairly between the teams. */
+	readonly team?: string;
 	/** Ids of targets that must not receive it. */
 	readonly excluded?: ReadonlySet<string>;
 	/** Whether nothing else may run at its target meanwhile. */
@@ -43,10 +45,20 @@
 	return now + (request.workMs * workMargin) > request.objectiveAt;
 }
 
-/** Returns whether request `a` starts before `b`: requests in time before late ones, then by priority, then by objective, or by deadline when late. */
-export function precedes(a: QueuedRequest, b: QueuedRequest, now: number): boolean {
-	const lateA = isLate(a, now);
-	if (lateA !== isLate(b, now)) {
+/** Rank of a request in a queue that teams share. */
+export type TeamRank = {
+	/** Requests with a lower tag start first. */
+	readonly tag: number;
+	/** Whether it is expected to miss its objective, also because of what its team has sent before. */
+	readonly isLate: boolean;
+};
+
+/** Returns whether request `a` starts before `b`: requests in time before late ones, then by priority, then by tags if there are any, then by objective, or by deadline when late. */
+export function precedes(a: QueuedRequest, b: QueuedRequest, now: number, ranks?: ReadonlyMap<string, TeamRank>): boolean {
+	const rankA = ranks?.get(a.id);
+	const rankB = ranks?.get(b.id);
+	const lateA = rankA?.isLate ?? isLate(a, now);
+	if (lateA !== (rankB?.isLate ?? isLate(b, now))) {
 		return !lateA;
 	}
 
@@ -54,6 +66,10 @@
 		return a.priority < b.priority;
 	}
 
+	if (rankA !== undefined && rankB !== undefined && rankA.tag !== rankB.tag) {
+		return rankA.tag < rankB.tag;
+	}
+
 	return lateA ? a.deadline < b.deadline : a.objectiveAt < b.objectiveAt;
 }
 
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,3 +1,4 @@
 export * from './keyed-service.js';
 export * from './team-fleet.js';
 export * from './team-fleet-cfg.js';
+export * from './team-queue.js';
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -129,6 +129,7 @@
 		const request: QueuedRequest = {
 			id: String(this.nextId++),
 			priority: order.priority,
+			team: order.team,
 			objectiveAt: order.objectiveAt,
 			deadline: order.deadline,
 			workMs: estimator.estimate(order.route, order.objectiveMs),
