--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,3 +1,6 @@
 export * from './busy-process.js';
 export * from './keyed-service.js';
 export * from './domain-load.js';
+export * from './team-fleet.js';
+export * from './team-fleet-cfg.js';
+export * from './team-queue.js';
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -6,7 +6,7 @@
 	OwnershipMap, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import {StaleAppendError} from '../ports/index.js';
-import {leavingPart, limitPart, type NodeInfo} from '../view/index.js';
+import type {NodeInfo} from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {CutOffInstances} from './cut-off-instances.js';
 import {FollowerSync} from './follower-sync.js';
@@ -19,8 +19,10 @@
 import type {OwnerState} from './owner-log.js';
 import {findOwnerProcess} from './owner-process.js';
 import {OwnershipManager} from './ownership-manager.js';
+import {publishConditions} from './publish-conditions.js';
 import {StewardAssignment} from './steward-assignment.js';
 import {SuspectRegistry} from './suspect-registry.js';
+import {TeamCeilings} from './team-ceilings.js';
 import {findUsableOwners} from './usable-owners.js';
 
 /** Age of the store contact up to which keys may be moved, in milliseconds. */
@@ -37,6 +39,8 @@
 	readonly suspects: SuspectRegistry;
 	/** Instances that are cut off from the targets. */
 	readonly cutOff: CutOffInstances;
+	/** Division of the rate limits of teams. */
+	readonly teamCeilings: TeamCeilings;
 	private readonly managers = new Map<string, OwnershipManager>();
 	private readonly measurements: Measurements;
 	/** Each target seen in this term, also after its removal, in the order of the first sight. */
@@ -77,6 +81,7 @@
 		const onChange = this.schedulePublish.bind(this);
 		this.suspects = new SuspectRegistry({...options, onChange});
 		this.cutOff = new CutOffInstances({...options, onChange});
+		this.teamCeilings = new TeamCeilings(options);
 		this.stewards = new StewardAssignment({...options, liveNodes: () => this.followers.liveNodes(), delayMs: name => this.measurements.delayMs(name)});
 	}
 
@@ -126,7 +131,7 @@
 
 		void this.confirmation.confirm();
 		this.endRecovery(now);
-		this.applyReport(this.options.self.name, this.options.report(), now);
+		this.applyReport(this.options.self, this.options.report(), now);
 		this.publishConditions();
 		this.cutOff.prune(this.followers.liveNodes());
 		this.suspects.tick(now);
@@ -136,6 +141,7 @@
 
 		const before = view.store.lastSeq;
 		this.stewards.update(now);
+		this.teamCeilings.update();
 		if (this.confirmation.mayGrant(now)) {
 			this.tickManagers(now);
 		}
@@ -226,17 +232,8 @@
 		}
 	}
 
-	/** Publishes what targets say about themselves. Returns whether it changed. */
 	private publishConditions(): boolean {
-		const {view, clock} = this.options;
-		const getVersion = () => [limitPart, leavingPart].map(part => view.store.lastSeqOfPart(part)).join('/');
-		const before = getVersion();
-		const isKnown = (target: string) => view.targets.has(target);
-		const limits = this.measurements.limits(isKnown, clock.now());
-		view.replacePrefix(`${limitPart}/`, new Map([...limits].map(([target, limit]) => [`${limitPart}/${target}`, limit])));
-		const leaving = this.measurements.leavingTargets(isKnown);
-		view.replacePrefix(`${leavingPart}/`, new Map([...leaving].map(target => [`${leavingPart}/${target}`, true])));
-		return getVersion() !== before;
+		return publishConditions(this.options.view, this.measurements, this.options.clock.now());
 	}
 
 	private tickManagers(now: number): void {
@@ -325,7 +322,7 @@
 			return;
 		}
 
-		this.applyReport(node.name, pong.report, this.options.clock.now());
+		this.applyReport({name: node.name, incarnation: pong.incarnation}, pong.report, this.options.clock.now());
 		if (this.publishConditions()) {
 			this.schedulePublish();
 		}
@@ -333,10 +330,11 @@
 		this.confirmation.recordFollower(node.name, pong);
 	}
 
-	private applyReport(reporter: string, report: Report, now: number): void {
-		this.measurements.apply(reporter, report, now);
+	private applyReport({name, incarnation}: Pick<NodeInfo, 'name' | 'incarnation'>, report: Report, now: number): void {
+		this.measurements.apply(name, report, now);
+		this.teamCeilings.record(name, incarnation, report.teamUse);
 		this.suspects.recordCrashes(report.crashes ?? []);
-		this.cutOff.record(reporter, report.isCutOff === true && !report.isLeaving);
+		this.cutOff.record(name, report.isCutOff === true && !report.isLeaving);
 	}
 
 	/** Removes expired former leaders from the record, so that later leaders do not wait for them. */
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -4,7 +4,9 @@
 import type {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
-import type {ConditionReport, ReportedCrash, TrialOutcome} from '@bluebellyard/core';
+import type {
+	ConditionReport, ReportedCrash, TeamCeiling, TeamUseReport, TrialOutcome,
+} from '@bluebellyard/core';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
@@ -34,6 +36,8 @@
 	TrialEnd = 'trial-end',
 	/** An instance is cut off from the targets, or reaches them again. */
 	CutOff = 'cut-off',
+	/** An instance reports the use of teams before the leader asks for it. */
+	TeamUse = 'team-use',
 	/** A request for a dispatch queue of this instance. */
 	Request = 'work',
 }
@@ -79,6 +83,8 @@
 	readonly crashes?: readonly ReportedCrash[];
 	/** Time that work waits for CPU time in the instance, in milliseconds; absent if it does not measure it. */
 	readonly delayMs?: number;
+	/** Use of teams with a limit; absent without any, and from instances of an earlier version. */
+	readonly teamUse?: TeamUseReport;
 	/** Whether the instance itself is about to stop. */
 	readonly isLeaving: boolean;
 	/** Whether the instance is cut off from the targets; absent from instances of an earlier version. */
@@ -130,6 +136,18 @@
 	readonly isCutOff: boolean;
 };
 
+/** Use of teams at an instance, sent out of turn. */
+export type TeamUseMessage = {
+	readonly instance: string;
+	readonly incarnation: string;
+	readonly report: TeamUseReport;
+};
+
+/** Answer to such a report: the ceilings in force. */
+export type TeamCeilingsReply = Leadership & {
+	readonly ceilings: readonly TeamCeiling[];
+};
+
 /** A report to the leader: a key that its owner does not hold, the id of a target that leaves, one that ended or lives after all, the result of a trial, whether this instance is cut off. */
 export type TargetReport
 	= | readonly [op: PeerOp.Disowned, value: NotOwnerReport]
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,7 @@
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
 import type {GatewaySettings} from './settings/index.js';
-import {TeamAdmission} from './teams/index.js';
+import {TeamAdmission, TeamRates} from './teams/index.js';
 import {type Telemetry} from './telemetry/index.js';
 import {View, type NodeInfo} from './view/index.js';
 
@@ -75,6 +75,8 @@
 export class Gateway {
 	readonly view = new View();
 	readonly coordinator: Coordinator;
+	/** Rate limits of teams. */
+	readonly teamRates: TeamRates;
 	private readonly net: PeerNet;
 	private readonly client: TargetClient;
 	private readonly guard: CrashGuard;
@@ -123,6 +125,14 @@
 			heartbeatMs: cfg.targets.heartbeat,
 			report: () => this.report(),
 		});
+		this.teamRates = new TeamRates({
+			self,
+			view,
+			clock,
+			random,
+			leader: () => ({...this.coordinator.leadership, heardAt: this.coordinator.leaderHeardAt}),
+			sendUse: async message => this.coordinator.leaderChannel.reportTeamUse(message),
+		});
 		this.guard = new CrashGuard(view, clock);
 		this.paths = new PathChecker({
 			selfName: name,
@@ -195,7 +205,7 @@
 			view,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
-			admission: new TeamAdmission({view, metrics: telemetry.metrics}),
+			admission: new TeamAdmission({view, metrics: telemetry.metrics, limits: this.teamRates}),
 			clock,
 			telemetry,
 			onKeyedRequest: (service, key, route) => {
@@ -297,7 +307,9 @@
 	private report(): Report {
 		const keys = Object.fromEntries(this.requestedKeys);
 		this.requestedKeys.clear();
+		const teamUse = this.teamRates.report();
 		return {
+			...(teamUse !== undefined && {teamUse}),
 			keys,
 			slowness: this.queues.targetSlowness().map(([target, factor]) => [target, Math.round(factor * 100) / 100] as const),
 			conditions: this.queues.reportConditions(),
--- a/packages/gateway/src/teams/index.ts
+++ b/packages/gateway/src/teams/index.ts
@@ -1,1 +1,2 @@
 export * from './team-admission.js';
+export * from './team-rates.js';
--- a/packages/gateway/src/teams/team-admission.test.ts
+++ b/packages/gateway/src/teams/team-admission.test.ts
@@ -60,10 +60,11 @@
 });
 
 // A team over its limit would be served, or told a time at which it has no room.
-test('a team over its limit is rejected with the time until it has room', t => {
-	const {admission} = create(new CountedLimits(1));
+test('a team over its limit is rejected with the time until it has room', async t => {
+	const {admission, metrics} = create(new CountedLimits(1));
 	t.true(admission.decide({}, 'k1', 0).isAdmitted);
 	t.like(admission.decide({}, 'k1', 0), {isAdmitted: false, team: limited, result: {error: ErrorKind.TeamLimit, isNotRun: true, retryAfterMs: 340}});
+	t.regex(await metrics.text(), /team_requests_total\{team="limited",result="rejected"\} 1/v);
 });
 
 // The limit of another team would apply to a team without one.
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -50,6 +50,9 @@
 /** Part of the view with the requests under which targets ended, by fingerprint. */
 export const suspectPart = 'suspect';
 
+/** Part of the view with the ceilings of teams for each instance, by team, in requests per second. */
+export const ceilingPart = 'ceiling';
+
 /** Part of the view with the instances that are cut off from the targets, by name. */
 export const cutPart = 'cut';
 
@@ -79,6 +82,7 @@
 	private evacuatedDomains = new Set<string>();
 	private cutOffNames: ReadonlySet<string> = new Set<string>();
 	private limitsById = new Map<string, number>();
+	private ceilingsByTeam = new Map<string, number>();
 	private suspectsByPrint = new Map<string, Suspect>();
 	private suspectLengths = new Set<number>();
 	/** Targets that announced their leaving to this instance itself. */
@@ -142,6 +146,14 @@
 		return this.limitsById;
 	}
 
+	/** Published ceilings of teams for each instance, in requests per second. */
+	get teamCeilings(): ReadonlyMap<string, number> {
+		this.rebuildIfChanged(ceilingPart, () => {
+			this.ceilingsByTeam = new Map([...this.store.withPrefix<number>(`${ceilingPart}/`)].map(([key, perSecond]) => [key.slice(ceilingPart.length + 1), perSecond]));
+		});
+		return this.ceilingsByTeam;
+	}
+
 	/** Requests under which targets ended, by fingerprint. */
 	get suspects(): ReadonlyMap<string, Suspect> {
 		this.rebuildSuspects();
