Stewards: an instance short of processor time gets no queues beside larger ones

Cause: the balancer gives each instance as many callers, whatever its size.

Change: below [overload] cores an instance gets queues only if its domain has no larger instance. Deployments without such instances are assigned as before.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -51,6 +51,8 @@
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	readonly timing: LeaseTiming;
+	/** Processor time in cores below which an instance gets queues only if its domain has no larger one. */
+	readonly minStewardCores?: number;
 	/** Returns whether keys leave targets at once whose load surges. */
 	readonly detectsSurges?: () => boolean;
 	/** Interval at which each target writes its entry again, in milliseconds. */
--- a/packages/gateway/src/cluster/leader-options.ts
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -31,6 +31,8 @@
 	readonly timing: LeaseTiming;
 	/** Returns whether keys leave targets at once whose load surges. */
 	readonly detectsSurges?: () => boolean;
+	/** Processor time in cores below which an instance gets queues only if its domain has no larger one. */
+	readonly minStewardCores?: number;
 	/** State of a former leader on which the view of this instance is based. */
 	readonly baseState: BaseState | undefined;
 	/** Returns the measurements of this instance since the last call. */
--- a/packages/gateway/src/cluster/steward-assignment.ts
+++ b/packages/gateway/src/cluster/steward-assignment.ts
@@ -11,6 +11,8 @@
 	readonly reader: Pick<FeedReader, 'remainingColdMs'>;
 	/** Returns the instances that may be stewards. */
 	readonly liveNodes: () => readonly NodeInfo[];
+	/** Processor time in cores below which an instance gets queues only if its domain has no larger one: it gets as many callers as any other. */
+	readonly minStewardCores?: number;
 	/** Returns the time that work waits for CPU time in an instance, in milliseconds. */
 	readonly delayMs: (instance: string) => number;
 };
@@ -30,7 +32,7 @@
 
 	/** Assigns dispatch queues to stewards when targets, services or live instances have changed. */
 	update(now: number): void {
-		const {view, liveNodes, delayMs} = this.options;
+		const {view, liveNodes, delayMs, minStewardCores = 0} = this.options;
 		const live = withoutCutOff(liveNodes(), name => view.isCutOff(name));
 		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...live.map(node => node.incarnation)].join(' ');
 		if (inputs === this.inputs) {
@@ -46,7 +48,8 @@
 		}
 
 		const candidates = live.map(node => ({...node, cores: node.cores / (1 + (delayMs(node.name) / halfShareDelayMs))}));
-		const plan = planStewards([...queues.values()], candidates, queueId => view.findSteward(queueId));
+		const small = new Set(live.filter(({cores}) => cores < minStewardCores).map(({name}) => name));
+		const plan = planStewards([...queues.values()], candidates, queueId => view.findSteward(queueId), name => small.has(name));
 		this.updateColdTimes(plan, now);
 		view.replacePrefix('steward/', new Map([...plan].map(([queueId, name]) => [`steward/${queueId}`, name])));
 	}
--- a/packages/gateway/src/cluster/steward-plan.test.ts
+++ b/packages/gateway/src/cluster/steward-plan.test.ts
@@ -56,3 +56,12 @@
 	const before = planWithout([], new Map());
 	t.deepEqual(planWithout(['a1', 'a2', 'b1'], before), before);
 });
+
+// The balancer gives an instance with a fifth of a core as many callers as a large one; with queues as well its requests waited twice.
+test('instances short of processor time get queues only if their domain has no other', t => {
+	const mixed = [node('small', 'a', 0.2), node('large', 'a', 1.35)];
+	const isShort = (name: string) => name === 'small';
+	t.true([...planStewards(queues, mixed, () => 'small', isShort).values()].every(name => name === 'large'));
+	t.true([...planStewards(queues, mixed.slice(0, 1), noSteward, isShort).values()].every(name => name === 'small'));
+	t.is(planStewards(queues, [mixed[0], nodes[2]], noSteward, isShort).get('x'), 'small');
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -121,6 +121,7 @@
 			telemetry,
 			random,
 			timing: toTiming(cfg),
+			minStewardCores: cfg.overload.cores,
 			detectsSurges: () => isLoadBalanced(cfg.balancing.mode, view),
 			heartbeatMs: cfg.targets.heartbeat,
 			report: () => this.report(),
