--- a/packages/gateway/src/queue/dispatch-queues.test.ts
+++ b/packages/gateway/src/queue/dispatch-queues.test.ts
@@ -6,10 +6,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {
-	AttemptOutcome, ErrorKind, ManualClock, RunMode, TargetPhase,
+	AttemptOutcome, ErrorKind, ManualClock, TargetPhase,
 } from '@bluebellyard/core';
 import {CrashGuard} from '../dispatch/crash-guard.js';
 import type {Order, OrderResult} from '../dispatch/order.js';
+import {usualOrder} from '../mocks/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {sharedQueueId, View} from '../view/index.js';
 import {DispatchQueues} from './dispatch-queues.js';
@@ -26,25 +27,7 @@
 };
 
 function createOrder(requestId: string): Order {
-	return {
-		requestId,
-		method: 'POST',
-		path: '/',
-		headers: [],
-		body: Buffer.alloc(0),
-		route: 'route',
-		service: 's',
-		key: undefined,
-		priority: 1,
-		isOnce: true,
-		objectiveMs: 500,
-		arrivedAt: 0,
-		objectiveAt: 500,
-		deadline: 2000,
-		excluded: [],
-		skipsRateLimited: false,
-		mode: RunMode.Usual,
-	};
+	return {...usualOrder, requestId, method: 'POST'};
 }
 
 /** Queues of instance `e1`, which is the steward of one target with one slot that does not answer until `answer` is called. */
