A request refused by a steward as suspected asks for a trial at once

Cause: a steward knows of a crash before the leader has published it. The instance that had sent the request there saw its refusal, found no suspect in its own view and took the refusal as final. The window had been there before; since crashes wait for the decision on a partition, callers come back inside it.

Change: an instance that a steward told so asks the leader for a trial without waiting for its view. New test, fails before.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -167,17 +167,16 @@
 	/** Runs an order once; as a trial, if the leader permits it, when it is known or turns out that targets ended under the same request. */
 	private async attemptUnlessSuspect(order: Order, signal: AbortSignal): Promise<OrderResult> {
 		const {guard} = this.options;
-		let print = guard.findSuspect(order);
-		if (print === undefined) {
+		const known = guard.findSuspect(order);
+		if (known === undefined) {
 			const result = await this.attempt(order, signal);
 			if (result.kind === 'answer' || result.error !== ErrorKind.CrashSuspect) {
 				return result;
 			}
-
-			print = fingerprintOf(order);
 		}
 
-		return await this.trials.run(order, print, signal, async trial => this.attempt(trial, signal)) ?? this.attempt(order, signal);
+		const print = known ?? fingerprintOf(order);
+		return await this.trials.run(order, {print, isTold: known === undefined, signal}, async trial => this.attempt(trial, signal)) ?? this.attempt(order, signal);
 	}
 
 	private async attempt(order: Order, signal: AbortSignal): Promise<OrderResult> {
--- a/packages/gateway/src/dispatch/trial-runner.test.ts
+++ b/packages/gateway/src/dispatch/trial-runner.test.ts
@@ -47,6 +47,8 @@
 	readonly print = fingerprintOf(order);
 	readonly ends: TrialOutcome[] = [];
 	readonly runs: Order[] = [];
+	/** Whether a steward refused the request as suspected. */
+	isTold = false;
 	result: OrderResult = failure(ErrorKind.ConnectionLost, {isNotRun: false});
 
 	constructor(private readonly decisions: Array<TrialDecision | undefined>) {
@@ -77,7 +79,7 @@
 				this.clock.advance(ms);
 			},
 		});
-		return runner.run(order, this.print, signal, async trial => {
+		return runner.run(order, {print: this.print, isTold: this.isTold, signal}, async trial => {
 			this.runs.push(trial);
 			return this.result;
 		});
@@ -133,6 +135,15 @@
 	t.is(await harness.run(), undefined);
 });
 
+// A steward knows of a crash before the leader has published it; its refusal was the answer to callers that came back at once.
+test('a request that a steward refused as suspected asks for a trial before that is published', async t => {
+	const harness = new Harness([granted]);
+	harness.publish(undefined);
+	harness.isTold = true;
+	t.is(await harness.run(), harness.result);
+	t.deepEqual(harness.runs.map(({mode}) => mode), [RunMode.TrialAlone]);
+});
+
 test('other requests are not hashed, the same one is recognized at any instance', t => {
 	const {guard, print} = new Harness([]);
 	t.is(guard.findSuspect(order), print);
--- a/packages/gateway/src/dispatch/trial-runner.ts
+++ b/packages/gateway/src/dispatch/trial-runner.ts
@@ -24,6 +24,13 @@
 	readonly waitForChange: (ms: number, signal: AbortSignal) => Promise<void>;
 };
 
+/** A suspected order: its fingerprint, whether a steward told so, and the signal that its caller left. */
+export type SuspectedOrder = {
+	readonly print: string;
+	readonly isTold: boolean;
+	readonly signal: AbortSignal;
+};
+
 /**
  * Runs requests under which targets ended before. Only the leader may permit it, so that one runs at a time over all
  * instances; a request that waits for its turn is refused once it is known that its turn won't come in time.
@@ -35,13 +42,16 @@
 		this.options = options;
 	}
 
-	/** Runs a suspected order with `attempt` if it is permitted. Resolves to undefined if it is no longer suspected. */
-	async run(order: Order, print: string, signal: AbortSignal, attempt: (order: Order) => Promise<OrderResult>): Promise<OrderResult | undefined> {
+	/**
+	 * Runs a suspected order with `attempt` if it is permitted. Resolves to undefined if it is no longer suspected. `isTold`
+	 * states that a steward has just refused it as suspected, which this instance learns from the leader only later.
+	 */
+	async run(order: Order, {print, isTold, signal}: SuspectedOrder, attempt: (order: Order) => Promise<OrderResult>): Promise<OrderResult | undefined> {
 		const {guard, clock, telemetry, requestTrial, reportEnd, waitForChange} = this.options;
 		const waitUntil = Math.min(order.arrivedAt + (order.objectiveMs * maxWaitShare), order.deadline);
 		let decision: TrialDecision | undefined;
 		for (;;) {
-			if (!guard.isSuspect(print)) {
+			if (!isTold && !guard.isSuspect(print)) {
 				return undefined;
 			}
 
--- a/packages/gateway/src/mocks/crash-simulation.ts
+++ b/packages/gateway/src/mocks/crash-simulation.ts
@@ -143,7 +143,7 @@
 		const order = this.createOrder(path);
 		const print = instance.guard.findSuspect(order);
 		const attempt = async (sent: Order) => this.run(instance, sent);
-		return print === undefined ? attempt(order) : await instance.runner.run(order, print, new AbortController().signal, attempt) ?? attempt(order);
+		return print === undefined ? attempt(order) : await instance.runner.run(order, {print, isTold: false, signal: new AbortController().signal}, attempt) ?? attempt(order);
 	}
 
 	/** Loses the leader; another instance is elected some time later. */
