A leader that is cut off from the targets starts no moves

Cause, from the kept log: the leader balanced load in the tick in which it handed the lead over; the release was not answered, and its successor waited for the leader's grants.

Change: moves need a path to the targets, as they need the store.

--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -237,8 +237,10 @@
 	}
 
 	private tickManagers(now: number): void {
-		const {view} = this.options;
+		const {view, self} = this.options;
 		const {isRecovering} = this;
+		// A leader that reaches no target can't complete a move, and its successor would wait for its grants.
+		const reachesTargets = !view.isCutOff(self.name);
 		const hasStoreContact = now - this.confirmation.confirmedAt < maxMoveStoreAgeMs && this.storeAgeMs < maxMoveStoreAgeMs;
 		for (const service of view.allServices.values()) {
 			const isWaiting = isRecovering && !this.managers.has(service.name);
@@ -248,7 +250,7 @@
 					owners: this.findOwners(service.name, manager, now),
 					rates: () => this.measurements.rates(service.name, now),
 					recentLoad: this.options.detectsSurges?.() === true ? () => this.measurements.recentLoad(service.name, now) : undefined,
-					mayMove: hasStoreContact && !isRecovering && this.confirmation.isInPresentEra,
+					mayMove: hasStoreContact && reachesTargets && !isRecovering && this.confirmation.isInPresentEra,
 				});
 			}
 		}
