Keys on their way are opened again without waiting for leases that nobody holds

Ranges that were moving when the leader ended waited until all grants of former leaders had certainly expired (6.7 s and more), although their owners had answered every grant. Releases hung on lost connects for 2.5 s, each lost connect counted as a grant that may be carried out, and ranges whose owner was back stayed closed for the rest of a lease.

Change: - The record of a move states whether the former owner had answered all grants; it gets none while the record is written. The next leader opens such a range once the former owner has released it.

Ruled out: shorter leases (a lost leader would close all keys), a release as proof in itself (an unanswered grant may be carried out after it).

--- a/packages/core/src/keyspace/ownership-map.ts
+++ b/packages/core/src/keyspace/ownership-map.ts
@@ -11,6 +11,11 @@
 export type FormerOwner = {
 	readonly owner: string;
 	readonly fence: number;
+	/**
+	 * Whether it had answered all grants of the range when it lost it, and was sent no others after that. Once it has
+	 * then released the range, no grant of it can be carried out later. Absent if that is not known.
+	 */
+	readonly isSettled?: true;
 };
 
 /** A range of keys with its owner. */
@@ -77,12 +82,13 @@
 
 	/**
 	 * Assigns ranges to new owners with one fencing token. A range that is
-	 * assigned to its present owner gets the new token, too.
+	 * assigned to its present owner gets the new token, too. `isSettled` returns whether the owner of a part
+	 * that it loses has answered all grants.
 	 */
-	assign(moves: readonly KeyMove[], fence: number): OwnershipMap {
+	assign(moves: readonly KeyMove[], fence: number, isSettled: (part: RangeOwnership) => boolean = () => false): OwnershipMap {
 		let {ranges} = this;
 		for (const move of moves) {
-			ranges = ranges.flatMap(ownership => changePart(ownership, move, part => transfer(part, move.owner, fence)));
+			ranges = ranges.flatMap(ownership => changePart(ownership, move, part => transfer(part, {owner: move.owner, fence, isSettled})));
 		}
 
 		return new OwnershipMap(mergeAdjacent(ranges));
@@ -97,6 +103,13 @@
 		return new OwnershipMap(ranges);
 	}
 
+	/** Returns the map without what it states of the grants of former owners, because records may have been lost since. */
+	forgetSettled(): OwnershipMap {
+		return new OwnershipMap(this.ranges.map(ownership => ({
+			...ownership, formers: ownership.formers.map(({owner, fence}) => ({owner, fence})),
+		})));
+	}
+
 	/** Gives all owned ranges a new fencing token and merges adjacent ranges of one owner. */
 	renewFences(fence: number): OwnershipMap {
 		const ranges = this.ranges.map(ownership => ownership.owner === '' ? ownership : {...ownership, fence});
@@ -104,7 +117,13 @@
 	}
 }
 
-function transfer(part: RangeOwnership, owner: string, fence: number): RangeOwnership {
+type Assignment = {
+	readonly owner: string;
+	readonly fence: number;
+	readonly isSettled: (part: RangeOwnership) => boolean;
+};
+
+function transfer(part: RangeOwnership, {owner, fence, isSettled}: Assignment): RangeOwnership {
 	if (part.owner === owner || part.owner === '') {
 		return {
 			...part, owner, fence, formers: part.formers.filter(former => former.owner !== owner),
@@ -112,8 +131,9 @@
 	}
 
 	const others = part.formers.filter(former => former.owner !== part.owner && former.owner !== owner);
+	const former: FormerOwner = {owner: part.owner, fence: part.fence, ...(isSettled(part) && {isSettled: true})};
 	return {
-		...part, owner, fence, formers: [...others, {owner: part.owner, fence: part.fence}],
+		...part, owner, fence, formers: [...others, former],
 	};
 }
 
@@ -154,7 +174,11 @@
 	return a.owner === b.owner
 		&& a.fence === b.fence
 		&& a.formers.length === b.formers.length
-		&& a.formers.every((former, i) => former.owner === b.formers[i].owner && former.fence === b.formers[i].fence);
+		&& a.formers.every((former, i) => isSameFormer(former, b.formers[i]));
+}
+
+function isSameFormer(a: FormerOwner, b: FormerOwner): boolean {
+	return a.owner === b.owner && a.fence === b.fence && a.isSettled === b.isSettled;
 }
 
 /** Returns whether an owned range contains a key of another range. */
--- a/packages/gateway/src/cluster/grant.ts
+++ b/packages/gateway/src/cluster/grant.ts
@@ -1,4 +1,4 @@
-import type {RangeOwnership} from '@bluebellyard/core';
+import type {LeaseTiming, RangeOwnership} from '@bluebellyard/core';
 
 /** The leader's record of its grants of one range to one owner. All times are monotonic milliseconds. */
 export type GrantState = {
@@ -7,6 +7,8 @@
 	acceptedSentAt: number;
 	/** Time at which the last unanswered grant was sent. */
 	unansweredSentAt: number;
+	/** The same for grants with a lower fencing token, which the owner rejects once it has accepted the present one. */
+	formerUnansweredSentAt: number;
 	/** Latest time at which this leader sent a grant that may have reached the owner; negative infinity if it sent none. */
 	lastSentAt: number;
 	/** Time from which the next grant may be sent. */
@@ -23,7 +25,7 @@
 		return Number.NEGATIVE_INFINITY;
 	}
 
-	return grant.isInFlight ? now : grant.unansweredSentAt;
+	return grant.isInFlight ? now : Math.max(grant.unansweredSentAt, grant.formerUnansweredSentAt);
 }
 
 /** Returns the latest time at which this leader sent a grant that may have reached the owner. Without a record of its grants it may have sent one just now. */
@@ -31,12 +33,24 @@
 	return grant === undefined || grant.isInFlight ? now : grant.lastSentAt;
 }
 
+/** Records that the owner accepted a grant. */
+export function recordAccepted(grant: GrantState, sentAt: number, {transitMs}: LeaseTiming): void {
+	grant.acceptedSentAt = sentAt;
+	grant.isOpen = true;
+	grant.isFenced = true;
+	if (sentAt >= grant.formerUnansweredSentAt + transitMs) {
+		// Those grants had arrived by then, so that not even a process that replaces this one can receive them.
+		grant.formerUnansweredSentAt = Number.NEGATIVE_INFINITY;
+	}
+}
+
 /** Returns the state of a range that this leader has not granted yet; `isOpen` if its owner is known to hold it anyway. */
 export function createGrantState(isOpen: boolean): GrantState {
 	return {
 		isInFlight: false,
 		acceptedSentAt: Number.NEGATIVE_INFINITY,
 		unansweredSentAt: Number.NEGATIVE_INFINITY,
+		formerUnansweredSentAt: Number.NEGATIVE_INFINITY,
 		lastSentAt: Number.NEGATIVE_INFINITY,
 		nextAt: Number.NEGATIVE_INFINITY,
 		isOpen,
@@ -60,11 +74,13 @@
 		return grant;
 	}
 
-	grant.unansweredSentAt = Math.max(...former.map(old => pendingSince(old, now)));
+	grant.formerUnansweredSentAt = Math.max(...former.map(old => pendingSince(old, now)));
 	grant.lastSentAt = Math.max(...former.map(old => latestSend(old, now)));
 	grant.isFenced = former.every(old => old?.isFenced === true);
 	grant.nextAt = now;
 	if (replaced.every(old => old.fence === range.fence)) {
+		grant.unansweredSentAt = grant.formerUnansweredSentAt;
+		grant.formerUnansweredSentAt = Number.NEGATIVE_INFINITY;
 		grant.acceptedSentAt = Math.min(...former.map(old => old?.acceptedSentAt ?? Number.NEGATIVE_INFINITY));
 		grant.nextAt = Math.min(...former.map(old => old?.nextAt ?? now));
 	}
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -268,7 +268,8 @@
 
 	private addManager(service: Service): OwnershipManager {
 		const {control, clock, timing, telemetry, ownerLog} = this.options;
-		const inheritedMap = this.initialState.owners.get(service.name)?.map;
+		const recordedMap = this.initialState.owners.get(service.name)?.map;
+		const inheritedMap = this.options.record.isRecovering ? recordedMap?.forgetSettled() : recordedMap;
 		const manager = new OwnershipManager({
 			service: service.name,
 			control,
--- a/packages/gateway/src/cluster/owner-log.ts
+++ b/packages/gateway/src/cluster/owner-log.ts
@@ -31,13 +31,16 @@
 	readonly owners: ReadonlyMap<string, OwnersRecord>;
 };
 
-/** A range with its owner as `[from, to, owner, fence, [[former owner, its fence], ...]]`. */
+/** A former owner as `[owner, its fence]`, with a third item if it had answered all grants. */
+const formerSchema = z.union([z.tuple([z.string(), z.number().int(), z.literal(1)]), z.tuple([z.string(), z.number().int()])]);
+
+/** A range with its owner as `[from, to, owner, fence, [former owner, ...]]`. */
 const rangeSchema = z.tuple([
 	z.number().int(),
 	z.number().int(),
 	z.string(),
 	z.number().int(),
-	z.array(z.tuple([z.string(), z.number().int()])),
+	z.array(formerSchema),
 ]);
 
 const rangesSchema = z.array(rangeSchema).min(1);
@@ -155,7 +158,7 @@
 
 function encodeRanges(map: OwnershipMap): unknown[] {
 	return map.ranges.map(({from, to, owner, fence, formers}) =>
-		[from, to, owner, fence, formers.map(former => [former.owner, former.fence])]);
+		[from, to, owner, fence, formers.map(former => [former.owner, former.fence, ...(former.isSettled === true ? [1] : [])])]);
 }
 
 function decode({records, end, era}: KeyedListing): OwnerState {
@@ -179,6 +182,10 @@
 
 function toRangeOwnership([from, to, owner, fence, formers]: z.infer<typeof rangeSchema>): RangeOwnership {
 	return {
-		from, to, owner, fence, formers: formers.map(([former, formerFence]) => ({owner: former, fence: formerFence})),
+		from,
+		to,
+		owner,
+		fence,
+		formers: formers.map(([former, formerFence, settled]) => ({owner: former, fence: formerFence, ...(settled === 1 && {isSettled: true as const})})),
 	};
 }
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -12,12 +12,16 @@
 } from '@bluebellyard/core';
 import {GrantReply, StaleAppendError, UnsentError} from '../ports/index.js';
 import type {OwnedRange} from '../view/index.js';
+import {describeMoves} from './describe-moves.js';
+import {HeldRanges} from './held-ranges.js';
+import {MoveAdjuster} from './move-adjuster.js';
 import {OwnerProcess} from './owner-process.js';
 import type {OwnershipManagerOptions, TickInput} from './ownership-manager-options.js';
+import {PlanSchedule} from './plan-schedule.js';
 import {Revocations} from './revocations.js';
 import {SilentOwners} from './silent-owners.js';
 import {
-	grantKey, createGrantState, inheritGrantState, latestSend, pendingSince, type GrantState,
+	grantKey, createGrantState, inheritGrantState, latestSend, pendingSince, recordAccepted, type GrantState,
 } from './grant.js';
 
 /** Share of the lease after which a grant is renewed; leaves time for three more attempts and a change of the leader before it expires. */
@@ -26,27 +30,12 @@
 /** Delay before a failed grant is sent again, in milliseconds. */
 const retryDelayMs = 250;
 
-/** Interval between two plans that balance load, in milliseconds; load is measured over seconds. */
-const balanceIntervalMs = 500;
-
-/** The same while keys leave surges at once, in milliseconds; about the interval at which the load is reported. */
-const surgeIntervalMs = 200;
-
 /** Delay before the removal of former owners is written, in milliseconds, so that another write can include it. */
 const cleanupDelayMs = 400;
 
-/** Time without a new target before keys are first assigned, in milliseconds, so that all targets of a starting deployment get a share. */
-const settleMs = 900;
-
-/** Longest delay of the first assignment after the first target, in milliseconds. */
-const maxSettleMs = 4000;
-
 /** Adjoining ranges of one owner are merged only if fewer ranges than this share remain, because a merge gives all owners new fencing tokens. */
 const maxMergedShare = 0.7;
 
-/** Largest number of moves that a log line lists. */
-const maxLoggedMoves = 8;
-
 /** Assigns the keys of one service to owners and grants them, on behalf of all instances. */
 export class OwnershipManager {
 	private grants = new Map<string, GrantState>();
@@ -62,15 +51,16 @@
 	private areMovesSuspended = false;
 	/** Time from which a removal of former owners waits to be written. */
 	private cleanupPendingSince: number | undefined;
-	private lastPlanAt = Number.NEGATIVE_INFINITY;
-	private firstOwnerAt: number | undefined;
-	private ownerCount = 0;
-	private ownersChangedAt = Number.NEGATIVE_INFINITY;
+	private readonly schedule = new PlanSchedule();
+	private readonly adjuster: MoveAdjuster;
+	private readonly held: HeldRanges;
 	private readonly silentOwners: SilentOwners;
 
 	constructor(private readonly options: OwnershipManagerOptions, private map: OwnershipMap, isInherited: boolean) {
-		this.revocations = new Revocations(options);
+		this.held = new HeldRanges(options.timing);
+		this.adjuster = new MoveAdjuster(options.timing);
 		this.silentOwners = new SilentOwners(options);
+		this.revocations = new Revocations({...options, silentOwners: this.silentOwners});
 		for (const range of map.ranges) {
 			if (range.owner !== '') {
 				this.grants.set(grantKey(range), createGrantState(isInherited));
@@ -138,8 +128,15 @@
 			}
 		}
 
-		if (!this.isWriting && !this.areMovesSuspended && (this.mustRenewFences || (map === undefined && this.map.hasOwners))) {
+		if (this.isWriting || this.areMovesSuspended) {
+			return;
+		}
+
+		if (this.mustRenewFences || (map === undefined && this.map.hasOwners)) {
 			this.writeNewFences();
+		} else if (!this.held.isEmpty) {
+			// The failed write may still be carried out; it can't be once another one has succeeded.
+			this.write(() => this.map);
 		}
 	}
 
@@ -186,40 +183,42 @@
 			return;
 		}
 
-		this.firstOwnerAt ??= now;
-		if (owners.length !== this.ownerCount) {
-			this.ownerCount = owners.length;
-			this.ownersChangedAt = now;
-		}
-
 		const usableIds = new Set(owners.map(owner => owner.id));
 		const hasUnusableOwner = this.map.ranges.some(range => !usableIds.has(range.owner));
 		const isFirstAssignment = this.map.ranges.every(range => range.owner === '');
-		const isSettling = isFirstAssignment && now - this.ownersChangedAt < settleMs && now - this.firstOwnerAt < maxSettleMs;
-		const isBalanceDue = now - this.lastPlanAt >= (recentLoad === undefined ? balanceIntervalMs : surgeIntervalMs);
-		if (isSettling || !(hasUnusableOwner || isBalanceDue)) {
+		const isDue = this.schedule.tryStart({
+			ownerCount: owners.length, isFirstAssignment, hasUnusableOwner, detectsSurges: recentLoad !== undefined,
+		}, now);
+		if (!isDue) {
 			this.writeCleanup(now);
 			return;
 		}
 
-		this.lastPlanAt = now;
-		const moves = planKeyMoves(this.map, owners, rates(), recentLoad?.());
+		const moves = this.adjuster.adjust(planKeyMoves(this.map, owners, rates(), recentLoad?.()), {
+			now,
+			ranges: this.map.ranges,
+			usableIds,
+			findGrant: range => this.grants.get(grantKey(range)),
+			formerPendingSince: (range, former) => this.revocations.pendingSince(range, former.owner),
+		});
 		if (moves.length === 0) {
 			this.writeCleanup(now);
 			return;
 		}
 
-		const capacities = new Map(owners.map(({id, capacity}) => [id, capacity]));
-		const loggedMoves = moves.slice(0, maxLoggedMoves);
 		this.options.telemetry.info('keeper', 'Moving keys to other owners.', {
-			service: this.options.service,
-			moves: loggedMoves.map(({from, to, owner}) => `${from}-${to}>${owner}`),
-			capacities: loggedMoves.map(({owner}) => Math.round((capacities.get(owner) ?? 0) * 100) / 100),
-			count: moves.length,
-			isHomeless: hasUnusableOwner,
+			service: this.options.service, ...describeMoves(moves, owners), isHomeless: hasUnusableOwner,
 		});
 		this.options.telemetry.recordMoves(moves.length);
-		this.write(fence => this.map.assign(moves, fence));
+		this.write(fence => this.map.assign(moves, fence, part => this.holdIfSettled(part)));
+	}
+
+	/** Returns whether no grant of a part that moves can be carried out any more, and holds the part back if so. */
+	private holdIfSettled(part: RangeOwnership): boolean {
+		const {clock, inheritedLeaseEnd} = this.options;
+		const now = clock.now();
+		const grants = this.map.findOverlapping(part).map(range => this.grants.get(grantKey(range)));
+		return now >= inheritedLeaseEnd() && this.held.tryHold(part, grants, now);
 	}
 
 	/** Writes the removal of former owners, and merges adjoining ranges of one owner if that saves enough ranges. */
@@ -244,6 +243,7 @@
 			this.isWriting = false;
 			this.mustRenewFences = false;
 			this.areGrantsSuspended = false;
+			this.held.clear();
 			this.applyMap(map);
 			this.options.onChange();
 		}, (err: unknown) => {
@@ -278,7 +278,8 @@
 
 			const grant = inheritGrantState(range, formerMap.findOverlapping(range), formerGrants, now);
 			// A former owner that gets the range back may still carry out an earlier grant.
-			grant.unansweredSentAt = Math.max(grant.unansweredSentAt, this.revocations.pendingSince(range, range.owner));
+			grant.formerUnansweredSentAt = Math.max(grant.formerUnansweredSentAt, this.revocations.pendingSince(range, range.owner));
+			this.keepHandover(range, this.revocations.findHandover(range, range.owner));
 			this.grants.set(grantKey(range), grant);
 			for (const former of range.formers) {
 				this.startRevocation(range, former, {formerMap, formerGrants, now});
@@ -298,11 +299,7 @@
 				continue;
 			}
 
-			const handover = this.revocations.remove(range, former);
-			if (handover !== undefined) {
-				this.handovers.set(grantKey(range), handover);
-			}
-
+			this.keepHandover(range, this.revocations.remove(range, former));
 			this.map = this.map.clearFormer(range, former.owner);
 			this.rangesRevision += 1;
 			this.cleanupPendingSince ??= now;
@@ -311,6 +308,12 @@
 		return isRevoked;
 	}
 
+	private keepHandover(range: RangeOwnership, handover: string | undefined): void {
+		if (handover !== undefined) {
+			this.handovers.set(grantKey(range), handover);
+		}
+	}
+
 	/** Starts to revoke a range from a former owner, based on its last grants. */
 	private startRevocation(range: RangeOwnership, former: FormerOwner, {formerMap, formerGrants, now}: {formerMap: OwnershipMap; formerGrants: ReadonlyMap<string, GrantState>; now: number}): void {
 		const lastGrants = formerMap.findOverlapping(range).filter(part => part.owner === former.owner).map(part => formerGrants.get(grantKey(part)));
@@ -319,12 +322,13 @@
 			isFenced: lastGrants.length > 0 && lastGrants.every(grant => grant?.isFenced === true),
 			pendingSince: Math.max(Number.NEGATIVE_INFINITY, ...lastGrants.map(grant => pendingSince(grant, now))),
 			lastSentAt: lastGrants.length === 0 ? now : Math.max(...lastGrants.map(grant => latestSend(grant, now))),
+			isSettled: lastGrants.length === 0 && former.isSettled,
 		});
 	}
 
 	private renewIfDue(range: RangeOwnership, now: number): void {
 		const grant = this.grants.get(grantKey(range));
-		const isDue = grant !== undefined && !grant.isInFlight && now >= grant.nextAt;
+		const isDue = grant !== undefined && !grant.isInFlight && now >= grant.nextAt && !this.held.includes(range);
 		if (isDue && this.options.findProcess(range.owner) === OwnerProcess.Running) {
 			void this.sendGrant(range, grant);
 		}
@@ -352,17 +356,16 @@
 			}, timing.transitMs);
 			this.silentOwners.recordAnswer(range.owner);
 			if (reply === GrantReply.Accepted) {
-				grant.acceptedSentAt = sentAt;
-				grant.isOpen = true;
-				grant.isFenced = true;
+				recordAccepted(grant, sentAt, timing);
 				grant.nextAt = sentAt + (timing.leaseMs * renewalShare);
 			} else {
 				this.handleRefusal(range, reply);
 			}
 		} catch (err) {
-			grant.unansweredSentAt = sentAt;
 			if (err instanceof UnsentError) {
 				grant.lastSentAt = formerSentAt;
+			} else {
+				grant.unansweredSentAt = sentAt;
 			}
 
 			this.silentOwners.recordSilence(range, sentAt);
--- a/packages/gateway/src/cluster/revocations.ts
+++ b/packages/gateway/src/cluster/revocations.ts
@@ -8,6 +8,7 @@
 import type {TargetControl, TargetRef} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {OwnerProcess} from './owner-process.js';
+import type {SilentOwners} from './silent-owners.js';
 
 /** Timeout of a release, in milliseconds; the target answers once its running requests have ended. */
 const releaseTimeoutMs = 2500;
@@ -24,6 +25,8 @@
 	readonly telemetry: Telemetry;
 	/** Called after a release was answered or failed. */
 	readonly onChange: () => void;
+	/** Told when a former owner has answered a release. */
+	readonly silentOwners: Pick<SilentOwners, 'recordAnswer'>;
 	/** Returns the present or last known address of a target. */
 	readonly findTarget: (owner: string) => TargetRef | undefined;
 	/** Returns what is known of the process of an owner. */
@@ -43,6 +46,8 @@
 	readonly pendingSince: number;
 	/** Latest time at which this leader sent any grant that may have reached it; negative infinity if it sent none. */
 	readonly lastSentAt: number;
+	/** Whether the record of the former leader states that all its grants were answered. */
+	readonly isSettled?: boolean;
 };
 
 /** Why a former owner certainly holds a range no longer. */
@@ -57,6 +62,8 @@
 	readonly expiresAt: number;
 	/** Latest time at which a still unanswered grant of this leader may have been sent; it may arrive after the release. */
 	readonly pendingSince: number;
+	/** Whether all grants of former leaders were answered, so that a release is final. */
+	readonly isSettled: boolean;
 	isInFlight: boolean;
 	isReleased: boolean;
 	/** Time from which the next release may be sent. */
@@ -75,7 +82,7 @@
 	}
 
 	/** Starts to revoke a range from a former owner, unless the revocation has started before. */
-	begin(range: RangeOwnership, former: FormerOwner, {now, isFenced, pendingSince, lastSentAt}: LastGrants): void {
+	begin(range: RangeOwnership, former: FormerOwner, {now, isFenced, pendingSince, lastSentAt, isSettled = false}: LastGrants): void {
 		const key = revocationKey(range, former);
 		if (this.revocations.has(key)) {
 			return;
@@ -88,6 +95,7 @@
 			isFenced,
 			expiresAt: leaseExpiry(lastSentAt, timing),
 			pendingSince,
+			isSettled,
 			isInFlight: false,
 			isReleased: false,
 			nextAt: now,
@@ -101,6 +109,11 @@
 		return Math.max(Number.NEGATIVE_INFINITY, ...rows.map(row => row.pendingSince));
 	}
 
+	/** Returns the state that a former owner handed over for exactly this range, if any. */
+	findHandover({from, to}: KeyRange, former: string): string | undefined {
+		return [...this.revocations.values()].find(row => row.former === former && row.range.from === from && row.range.to === to)?.handover;
+	}
+
 	/** Removes revocations that are not needed for any of the given ranges. */
 	keepOnly(ranges: readonly RangeOwnership[]): void {
 		const keys = new Set(ranges.flatMap(range => range.formers.map(former => revocationKey(range, former))));
@@ -121,9 +134,14 @@
 
 		// A former leader may have started the revocation; its grants are valid until they have certainly expired.
 		this.begin(range, former, {
-			now, isFenced: false, pendingSince: Number.NEGATIVE_INFINITY, lastSentAt: now,
+			now, isFenced: false, pendingSince: Number.NEGATIVE_INFINITY, lastSentAt: now, isSettled: former.isSettled,
 		});
 		const revocation = this.revocations.get(revocationKey(range, former))!;
+		if (revocation.isSettled && revocation.isReleased && process === OwnerProcess.Running) {
+			this.recordCompletion(range, former, 'released');
+			return true;
+		}
+
 		// The former leaders may turn out to have ended earlier than was known when the revocation started.
 		const isFenced = revocation.isFenced && process !== OwnerProcess.Restarted;
 		const formerLeadersEnd = isFenced ? this.options.inheritedArrivalEnd() : this.options.inheritedLeaseEnd();
@@ -167,6 +185,7 @@
 			isFenced: parts.every(row => row.isFenced),
 			expiresAt: Math.max(...parts.map(row => row.expiresAt)),
 			pendingSince: Math.max(...parts.map(row => row.pendingSince)),
+			isSettled: parts.every(row => row.isSettled),
 			isInFlight: false,
 			isReleased: parts.every(row => row.isReleased),
 			nextAt: Math.max(...parts.map(row => row.nextAt)),
@@ -184,7 +203,7 @@
 
 	private async sendRelease(range: KeyRange, former: FormerOwner, revocation: Revocation): Promise<void> {
 		const {
-			control, findTarget, clock, telemetry, service, onChange,
+			control, findTarget, clock, telemetry, service, onChange, silentOwners,
 		} = this.options;
 		const target = findTarget(former.owner);
 		if (target === undefined) {
@@ -195,6 +214,7 @@
 		try {
 			revocation.handover = await control.release(target, {from: range.from, to: range.to, fence: former.fence}, releaseTimeoutMs);
 			revocation.isReleased = true;
+			silentOwners.recordAnswer(former.owner);
 		} catch (err) {
 			telemetry.warn('keeper', 'The target did not answer a release.', {
 				service, owner: former.owner, from: range.from, to: range.to, err,
--- a/packages/gateway/src/ports/target-control.ts
+++ b/packages/gateway/src/ports/target-control.ts
@@ -27,7 +27,7 @@
 	Refused = 'refused',
 }
 
-/** Thrown when the address refused the connection, so that the request was certainly not sent. */
+/** Thrown when no connection could be opened, so that the request was certainly not sent. */
 export class UnsentError extends Error {
 	override readonly name = 'UnsentError';
 }
