--- a/packages/gateway/src/cluster/move-adjuster.ts
+++ b/packages/gateway/src/cluster/move-adjuster.ts
@@ -38,7 +38,7 @@
 	/**
 	 * Returns the moves to make. A range that waits for a former owner which may own keys again goes back to it. One whose
 	 * owner has not answered a grant first gets a new fencing token, and moves once its owner has accepted that. In both
-	 * cases the owner rejects the unanswered grant from then on.
+	 * cases the owner rejects the unanswered grant from then on. A range on its way to an owner that may have it stays there.
 	 */
 	adjust(moves: readonly KeyMove[], state: MoveState): KeyMove[] {
 		const returns = this.findReturns(state);
@@ -62,6 +62,12 @@
 	}
 
 	private renewBeforeMove(move: KeyMove, {ranges, usableIds, findGrant, now}: MoveState): KeyMove[] {
+		const isOnItsWay = ranges.some(range => range.formers.length > 0 && usableIds.has(range.owner) && overlaps(range, move));
+		if (isOnItsWay) {
+			// Each further move would add an owner that has to release the range before it is open again.
+			return [];
+		}
+
 		const mayCount = (sentAt = Number.NEGATIVE_INFINITY) => leaseExpiry(sentAt, this.timing) > now;
 		const parts = ranges.filter(range => overlaps(range, move) && usableIds.has(range.owner) && range.owner !== move.owner);
 		if (parts.some(range => mayCount(findGrant(range)?.unansweredSentAt))) {
--- a/packages/gateway/src/cluster/settled-moves.test.ts
+++ b/packages/gateway/src/cluster/settled-moves.test.ts
@@ -155,3 +155,15 @@
 	harness.control.carryOut(delayed);
 	createHolderCheck(t)(harness);
 });
+
+// A range that moved on before its new owner had it waited for that one, too, and did not go back to the former one.
+test('a range on its way does not move again for its load', async t => {
+	const harness = await startLosingCalls();
+	harness.owners = [both[1], {id: 'c', capacity: 40}];
+	await harness.run(300);
+	harness.rates = Array.from({length: 20}, (_, i) => [i * 3000, 2] as const);
+	await harness.run(3000);
+	t.true(harness.control.requests.every(request => !/^release [bc]/v.test(request)));
+	const map = await readMap(harness);
+	t.true(map.ranges.every(range => range.formers.length <= 1));
+});
