--- a/packages/gateway/src/cluster/grant.ts
+++ b/packages/gateway/src/cluster/grant.ts
@@ -1,4 +1,4 @@
-import type {RangeOwnership} from '@bluebellyard/core';
+import {leaseExpiry, type LeaseTiming, type RangeOwnership} from '@bluebellyard/core';
 
 /** The leader's record of its grants of one range to one owner. All times are monotonic milliseconds. */
 export type GrantState = {
@@ -15,8 +15,27 @@
 	isOpen: boolean;
 	/** Whether the owner accepted a grant of this leader; it then rejects grants of former leaders. */
 	isFenced: boolean;
+	/** Whether the keys came from a single owner and were never granted to the present one, so that the move can be withdrawn. */
+	canWithdraw: boolean;
 };
 
+/** What decides whether a move of a range would be completed soon. */
+export type MoveCircumstances = {
+	readonly now: number;
+	readonly timing: LeaseTiming;
+	/** Monotonic time at which all grants of former leaders have certainly expired. */
+	readonly inheritedLeaseEnd: number;
+};
+
+/**
+ * Returns whether a release would suffice to move a range. A grant that is unanswered, or sent before the move is
+ * written, and grants of former leaders that the owner does not reject keep the range closed until they have expired.
+ */
+export function isMovable(grant: GrantState, {now, timing, inheritedLeaseEnd}: MoveCircumstances): boolean {
+	const isSettled = !grant.isInFlight && now < grant.nextAt && now >= leaseExpiry(grant.unansweredSentAt, timing);
+	return isSettled && (grant.isFenced || now >= inheritedLeaseEnd);
+}
+
 /** Returns the latest time at which a still unanswered grant may have been sent; negative infinity if there is none. */
 export function pendingSince(grant: GrantState | undefined, now: number): number {
 	if (grant === undefined) {
@@ -41,6 +60,7 @@
 		nextAt: Number.NEGATIVE_INFINITY,
 		isOpen,
 		isFenced: false,
+		canWithdraw: false,
 	};
 }
 
@@ -54,6 +74,7 @@
 	const former = replaced.map(old => grants.get(grantKey(old)));
 	const hasSameOwner = replaced.every(old => old.owner === range.owner);
 	const grant = createGrantState(hasSameOwner && former.every(old => old?.isOpen === true));
+	grant.canWithdraw = range.formers.length === 1 && replaced.every(old => old.formers.length === 0 && old.owner === range.formers[0].owner);
 	if (!hasSameOwner || former.at(0) === undefined) {
 		// The owner may have had a part of the range before, and grants of it may still be valid.
 		grant.lastSentAt = now;
--- a/packages/gateway/src/cluster/lead-handover.test.ts
+++ b/packages/gateway/src/cluster/lead-handover.test.ts
@@ -5,9 +5,9 @@
 import {LeadHandover, type HandoverLeader} from './lead-handover.js';
 import {PeerOp} from './messages.js';
 
-function node(name: string, cores = 1): NodeInfo {
+function node(name: string, cores = 1, domain = 'x'): NodeInfo {
 	return {
-		name, domain: 'x', incarnation: name, addr: name, cores,
+		name, domain, incarnation: name, addr: name, cores,
 	};
 }
 
@@ -18,6 +18,8 @@
 	readonly ops = new Set<string>();
 	isRecovering = false;
 	storeAgeMs = 0;
+	/** Whether the moves of the leader are in the store as they are. */
+	isSettled = true;
 	readonly handover: LeadHandover;
 
 	constructor(private readonly live: readonly NodeInfo[]) {
@@ -44,7 +46,7 @@
 
 	get leader(): HandoverLeader {
 		return {
-			leadership: {era: 1, term: 1}, isRecovering: this.isRecovering, storeAgeMs: this.storeAgeMs, followers: {liveNodes: () => [...this.live]},
+			leadership: {era: 1, term: 1}, isRecovering: this.isRecovering, storeAgeMs: this.storeAgeMs, settleMoves: () => this.isSettled, followers: {liveNodes: () => [...this.live]},
 		};
 	}
 }
@@ -103,6 +105,24 @@
 	t.deepEqual(harness.asked, ['e1']);
 });
 
+test('a leader that is cut off prefers a successor of another domain, as its own may be cut off as a whole', t => {
+	const harness = new Harness([node('e0'), node('e1', 4), node('e2', 1, 'y')]);
+	harness.setCutOff('e0');
+	harness.handover.tick(harness.leader, 100);
+	t.deepEqual(harness.asked, ['e2']);
+});
+
+test('a leader that is cut off withdraws its moves first, but does not wait long for the store', t => {
+	const harness = new Harness([node('e0'), node('e1')]);
+	harness.setCutOff('e0');
+	harness.isSettled = false;
+	harness.handover.tick(harness.leader, 100);
+	harness.handover.tick(harness.leader, 300);
+	t.deepEqual(harness.asked, []);
+	harness.handover.tick(harness.leader, 400);
+	t.deepEqual(harness.asked, ['e1']);
+});
+
 test('a leaving leader prefers a successor that is not cut off', t => {
 	const harness = new Harness([node('e0'), node('e1', 4), node('e2')]);
 	harness.setCutOff('e1');
--- a/packages/gateway/src/cluster/lead-handover.ts
+++ b/packages/gateway/src/cluster/lead-handover.ts
@@ -14,6 +14,9 @@
 /** Time after which a leader that is cut off asks another instance, if the last one has not taken over, in milliseconds. */
 const cutOffRetryMs = 1000;
 
+/** Longest time for which a leader that is cut off withdraws its moves before it hands over, in milliseconds; the store usually answers within 50 ms. */
+const maxSettleMs = 300;
+
 /**
  * Age of the store contact up to which a leader that is cut off hands over, in milliseconds. While the store does not
  * answer nobody can take over, and if it returns from an older copy meanwhile, only this leader knows its grants.
@@ -31,13 +34,15 @@
 };
 
 /** The leader as the handover sees it. */
-export type HandoverLeader = Pick<Leader, 'leadership' | 'isRecovering' | 'storeAgeMs'> & {readonly followers: Pick<Leader['followers'], 'liveNodes'>};
+export type HandoverLeader = Pick<Leader, 'leadership' | 'isRecovering' | 'storeAgeMs' | 'settleMoves'> & {readonly followers: Pick<Leader['followers'], 'liveNodes'>};
 
 /** Hands leadership over to another instance when this one leaves, is cut off from the targets, or is much smaller. */
 export class LeadHandover {
 	private readonly options: LeadHandoverOptions;
 	private leadingSince = Number.NEGATIVE_INFINITY;
 	private cutOffRequestAt = Number.NEGATIVE_INFINITY;
+	/** Since when the moves of this leader are being withdrawn. */
+	private settlingSince: number | undefined;
 
 	constructor(options: LeadHandoverOptions) {
 		this.options = options;
@@ -71,6 +76,7 @@
 			return;
 		}
 
+		this.settlingSince = undefined;
 		const larger = usable.find(node => node.cores >= self.cores * handoverCoresRatio);
 		if (larger !== undefined && now - this.leadingSince >= minLeadMs) {
 			this.leadingSince = now;
@@ -78,12 +84,23 @@
 		}
 	}
 
-	/** Asks one of the largest instances, another one each time, in case one does not take over. */
+	/**
+	 * Asks one of the largest instances, another one each time, in case one does not take over. Others of this domain
+	 * often are cut off as well and have not found it yet, so that the lead would have to be handed over again.
+	 */
 	private handOverCutOff(leader: HandoverLeader, usable: readonly NodeInfo[], now: number): void {
-		const cores = Math.max(...usable.map(node => node.cores));
-		const largest = usable.filter(node => node.cores === cores);
+		const far = usable.filter(({domain}) => domain !== this.options.self.domain);
+		const candidates = far.length > 0 ? far : usable;
+		const cores = Math.max(...candidates.map(node => node.cores));
+		const largest = candidates.filter(node => node.cores === cores);
 		const successor = largest[Math.floor(this.options.random() * largest.length)];
-		if (successor !== undefined && leader.storeAgeMs <= maxStoreAgeMs && now - this.cutOffRequestAt >= cutOffRetryMs) {
+		if (successor === undefined || leader.storeAgeMs > maxStoreAgeMs || now - this.cutOffRequestAt < cutOffRetryMs) {
+			return;
+		}
+
+		this.settlingSince ??= now;
+		if (leader.settleMoves() || now - this.settlingSince >= maxSettleMs) {
+			this.settlingSince = undefined;
 			this.cutOffRequestAt = now;
 			this.requestTakeover(successor, leader);
 		}
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -188,6 +188,11 @@
 		}
 	}
 
+	/** Withdraws moves that a successor could complete only after a long wait. Returns whether the store shows the owners as they then are. */
+	settleMoves(): boolean {
+		return [...this.managers.values()].map(manager => manager.settleMoves()).every(Boolean);
+	}
+
 	/** Ends this term. */
 	stop(): void {
 		this.isStopped = true;
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -8,16 +8,18 @@
  * fencing token is that of the record.
  */
 import {
-	ErrorKind, planKeyMoves, type FormerOwner, type OwnershipMap, type RangeOwnership,
+	ErrorKind, type FormerOwner, type KeyRange, type OwnershipMap, type RangeOwnership,
 } from '@bluebellyard/core';
 import {GrantReply, StaleAppendError, UnsentError} from '../ports/index.js';
 import type {OwnedRange} from '../view/index.js';
+import {MovePlanner, toLogFields} from './move-planner.js';
 import {OwnerProcess} from './owner-process.js';
 import type {OwnershipManagerOptions, TickInput} from './ownership-manager-options.js';
 import {Revocations} from './revocations.js';
 import {SilentOwners} from './silent-owners.js';
+import {withdrawMoves} from './withdraw-moves.js';
 import {
-	grantKey, createGrantState, inheritGrantState, latestSend, pendingSince, type GrantState,
+	grantKey, createGrantState, inheritGrantState, isMovable, latestSend, pendingSince, type GrantState,
 } from './grant.js';
 
 /** Share of the lease after which a grant is renewed; leaves time for three more attempts and a change of the leader before it expires. */
@@ -26,27 +28,12 @@
 /** Delay before a failed grant is sent again, in milliseconds. */
 const retryDelayMs = 250;
 
-/** Interval between two plans that balance load, in milliseconds; load is measured over seconds. */
-const balanceIntervalMs = 500;
-
-/** The same while keys leave surges at once, in milliseconds; about the interval at which the load is reported. */
-const surgeIntervalMs = 200;
-
 /** Delay before the removal of former owners is written, in milliseconds, so that another write can include it. */
 const cleanupDelayMs = 400;
 
-/** Time without a new target before keys are first assigned, in milliseconds, so that all targets of a starting deployment get a share. */
-const settleMs = 900;
-
-/** Longest delay of the first assignment after the first target, in milliseconds. */
-const maxSettleMs = 4000;
-
 /** Adjoining ranges of one owner are merged only if fewer ranges than this share remain, because a merge gives all owners new fencing tokens. */
 const maxMergedShare = 0.7;
 
-/** Largest number of moves that a log line lists. */
-const maxLoggedMoves = 8;
-
 /** Assigns the keys of one service to owners and grants them, on behalf of all instances. */
 export class OwnershipManager {
 	private grants = new Map<string, GrantState>();
@@ -60,13 +47,14 @@
 	private mustRenewFences = false;
 	private areGrantsSuspended = false;
 	private areMovesSuspended = false;
+	/** Whether keys that were moved and not yet granted stay ungranted, since their moves are being withdrawn. */
+	private isWithdrawing = false;
+	/** Whether former owners were removed since the last write. */
+	private hasClearedFormers = false;
 	/** Time from which a removal of former owners waits to be written. */
 	private cleanupPendingSince: number | undefined;
-	private lastPlanAt = Number.NEGATIVE_INFINITY;
-	private firstOwnerAt: number | undefined;
-	private ownerCount = 0;
-	private ownersChangedAt = Number.NEGATIVE_INFINITY;
 	private readonly silentOwners: SilentOwners;
+	private readonly planner = new MovePlanner();
 
 	constructor(private readonly options: OwnershipManagerOptions, private map: OwnershipMap, isInherited: boolean) {
 		this.revocations = new Revocations(options);
@@ -125,6 +113,29 @@
 		this.writeNewFences();
 	}
 
+	/**
+	 * Writes which moves have ended, and withdraws those whose keys were never granted to the new owner: a successor would
+	 * keep the keys closed until the grants of this leader have expired. Returns whether there was nothing to write.
+	 * Keys of unfinished moves are not granted from now on until moves are allowed again.
+	 */
+	settleMoves(): boolean {
+		if (this.areMovesSuspended || this.areGrantsSuspended) {
+			return true;
+		}
+
+		this.isWithdrawing = true;
+		if (this.isWriting) {
+			return false;
+		}
+
+		if (!this.hasClearedFormers && !this.map.ranges.some(range => this.canWithdraw(range))) {
+			return true;
+		}
+
+		this.write(fence => withdrawMoves(this.map, range => this.canWithdraw(range), fence));
+		return false;
+	}
+
 	/**
 	 * Ends a write that failed. `map` is the record of this manager in the store; if the store has another one or
 	 * none, the present map stays in force and is written again.
@@ -181,47 +192,33 @@
 		this.silentOwners.probe(new Set(this.map.ranges.map(range => range.owner)));
 	}
 
-	private plan({owners, rates, recentLoad}: TickInput, now: number): void {
-		if (owners.length === 0) {
-			return;
-		}
-
-		this.firstOwnerAt ??= now;
-		if (owners.length !== this.ownerCount) {
-			this.ownerCount = owners.length;
-			this.ownersChangedAt = now;
-		}
-
-		const usableIds = new Set(owners.map(owner => owner.id));
-		const hasUnusableOwner = this.map.ranges.some(range => !usableIds.has(range.owner));
-		const isFirstAssignment = this.map.ranges.every(range => range.owner === '');
-		const isSettling = isFirstAssignment && now - this.ownersChangedAt < settleMs && now - this.firstOwnerAt < maxSettleMs;
-		const isBalanceDue = now - this.lastPlanAt >= (recentLoad === undefined ? balanceIntervalMs : surgeIntervalMs);
-		if (isSettling || !(hasUnusableOwner || isBalanceDue)) {
-			this.writeCleanup(now);
-			return;
-		}
+	private canWithdraw(range: RangeOwnership): boolean {
+		const [former] = range.formers;
+		return former !== undefined && this.grants.get(grantKey(range))?.canWithdraw === true && this.options.findProcess(former.owner) === OwnerProcess.Running;
+	}
 
-		this.lastPlanAt = now;
-		const moves = planKeyMoves(this.map, owners, rates(), recentLoad?.());
-		if (moves.length === 0) {
+	private plan(input: TickInput, now: number): void {
+		this.isWithdrawing = false;
+		const plan = this.planner.plan(this.map, input, {now, isMovable: move => this.isMovable(move, now)});
+		if (plan.moves.length === 0) {
 			this.writeCleanup(now);
 			return;
 		}
 
-		const capacities = new Map(owners.map(({id, capacity}) => [id, capacity]));
-		const loggedMoves = moves.slice(0, maxLoggedMoves);
-		this.options.telemetry.info('keeper', 'Moving keys to other owners.', {
-			service: this.options.service,
-			moves: loggedMoves.map(({from, to, owner}) => `${from}-${to}>${owner}`),
-			capacities: loggedMoves.map(({owner}) => Math.round((capacities.get(owner) ?? 0) * 100) / 100),
-			count: moves.length,
-			isHomeless: hasUnusableOwner,
-		});
+		const {moves} = plan;
+		this.options.telemetry.info('keeper', 'Moving keys to other owners.', {service: this.options.service, ...toLogFields(plan, input.owners)});
 		this.options.telemetry.recordMoves(moves.length);
 		this.write(fence => this.map.assign(moves, fence));
 	}
 
+	private isMovable(move: KeyRange, now: number): boolean {
+		const {timing, inheritedLeaseEnd} = this.options;
+		return this.map.findOverlapping(move).every(range => {
+			const grant = this.grants.get(grantKey(range));
+			return grant === undefined || isMovable(grant, {now, timing, inheritedLeaseEnd: inheritedLeaseEnd()});
+		});
+	}
+
 	/** Writes the removal of former owners, and merges adjoining ranges of one owner if that saves enough ranges. */
 	private writeCleanup(now: number): void {
 		if (this.cleanupPendingSince === undefined || now - this.cleanupPendingSince < cleanupDelayMs) {
@@ -262,6 +259,7 @@
 		const formerGrants = this.grants;
 		const now = this.options.clock.now();
 		this.map = map;
+		this.hasClearedFormers = false;
 		this.rangesRevision += 1;
 		this.grants = new Map();
 		for (const range of map.ranges) {
@@ -304,6 +302,7 @@
 			}
 
 			this.map = this.map.clearFormer(range, former.owner);
+			this.hasClearedFormers = true;
 			this.rangesRevision += 1;
 			this.cleanupPendingSince ??= now;
 		}
@@ -324,7 +323,7 @@
 
 	private renewIfDue(range: RangeOwnership, now: number): void {
 		const grant = this.grants.get(grantKey(range));
-		const isDue = grant !== undefined && !grant.isInFlight && now >= grant.nextAt;
+		const isDue = grant !== undefined && !grant.isInFlight && now >= grant.nextAt && !(this.isWithdrawing && grant.canWithdraw);
 		if (isDue && this.options.findProcess(range.owner) === OwnerProcess.Running) {
 			void this.sendGrant(range, grant);
 		}
@@ -342,6 +341,7 @@
 		}
 
 		grant.isInFlight = true;
+		grant.canWithdraw = false;
 		const formerSentAt = grant.lastSentAt;
 		grant.lastSentAt = sentAt;
 		const handover = this.handovers.get(grantKey(range));
--- a/packages/gateway/src/mocks/path-simulation.ts
+++ b/packages/gateway/src/mocks/path-simulation.ts
@@ -161,7 +161,7 @@
 		const {node} = this.leader;
 		this.cutOff.record(node.name, this.leader.monitor.isCutOff);
 		this.handovers.get(node.name)!.tick({
-			leadership: {era: 1, term: 1}, isRecovering: false, storeAgeMs: 0, followers: {liveNodes: () => this.allNodes()},
+			leadership: {era: 1, term: 1}, isRecovering: false, storeAgeMs: 0, settleMoves: () => true, followers: {liveNodes: () => this.allNodes()},
 		}, now);
 	}
 
