--- a/packages/gateway/src/cluster/lead-handover.test.ts
+++ b/packages/gateway/src/cluster/lead-handover.test.ts
@@ -5,9 +5,9 @@
 import {LeadHandover, type HandoverLeader} from './lead-handover.js';
 import {PeerOp} from './messages.js';
 
-function node(name: string, cores = 1): NodeInfo {
+function node(name: string, cores = 1, domain = 'x'): NodeInfo {
 	return {
-		name, domain: 'x', incarnation: name, addr: name, cores,
+		name, domain, incarnation: name, addr: name, cores,
 	};
 }
 
@@ -103,6 +103,13 @@
 	t.deepEqual(harness.asked, ['e1']);
 });
 
+test('a leader that is cut off prefers a successor of another domain, as its own may be cut off as a whole', t => {
+	const harness = new Harness([node('e0'), node('e1', 4), node('e2', 1, 'y')]);
+	harness.setCutOff('e0');
+	harness.handover.tick(harness.leader, 100);
+	t.deepEqual(harness.asked, ['e2']);
+});
+
 test('a leaving leader prefers a successor that is not cut off', t => {
 	const harness = new Harness([node('e0'), node('e1', 4), node('e2')]);
 	harness.setCutOff('e1');
--- a/packages/gateway/src/cluster/lead-handover.ts
+++ b/packages/gateway/src/cluster/lead-handover.ts
@@ -78,10 +78,15 @@
 		}
 	}
 
-	/** Asks one of the largest instances, another one each time, in case one does not take over. */
+	/**
+	 * Asks one of the largest instances, another one each time, in case one does not take over. Others of this domain
+	 * often are cut off as well and have not found it yet, so that the lead would have to be handed over again.
+	 */
 	private handOverCutOff(leader: HandoverLeader, usable: readonly NodeInfo[], now: number): void {
-		const cores = Math.max(...usable.map(node => node.cores));
-		const largest = usable.filter(node => node.cores === cores);
+		const far = usable.filter(({domain}) => domain !== this.options.self.domain);
+		const candidates = far.length > 0 ? far : usable;
+		const cores = Math.max(...candidates.map(node => node.cores));
+		const largest = candidates.filter(node => node.cores === cores);
 		const successor = largest[Math.floor(this.options.random() * largest.length)];
 		if (successor !== undefined && leader.storeAgeMs <= maxStoreAgeMs && now - this.cutOffRequestAt >= cutOffRetryMs) {
 			this.cutOffRequestAt = now;
--- a/packages/gateway/src/cluster/move-adjuster.ts
+++ b/packages/gateway/src/cluster/move-adjuster.ts
@@ -16,6 +16,8 @@
 /** What is known of the grants of a service. */
 export type MoveState = {
 	readonly now: number;
+	/** Monotonic time at which all grants of former leaders have certainly expired. */
+	readonly inheritedLeaseEnd: number;
 	readonly ranges: readonly RangeOwnership[];
 	/** Targets that may own keys. */
 	readonly usableIds: ReadonlySet<string>;
@@ -61,7 +63,7 @@
 		});
 	}
 
-	private renewBeforeMove(move: KeyMove, {ranges, usableIds, findGrant, now}: MoveState): KeyMove[] {
+	private renewBeforeMove(move: KeyMove, {ranges, usableIds, findGrant, now, inheritedLeaseEnd}: MoveState): KeyMove[] {
 		const isOnItsWay = ranges.some(range => range.formers.length > 0 && usableIds.has(range.owner) && overlaps(range, move));
 		if (isOnItsWay) {
 			// Each further move would add an owner that has to release the range before it is open again.
@@ -74,7 +76,8 @@
 			return parts.map(range => ({from: Math.max(range.from, move.from), to: Math.min(range.to, move.to), owner: range.owner}));
 		}
 
-		// The owner has not accepted the new token yet.
-		return parts.some(range => mayCount(findGrant(range)?.formerUnansweredSentAt)) ? [] : [move];
+		// The owner has not accepted the present token yet, so that it does not reject earlier grants.
+		const isUnfenced = parts.some(range => mayCount(findGrant(range)?.formerUnansweredSentAt) || (now < inheritedLeaseEnd && findGrant(range)?.isFenced !== true));
+		return isUnfenced ? [] : [move];
 	}
 }
--- a/packages/gateway/src/cluster/plan-schedule.ts
+++ b/packages/gateway/src/cluster/plan-schedule.ts
@@ -10,6 +10,12 @@
 /** Longest delay of the first assignment after the first target, in milliseconds. */
 const maxSettleMs = 4000;
 
+/**
+ * Time from the start of a leader until it balances load, in milliseconds. All instances report within 600 ms; before
+ * that, targets whose slowness is not reported yet seem up to four times as slow as the others.
+ */
+const minMeasuredMs = 1000;
+
 /** State of a service on which the schedule is decided. */
 export type PlanNeed = {
 	/** Number of targets that may own keys; at least one. */
@@ -38,7 +44,7 @@
 		}
 
 		const isSettling = isFirstAssignment && now - this.ownersChangedAt < settleMs && now - this.firstOwnerAt < maxSettleMs;
-		const isBalanceDue = now - this.lastPlanAt >= (detectsSurges ? surgeIntervalMs : balanceIntervalMs);
+		const isBalanceDue = now - this.lastPlanAt >= (detectsSurges ? surgeIntervalMs : balanceIntervalMs) && now - this.firstOwnerAt >= minMeasuredMs;
 		if (isSettling || !(hasUnusableOwner || isBalanceDue)) {
 			return false;
 		}
