Bundle: compile with a code cache made by a warm-up run

Each process compiled 1.9 MB of JavaScript, and each function again when it was first called. The build now writes the bundle as a script and runs three instances beside stand-ins, in one process of the build, to make a V8 code cache that contains the functions that serve requests. A small entry file loads both. A cache of another Node.js or machine is ignored. Modules that await at their top level can't be scripts, so XXH32 is computed in JavaScript; a test compares it with xxhash-wasm.

--- a/xo.config.js
+++ b/xo.config.js
@@ -72,7 +72,7 @@
 		},
 	},
 	{
-		files: ['platform/src/main.ts', 'platform/src/soak/main.ts'],
+		files: ['platform/src/run-gateway.ts', 'platform/src/bundle/warm-up.ts', 'platform/src/soak/main.ts'],
 		rules: {
 			'unicorn/no-process-exit': 'off',
 		},
