Bundle: leave out library parts that a gateway never uses

undici's index loads fetch, WebSocket, SQLite caches and, through globals, the copy of undici in Node.js; prom-client loads a push gateway client with TLS; cmd-ts was loaded to read one argument.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -35,6 +35,26 @@
 	logLevel: 'warning',
 };
 
+/* eslint-disable require-unicode-regexp -- esbuild takes no flags */
+
+/**
+ * Modules of libraries that a gateway never uses and that cost CPU time to load: the HTTP/2 client (targets and the store
+ * are called with HTTP/1.1), metrics of the process, of worker processes and for a push gateway, and a native add-on that
+ * msgpackr does without.
+ */
+const unusedModules = /(?:undici\/lib\/dispatcher\/client-h2|prom-client\/lib\/(?:pushgateway|cluster|defaultMetrics)|msgpackr-extract\/index)\.js$/;
+
+/** Replaces modules of libraries by smaller ones. */
+const libraryParts = {
+	name: 'library-parts',
+	setup({onResolve, onLoad}) {
+		onResolve({filter: /^undici$/}, () => ({path: path.resolve('platform/src/bundle/undici.mjs')}));
+		onLoad({filter: unusedModules}, () => ({contents: 'module.exports = () => { throw new Error("not in the bundle"); };'}));
+	},
+};
+
+/* eslint-enable require-unicode-regexp */
+
 /** Options for ES modules. Some CommonJS dependencies call `require` for built-in modules of Node.js. */
 const moduleOptions = {
 	...options,
@@ -61,6 +81,7 @@
 		banner: {js: '(function (exports, require, module) { const __bundleUrl = require(\'node:url\').pathToFileURL(module.filename).href;'},
 		footer: {js: '})'},
 		sourcemap: 'external',
+		plugins: [libraryParts],
 	});
 	const {text} = outputFiles.find(file => file.path.endsWith('.cjs'));
 	const bundleFile = `${name}-${createHash('sha256').update(text).digest('hex').slice(0, digestLength)}.cjs`;
@@ -93,11 +114,15 @@
 const bundleFile = await writeBundle();
 const codeCacheFile = bundleFile.replace(/cjs$/v, 'cache');
 await writeCodeCache(bundleFile, codeCacheFile);
+// The platform runs an ES module. Built-in modules are loaded with `require`, as an import of them also sets up parts of them that are not used.
 await build({
-	...moduleOptions,
+	...options,
 	entryPoints: ['platform/src/bundle/entry.ts'],
 	outfile: path.join(outDir, `${name}.mjs`),
+	format: 'cjs',
+	banner: {js: 'import {createRequire as createRequireOf} from \'node:module\'; const require = createRequireOf(import.meta.url), __entryUrl = import.meta.url;'},
 	define: {
+		'import.meta.url': '__entryUrl',
 		bundleFile: JSON.stringify(bundleFile),
 		codeCacheFile: JSON.stringify(codeCacheFile),
 		builtCodeCacheTag: JSON.stringify(`${process.version}-${process.versions.v8}-${process.platform}-${process.arch}`),
