Team queues: a team that used less than its part catches up

The tag of a request may now be behind the virtual time by the work that the targets do in 250 ms. A new test bounds how long an idle team that floods delays the others.

--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -131,6 +131,10 @@
 
 	/** Offers a request. It waits unless the returned decision starts or refuses it. */
 	offer(request: QueuedRequest, now: number): QueueDecision {
+		if (request.team !== undefined) {
+			this.shares.setCapacity(this.capacity(now));
+		}
+
 		const refusal = this.findRefusal(request, now);
 		if (refusal !== undefined) {
 			return {starts: [], refusals: [refusal]};
--- a/packages/core/src/admission/team-load.test.ts
+++ b/packages/core/src/admission/team-load.test.ts
@@ -85,3 +85,33 @@
 	t.true(order.indexOf('y0') <= 2, `started: ${order.join(' ')}`);
 	t.true(order.indexOf('y1') <= 4, `started: ${order.join(' ')}`);
 });
+
+// A team that was idle must not stop the others for as long as it likes when it begins to flood.
+test('team load: a flood of a team that was idle delays the others by no more than its credit', t => {
+	const queue = new AdmissionQueue();
+	const limiter = queue.setTarget({id: 't', slots: 1, coldRate: 1000});
+	let now = 0;
+	const finish = () => {
+		now += 10;
+		return queue.finish(limiter, AttemptOutcome.Answered, 1, now).starts.map(start => start.request.id);
+	};
+
+	for (let i = 0; i < 200; i += 1) {
+		queue.offer(request(`y${i}`, 60_000, 'y'), now);
+		finish();
+	}
+
+	const order: string[] = [];
+	for (let i = 0; i < 100; i += 1) {
+		order.push(...queue.offer(request(`x${i}`, 60_000, 'x'), now).starts.map(start => start.request.id));
+		queue.offer(request(`z${i}`, 60_000, 'y'), now);
+	}
+
+	while (queue.queued > 0) {
+		order.push(...finish());
+	}
+
+	// The target does 25 requests in the 250 ms of the credit.
+	const first = order.findIndex(id => id.startsWith('z'));
+	t.true(first > 0 && first <= 26, `started: ${order.join(' ')}`);
+});
