Reachability: find partitions that accept connections and never answer

An instance counts as cut off if no target has sent a byte for 1 s and 15 times the shortest expected work while requests are overdue, and health checks of four targets on new connections got no byte either. There are none in quiet times or while any target responds.

--- a/packages/core/src/reachability/index.ts
+++ b/packages/core/src/reachability/index.ts
@@ -1,2 +1,3 @@
 export * from './path-evidence.js';
 export * from './path-monitor.js';
+export type {OverdueRequest} from './silence-detector.js';
--- a/packages/core/src/reachability/path-evidence.ts
+++ b/packages/core/src/reachability/path-evidence.ts
@@ -8,6 +8,8 @@
 	Overdue = 'overdue',
 	/** A connection ended with a request on it. */
 	Reset = 'reset',
+	/** A connection was accepted, and a check on it got no byte in time. */
+	Unanswered = 'unanswered',
 }
 
 /** Returns whether the evidence is a connect that failed; it says nothing about connections that are open. */
--- a/packages/core/src/reachability/path-monitor.test.ts
+++ b/packages/core/src/reachability/path-monitor.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {seededRandom} from '../random/index.js';
 import {PathEvidence} from './path-evidence.js';
-import {PathMonitor, type PathTarget} from './path-monitor.js';
+import {CheckKind, PathMonitor, type PathTarget} from './path-monitor.js';
 
 /** Interval between two steps, in milliseconds. */
 const stepMs = 10;
@@ -9,6 +9,9 @@
 /** Time after which a check that gets no answer fails, in milliseconds. */
 const checkTimeoutMs = 250;
 
+/** Time after which a request without a response is overdue, in milliseconds. */
+const overdueMs = 300;
+
 function createTargets(services: readonly string[], perService: number): PathTarget[] {
 	return services.flatMap(service => Array.from({length: perService}, (_, i) => ({id: `${service}${i}`, service, domain: ['x', 'y'][i % 2]})));
 }
@@ -22,7 +25,10 @@
 /** Plays the checks of one monitor on a network that `reaches` describes. */
 class Harness {
 	now = 0;
+	/** Checks that opened a connection only. */
 	checks = 0;
+	/** Checks that asked for a byte; they are load for targets. */
+	byteChecks = 0;
 	/** Number of changes of the decision. */
 	changes = 0;
 	/** Whether connects that fail are refused, and not silent. */
@@ -30,6 +36,8 @@
 	readonly monitor: PathMonitor;
 	/** Whether a connection to a target can be opened now. */
 	reaches: (target: string) => boolean;
+	/** Whether a connection to a target carries bytes now. */
+	isAnswered = true;
 	private pending: PendingCheck[] = [];
 
 	constructor(readonly targets: readonly PathTarget[] = createTargets(['a', 'b'], 4)) {
@@ -46,15 +54,19 @@
 	}
 
 	fail(target: string, evidence = PathEvidence.Overdue): void {
-		this.monitor.recordFailure(target, evidence, this.now);
+		const overdue = evidence === PathEvidence.Overdue ? {sentAt: this.now - overdueMs, expectedMs: 20} : undefined;
+		this.monitor.recordFailure(target, evidence, this.now, overdue);
 	}
 
 	private step(): void {
 		const wasCutOff = this.monitor.isCutOff;
 		for (const target of this.monitor.startRound(this.now)) {
-			const isConnected = this.reaches(target);
-			this.checks += 1;
-			this.pending.push({target, isConnected, dueAt: this.now + (isConnected || this.isRefused ? stepMs : checkTimeoutMs)});
+			const {kind, timeoutMs} = this.monitor.check!;
+			const asksForByte = kind === CheckKind.Byte;
+			const isConnected = this.reaches(target) && (this.isAnswered || !asksForByte);
+			this.checks += asksForByte ? 0 : 1;
+			this.byteChecks += asksForByte ? 1 : 0;
+			this.pending.push({target, isConnected, dueAt: this.now + (isConnected || this.isRefused ? stepMs : timeoutMs)});
 		}
 
 		const ended = this.pending.filter(({dueAt}) => dueAt <= this.now);
@@ -94,6 +106,7 @@
 	});
 	harness.advance(60_000);
 	t.is(harness.checks, 0);
+	t.is(harness.byteChecks, 0);
 });
 
 test('checks end as soon as one succeeds', t => {
@@ -240,7 +253,13 @@
 	healthy.monitor.recordAlarm(healthy.now);
 	healthy.advance(2000);
 	t.is(healthy.checks, 4);
+	t.is(healthy.byteChecks, 4);
 	t.false(healthy.monitor.isCutOff);
+	const busy = new Harness();
+	busy.monitor.recordResponse('a0', 0, busy.now);
+	busy.monitor.recordAlarm(busy.now);
+	busy.advance(2000);
+	t.is(busy.byteChecks, 0);
 	const isolated = new Harness();
 	isolated.reaches = () => false;
 	isolated.monitor.recordAlarm(isolated.now);
--- a/packages/core/src/reachability/path-monitor.ts
+++ b/packages/core/src/reachability/path-monitor.ts
@@ -4,6 +4,7 @@
  * connections to others decide.
  */
 import {isFailedConnect, PathEvidence} from './path-evidence.js';
+import {SilenceDetector, type OverdueRequest} from './silence-detector.js';
 
 /** A target that may be checked. */
 export type PathTarget = {
@@ -12,6 +13,21 @@
 	readonly service: string;
 };
 
+/** What a check asks of a target. */
+export enum CheckKind {
+	/** It opens a connection. */
+	Connect = 'connect',
+	/** It also asks for a byte of a response, which is load for the target. */
+	Byte = 'byte',
+}
+
+/** How the targets of a round are checked. */
+export type PathCheck = {
+	readonly kind: CheckKind;
+	/** Time after which a check has failed, in milliseconds. */
+	readonly timeoutMs: number;
+};
+
 /** Why an instance was last found cut off, or reachable again. Times are monotonic milliseconds. */
 export type PathDecision = {
 	readonly isCutOff: boolean;
@@ -33,6 +49,9 @@
 /** Time between the starts of two rounds while it counts as cut off, in milliseconds. */
 const cutOffIntervalMs = 500;
 
+/** Timeout of a check that opens a connection, in milliseconds. */
+const connectTimeoutMs = 250;
+
 /** Number of targets that must fail, unless fewer are known. */
 const minFailedTargets = 3;
 
@@ -52,10 +71,12 @@
  */
 const minCutOffMs = 1200;
 
-type CheckRound = {
+type CheckRound = PathCheck & {
 	readonly pending: Set<string>;
 	readonly size: number;
+	/** Targets whose check succeeded, and whose check failed. */
 	readonly connected: string[];
+	readonly failed: string[];
 };
 
 /** Options of a path monitor. */
@@ -69,6 +90,9 @@
 /** Collects evidence for and against a path from this instance to the targets. Times are monotonic milliseconds. */
 export class PathMonitor {
 	private readonly options: PathMonitorOptions;
+	private readonly silence = new SilenceDetector();
+	/** Whether it was found cut off as targets accept connections and answer nothing. */
+	private isSilent = false;
 	private suspectedAt: number | undefined;
 	private cutOffAt: number | undefined;
 	/** Whether responses came since the first evidence. */
@@ -108,6 +132,16 @@
 		return this.hasResponded;
 	}
 
+	/** Whether this instance is cut off although connections are accepted, as nothing is answered. */
+	get isUnanswered(): boolean {
+		return this.isCutOff && this.isSilent;
+	}
+
+	/** How the targets of the present round are checked; undefined between rounds. */
+	get check(): PathCheck | undefined {
+		return this.round;
+	}
+
 	/** The last change of `isCutOff`; undefined before the first one. */
 	get lastDecision(): PathDecision | undefined {
 		return this.decision;
@@ -115,6 +149,7 @@
 
 	/** Records a response of a target on a connection that was opened at `connectedAt`. */
 	recordResponse(target: string, connectedAt: number, now: number): void {
+		this.silence.recordResponse(now);
 		if (this.suspectedAt === undefined) {
 			return;
 		}
@@ -126,38 +161,46 @@
 			if (isNewConnection || this.failedConnects.size === 0) {
 				this.dismiss();
 			}
-		} else if (connectedAt > this.cutOffAt) {
+		} else if (connectedAt > this.cutOffAt || this.isSilent) {
 			this.responses += 1;
 			this.responders.add(target);
 			this.recoverIfDue(now);
 		}
 	}
 
-	/** Records evidence of a request against a path to a target. */
-	recordFailure(target: string, evidence: PathEvidence, now: number): void {
+	/** Records evidence of a request against a path to a target; `overdue` is set for a request without a response. */
+	recordFailure(target: string, evidence: PathEvidence, now: number, overdue?: OverdueRequest): void {
 		if (this.isCutOff) {
 			return;
 		}
 
+		if (overdue !== undefined) {
+			this.silence.recordOverdue(target, overdue, now);
+		}
+
 		this.suspect(now);
 		this.addFailure(target, evidence);
 	}
 
 	/** Has targets checked as another instance of the deployment was found cut off, which often is not the only one. */
 	recordAlarm(now: number): void {
+		this.silence.recordAlarm(now);
 		this.suspect(now);
 	}
 
 	/** Returns when the next round of checks may start; undefined if none is needed or one is under way. */
 	nextRoundAt(): number | undefined {
-		if (this.suspectedAt === undefined || this.round !== undefined || this.options.targets().length < minKnownTargets) {
+		const {suspectedAt, round, roundAt, isCutOff, silence} = this;
+		const silenceDueAt = isCutOff ? undefined : silence.checkDueAt;
+		if ((suspectedAt === undefined && silenceDueAt === undefined) || round !== undefined || this.options.targets().length < minKnownTargets) {
 			return undefined;
 		}
 
-		return this.roundAt + (this.isCutOff ? cutOffIntervalMs : suspectedIntervalMs);
+		const suspectedDueAt = suspectedAt === undefined ? Number.POSITIVE_INFINITY : roundAt + (isCutOff ? cutOffIntervalMs : suspectedIntervalMs);
+		return Math.min(suspectedDueAt, silenceDueAt ?? Number.POSITIVE_INFINITY);
 	}
 
-	/** Starts a round of checks if one is due. Returns the ids of the targets to connect to. */
+	/** Starts a round of checks if one is due. Returns the ids of the targets to check; `check` says how. */
 	startRound(now: number): string[] {
 		const dueAt = this.nextRoundAt();
 		if (dueAt === undefined || now < dueAt) {
@@ -165,12 +208,14 @@
 		}
 
 		const selected = this.selectTargets();
-		this.round = {pending: new Set(selected), size: selected.length, connected: []};
+		this.round = {
+			...this.selectCheck(now), pending: new Set(selected), size: selected.length, connected: [], failed: [],
+		};
 		this.roundAt = now;
 		return selected;
 	}
 
-	/** Records the end of a check of the present round: whether the connection was opened. */
+	/** Records the end of a check of the present round: whether the connection was opened, or a byte received if it asked for one. */
 	recordCheck(target: string, isConnected: boolean, now: number): void {
 		const {round} = this;
 		if (round?.pending.delete(target) !== true) {
@@ -179,11 +224,12 @@
 
 		if (isConnected) {
 			round.connected.push(target);
-			if (!this.isCutOff) {
-				this.dismiss();
+			this.recordSuccess(round);
+		} else {
+			round.failed.push(target);
+			if (round.kind === CheckKind.Connect && this.isSuspected && round.connected.length === 0) {
+				this.addFailure(target, PathEvidence.ConnectTimeout);
 			}
-		} else if (this.isSuspected && round.connected.length === 0) {
-			this.addFailure(target, PathEvidence.ConnectTimeout);
 		}
 
 		if (round.pending.size === 0) {
@@ -192,6 +238,25 @@
 		}
 	}
 
+	private selectCheck(now: number): PathCheck {
+		const dueAt = this.silence.checkDueAt;
+		const asksForByte = this.isCutOff ? this.isSilent : dueAt !== undefined && now >= dueAt;
+		return asksForByte ? {kind: CheckKind.Byte, timeoutMs: this.silence.startCheck(now)} : {kind: CheckKind.Connect, timeoutMs: connectTimeoutMs};
+	}
+
+	private recordSuccess({kind}: CheckRound): void {
+		if (this.isCutOff) {
+			return;
+		}
+
+		this.dismiss();
+		if (kind === CheckKind.Byte) {
+			this.silence.clear();
+		} else {
+			this.silence.recordConnected();
+		}
+	}
+
 	private suspect(now: number): void {
 		this.suspectedAt ??= now;
 	}
@@ -207,9 +272,11 @@
 		this.failedRequests.clear();
 	}
 
-	private concludeRound({size, connected}: CheckRound, now: number): void {
+	private concludeRound({kind, size, connected, failed}: CheckRound, now: number): void {
 		if (!this.isCutOff) {
-			if (connected.length === 0) {
+			if (connected.length === 0 && kind === CheckKind.Byte) {
+				this.cutOffIfSilent(failed, now);
+			} else if (connected.length === 0) {
 				this.cutOffIfProven(now);
 			}
 
@@ -236,11 +303,35 @@
 	private cutOffIfProven(now: number): void {
 		const {suspectedAt} = this;
 		const failures = new Map(this.hasResponded ? this.failedConnects : [...this.failedRequests, ...this.failedConnects]);
-		const needed = Math.max(minKnownTargets, Math.min(minFailedTargets, this.options.targets().length));
-		if (suspectedAt === undefined || failures.size < needed) {
-			return;
+		if (suspectedAt !== undefined && failures.size >= this.neededFailures()) {
+			this.cutOff(failures, now);
 		}
+	}
+
+	/** Requests of any target that were answered meanwhile show that the path works; otherwise no checked target sent a byte. */
+	private cutOffIfSilent(unanswered: readonly string[], now: number): void {
+		const {silence} = this;
+		const failures = new Map<string, PathEvidence>();
+		for (const target of silence.overdueTargets) {
+			failures.set(target, PathEvidence.Overdue);
+		}
+
+		for (const target of unanswered) {
+			failures.set(target, PathEvidence.Unanswered);
+		}
+
+		if (silence.isProven(now) && failures.size >= this.neededFailures()) {
+			this.suspectedAt = silence.suspectedAt;
+			this.isSilent = true;
+			this.cutOff(failures, now);
+		}
+	}
+
+	private neededFailures(): number {
+		return Math.max(minKnownTargets, Math.min(minFailedTargets, this.options.targets().length));
+	}
 
+	private cutOff(failures: ReadonlyMap<string, PathEvidence>, now: number): void {
 		this.cutOffAt = now;
 		this.failedRoundAt = now;
 		this.goodRounds = 0;
@@ -248,7 +339,7 @@
 		this.responders.clear();
 		this.decision = {
 			isCutOff: true,
-			suspectedAt,
+			suspectedAt: this.suspectedAt ?? now,
 			decidedAt: now,
 			targets: [...failures].map(([target, evidence]) => `${target} ${evidence}`),
 			hasOpenConnections: this.hasResponded,
@@ -265,6 +356,8 @@
 			isCutOff: false, suspectedAt: this.suspectedAt, decidedAt: now, targets: [...this.responders], hasOpenConnections: this.hasResponded,
 		};
 		this.cutOffAt = undefined;
+		this.isSilent = false;
+		this.silence.clear();
 		this.dismiss();
 	}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {
-	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, TargetClient,
+	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, receivesByte, TargetClient,
 } from './queue/index.js';
 import {
 	CrashGuard, Dispatcher, isLoadBalanced, RequestExplainer, type Order,
@@ -144,6 +144,9 @@
 			canConnect: async (addr, timeoutMs) => await probeConnection({
 				addr, localAddress: cfg.targets['local-address'], timeoutMs, minOpenMs: minCheckOpenMs,
 			}) === ProbeOutcome.Connected,
+			receivesByte: async (addr, path, timeoutMs) => receivesByte({
+				addr, localAddress: cfg.targets['local-address'], path, timeoutMs,
+			}),
 			isUnreachable: addr => this.net.isUnreachable(addr),
 			onChange: isCutOff => {
 				this.coordinator.leaderChannel.report(PeerOp.CutOff, {instance: name, isCutOff});
--- a/packages/gateway/src/queue/index.ts
+++ b/packages/gateway/src/queue/index.ts
@@ -1,3 +1,4 @@
+export * from './byte-check.js';
 export * from './condition-tracker.js';
 export * from './crash-detector.js';
 export * from './dispatch-queue.js';
--- a/packages/gateway/src/queue/path-checker.test.ts
+++ b/packages/gateway/src/queue/path-checker.test.ts
@@ -34,6 +34,11 @@
 	readonly ended = new Map<string, boolean>();
 	checks = 0;
 	reachesTargets = true;
+	/** Checks that asked for a byte, and whether they get one. */
+	byteChecks = 0;
+	/** Checks that had asked for a byte at each change. */
+	readonly byteChecksAtChange: number[] = [];
+	isAnswered = true;
 	readonly checker: PathChecker;
 
 	constructor() {
@@ -57,15 +62,21 @@
 				this.checks += 1;
 				return this.reachesTargets;
 			},
+			receivesByte: async (_addr, _path, timeoutMs) => {
+				this.byteChecks += 1;
+				await sleep(this.isAnswered ? 5 : timeoutMs);
+				return this.isAnswered;
+			},
 			isUnreachable: () => false,
 			onChange: isCutOff => {
 				this.changes.push(isCutOff);
+				this.byteChecksAtChange.push(this.byteChecks);
 			},
 		});
 	}
 
-	watch(name: string, {mayEnd = true, isSent = true, expectedMs = 10} = {}): PathWatch {
-		const watch = this.checker.watch({target: 't0', expectedMs, mayEnd});
+	watch(name: string, {mayEnd = true, isSent = true, expectedMs = 10, target = 't0'} = {}): PathWatch {
+		const watch = this.checker.watch({target, expectedMs, mayEnd});
 		watch.onStart((_reason, includesSent) => {
 			if (includesSent || !isSent) {
 				this.ended.set(name, true);
@@ -185,3 +196,45 @@
 	await sleep(700);
 	t.is(harness.checks, checks);
 });
+
+test('targets that accept connections and answer nothing are found, and requests that may run again end', async t => {
+	const harness = new Harness();
+	harness.isAnswered = false;
+	for (const target of ['t0', 't1', 't2']) {
+		harness.watch(`idempotent at ${target}`, {target});
+	}
+
+	harness.watch('once', {mayEnd: false, target: 't3'});
+	await harness.waitForDecision(true);
+	t.deepEqual(harness.changes, [true]);
+	t.deepEqual(harness.byteChecksAtChange, [4]);
+	t.deepEqual([...harness.ended.keys()], ['idempotent at t0', 'idempotent at t1', 'idempotent at t2']);
+	harness.isAnswered = true;
+	await harness.waitForDecision(false);
+	t.deepEqual(harness.changes, [true, false]);
+	harness.checker.stop();
+});
+
+// Targets that are all slow look the same from each instance; ending requests that run there would add load.
+test('requests go on if nothing is answered at any instance', async t => {
+	const harness = new Harness();
+	harness.isAnswered = false;
+	harness.view.store.set('cut/e2', true);
+	harness.watch('idempotent');
+	await harness.waitForDecision(true);
+	t.deepEqual(harness.changes, [true]);
+	t.deepEqual([...harness.ended.keys()], []);
+	harness.checker.stop();
+});
+
+test('a response of one target during the checks shows that the path works', async t => {
+	const harness = new Harness();
+	harness.isAnswered = false;
+	harness.watch('hung');
+	const slow = harness.watch('slow', {target: 't1'});
+	await sleep(900);
+	slow.onResponse(0);
+	await sleep(700);
+	t.deepEqual(harness.changes, []);
+	harness.checker.stop();
+});
--- a/packages/gateway/src/queue/path-checker.ts
+++ b/packages/gateway/src/queue/path-checker.ts
@@ -3,7 +3,7 @@
  * that are overdue, and with checking connections, which are opened only after evidence against a path.
  */
 import {
-	AttemptOutcome, PathEvidence, PathMonitor, type Clock, type PathDecision,
+	AttemptOutcome, CheckKind, PathEvidence, PathMonitor, type Clock, type OverdueRequest, type PathCheck, type PathDecision,
 } from '@bluebellyard/core';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
@@ -11,8 +11,8 @@
 	ConnectionFault, type ConnectionObserver, type EndAsLost, type TargetResult,
 } from './target-client.js';
 
-/** Timeout of a checking connection, in milliseconds. */
-const checkTimeoutMs = 250;
+/** Path that a check asks for if the service of the target is unknown; any answer counts. */
+const defaultHealthPath = '/';
 
 /** Shortest time after which a request without a response is evidence, in milliseconds. */
 const minOverdueMs = 300;
@@ -40,6 +40,8 @@
 	readonly random: () => number;
 	/** Resolves to whether a connection to an address can be opened within a time in milliseconds. */
 	readonly canConnect: (addr: string, timeoutMs: number) => Promise<boolean>;
+	/** Resolves to whether an address answers a request for a path with any byte within a time in milliseconds. */
+	readonly receivesByte: (addr: string, path: string, timeoutMs: number) => Promise<boolean>;
 	/** Returns whether an instance can't be reached at present. */
 	readonly isUnreachable: (addr: string) => boolean;
 	/** Called when `isCutOff` has changed. */
@@ -117,13 +119,14 @@
 	watch({target, expectedMs, mayEnd}: WatchedRequest): PathWatch {
 		const {clock} = this.options;
 		const request: OpenRequest = {mayEnd, endAsLost: undefined};
+		const sentAt = clock.now();
 		this.open.add(request);
 		const overdueMs = Math.ceil(Math.max(minOverdueMs, expectedMs * overdueFactor) / timerStepMs) * timerStepMs;
 		const timer = setTimeout(() => {
 			// An event loop that was blocked runs its timers before it reads the responses that have arrived meanwhile.
 			setImmediate(() => {
 				if (this.open.has(request)) {
-					this.recordFailure(target, PathEvidence.Overdue);
+					this.recordFailure(target, PathEvidence.Overdue, {sentAt, expectedMs});
 				}
 			});
 		}, overdueMs);
@@ -158,8 +161,8 @@
 		this.notifyWaiters();
 	}
 
-	private recordFailure(target: string, evidence: PathEvidence): void {
-		this.monitor.recordFailure(target, evidence, this.options.clock.now());
+	private recordFailure(target: string, evidence: PathEvidence, overdue?: OverdueRequest): void {
+		this.monitor.recordFailure(target, evidence, this.options.clock.now(), overdue);
 		this.advance();
 	}
 
@@ -198,16 +201,22 @@
 			return;
 		}
 
-		for (const id of this.monitor.startRound(now)) {
-			void this.check(id);
+		const ids = this.monitor.startRound(now);
+		const {check} = this.monitor;
+		if (check !== undefined) {
+			for (const id of ids) {
+				void this.check(id, check);
+			}
 		}
 	}
 
-	private async check(id: string): Promise<void> {
-		const {view, canConnect, clock} = this.options;
+	private async check(id: string, {kind, timeoutMs}: PathCheck): Promise<void> {
+		const {view, canConnect, receivesByte, clock} = this.options;
 		const target = view.targets.get(id);
-		const isConnected = target !== undefined && await canConnect(target.addr, checkTimeoutMs);
-		this.monitor.recordCheck(id, isConnected, clock.now());
+		const isReached = target !== undefined && await (kind === CheckKind.Byte
+			? receivesByte(target.addr, view.allServices.get(target.service)?.healthPath ?? defaultHealthPath, timeoutMs)
+			: canConnect(target.addr, timeoutMs));
+		this.monitor.recordCheck(id, isReached, clock.now());
 		this.advance();
 	}
 
@@ -231,10 +240,14 @@
 		}
 	}
 
-	/** Ends the requests that were not sent, and those without a response that may run again unless open connections survive. */
+	/**
+	 * Ends the requests that were not sent, and those without a response that may run again, unless open connections
+	 * survive. If nothing is answered at any instance, the targets may all be slow, so that their requests go on.
+	 */
 	private endRequests(hasOpenConnections: boolean): void {
+		const includesSent = !hasOpenConnections && (!this.monitor.isUnanswered || this.isReleased);
 		for (const {endAsLost, mayEnd} of this.open) {
-			endAsLost?.(lostReason, mayEnd && !hasOpenConnections);
+			endAsLost?.(lostReason, mayEnd && includesSent);
 		}
 	}
 
