--- a/packages/gateway/src/dispatch/queue-router.ts
+++ b/packages/gateway/src/dispatch/queue-router.ts
@@ -78,12 +78,15 @@
 		return new Set(recent.map(({name}) => name));
 	}
 
-	/** Returns another instance that is not cut off as far as is known, in the domain of this one if there is one. */
 	private findSubstitute(returned: ReadonlySet<string>): NodeInfo | undefined {
-		const {view, self, net, random} = this.options;
-		const others = view.nodes().filter(({name, addr}) => name !== self.name && !view.isCutOff(name) && !returned.has(name) && !net.isUnreachable(addr));
-		const near = others.filter(({domain}) => domain === self.domain);
-		const candidates = near.length > 0 ? near : others;
-		return candidates[Math.floor(random() * candidates.length)];
+		const candidates = findSubstitutes(this.options, returned);
+		return candidates[Math.floor(this.options.random() * candidates.length)];
 	}
 }
+
+/** Returns the other instances that are not cut off as far as is known, those in the domain of this one if there are any. */
+export function findSubstitutes({view, self, net}: Pick<QueueRouterOptions, 'view' | 'self' | 'net'>, returned: ReadonlySet<string> = new Set()): readonly NodeInfo[] {
+	const others = view.nodes().filter(({name, addr}) => name !== self.name && !view.isCutOff(name) && !returned.has(name) && !net.isUnreachable(addr));
+	const near = others.filter(({domain}) => domain === self.domain);
+	return near.length > 0 ? near : others;
+}
--- a/packages/gateway/src/dispatch/request-explainer.ts
+++ b/packages/gateway/src/dispatch/request-explainer.ts
@@ -9,6 +9,7 @@
 import {
 	sharedQueueId, targetQueueId, type NodeInfo, type View,
 } from '../view/index.js';
+import {findSubstitutes} from './queue-router.js';
 
 /** The request to explain. */
 export type ExplainQuery = {
@@ -31,6 +32,8 @@
 	readonly steward: string | undefined;
 	/** How the request reaches it. */
 	readonly via: QueuePath;
+	/** Why the request does not run at the steward, and where it may run instead; set if `via` is `QueuePath.Around`. */
+	readonly around?: WayAround;
 	/** State of the queue if this instance is its steward; only the steward knows it. */
 	readonly state: QueueSnapshot | undefined;
 };
@@ -43,8 +46,18 @@
 	Forwarded = 'forwarded',
 	/** The steward is unknown or can't be reached, so that this instance sends it on its own. */
 	WithoutSteward = 'without-steward',
+	/** The steward, or this instance, is cut off from the targets, so that another instance sends it. */
+	Around = 'around',
 }
 
+/** A way to the targets around an instance that is cut off from them. */
+export type WayAround = {
+	/** The instance that would send the request if it were not cut off: the steward or this one. */
+	readonly cutOff: string;
+	/** Instances one of which sends it; this one, if the steward gives the request back. */
+	readonly instances: readonly string[];
+};
+
 /** Explanation of one service of the route; with a weighted split there are several. */
 export type ExplainedService = {
 	readonly service: string;
@@ -62,6 +75,8 @@
 	readonly configVersion: number | undefined;
 	/** Time since the leader was heard, in milliseconds: the age of what this instance knows. */
 	readonly viewAgeMs: number;
+	/** Names of the instances that are cut off from the targets, this one included; left out if there are none. */
+	readonly cutOff?: readonly string[];
 	readonly route?: string;
 	readonly priority?: number;
 	readonly isIdempotent?: boolean;
@@ -75,6 +90,8 @@
 	readonly view: View;
 	readonly net: Pick<PeerNet, 'isUnreachable'>;
 	readonly clock: Clock;
+	/** Returns whether another instance should run the orders of this one, since this one is cut off from the targets. */
+	readonly isReleased: () => boolean;
 	/** Returns the state of a queue of this instance; undefined if it has none of that id. */
 	readonly queueSnapshot: (queueId: string, priority: number) => QueueSnapshot | undefined;
 	readonly viewAgeMs: () => number;
@@ -91,7 +108,10 @@
 	/** Explains a request. Sends and changes nothing. */
 	explain(query: ExplainQuery): Explanation {
 		const {self, view, viewAgeMs} = this.options;
-		const known = {instance: self.name, configVersion: view.configVersion, viewAgeMs: Math.round(viewAgeMs())};
+		const cutOff = [...view.cutOffInstances];
+		const known = {
+			instance: self.name, configVersion: view.configVersion, viewAgeMs: Math.round(viewAgeMs()), ...(cutOff.length > 0 && {cutOff}),
+		};
 		if (view.configVersion === undefined) {
 			return {...known, services: [], refusal: {error: ErrorKind.NotReady, reason: 'no configuration yet'}};
 		}
@@ -160,18 +180,45 @@
 	}
 
 	private explainQueue(queueId: string, {domain, targets, priority}: {domain: string; targets: readonly string[]; priority: number}): ExplainedQueue {
-		const {view, self, net, queueSnapshot} = this.options;
+		const {view, self, queueSnapshot} = this.options;
 		const steward = view.findSteward(queueId);
-		const node = steward === undefined ? undefined : view.store.get<NodeInfo>(`node/${steward}`);
 		const isOwn = steward === self.name;
-		const remotePath = node !== undefined && !net.isUnreachable(node.addr) ? QueuePath.Forwarded : QueuePath.WithoutSteward;
+		const around = this.findWayAround(steward);
+		const usualPath = this.isReachable(steward) ? QueuePath.Forwarded : QueuePath.WithoutSteward;
+		const directPath = isOwn ? QueuePath.Own : usualPath;
 		return {
 			queue: queueId,
 			domain,
 			targets,
 			steward,
-			via: isOwn ? QueuePath.Own : remotePath,
+			via: around === undefined ? directPath : QueuePath.Around,
+			...(around !== undefined && {around}),
 			state: isOwn ? queueSnapshot(queueId, priority) : undefined,
 		};
 	}
+
+	/** Returns the way around if the instance that would send the request is cut off and another one is not. */
+	private findWayAround(steward: string | undefined): WayAround | undefined {
+		const {view, self, isReleased} = this.options;
+		const isRemote = steward !== undefined && steward !== self.name && this.isReachable(steward);
+		if (isRemote && !view.isCutOff(steward)) {
+			return undefined;
+		}
+
+		const cutOff = isRemote ? steward : self.name;
+		if (isReleased()) {
+			const instances = findSubstitutes(this.options).map(({name}) => name);
+			return instances.length === 0 ? undefined : {cutOff, instances};
+		}
+
+		// A steward that is cut off gives requests back only if an instance is left that is not.
+		return isRemote && !view.isCutOff(self.name) ? {cutOff, instances: [self.name]} : undefined;
+	}
+
+	/** Returns whether an instance is known and not found unreachable. */
+	private isReachable(instance: string | undefined): boolean {
+		const {view, net} = this.options;
+		const node = instance === undefined ? undefined : view.store.get<NodeInfo>(`node/${instance}`);
+		return node !== undefined && !net.isUnreachable(node.addr);
+	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -224,6 +224,7 @@
 			view,
 			net: this.net,
 			clock,
+			isReleased: () => this.paths.isReleased,
 			queueSnapshot: (queueId, priority) => this.queues.snapshot(queueId, priority),
 			viewAgeMs: () => this.coordinator.leaderContactAgeMs,
 		});
@@ -336,6 +337,11 @@
 			metrics.cutOffInstances.set({instance}, 1);
 		}
 
+		metrics.targetsOutOfReach.reset();
+		for (const [domain, count] of this.paths.outOfReach) {
+			metrics.targetsOutOfReach.set({domain}, count);
+		}
+
 		metrics.leads.set(this.coordinator.isLeader ? 1 : 0);
 		metrics.logLinesDropped.set(this.telemetry.suppressedLines);
 	}
--- a/packages/gateway/src/mocks/path-simulation.ts
+++ b/packages/gateway/src/mocks/path-simulation.ts
@@ -3,7 +3,7 @@
  * decide whether they are cut off, and report it; the leader assigns the queues.
  */
 import {
-	ManualClock, PathEvidence, PathMonitor, TargetPhase, type PathTarget,
+	CheckKind, ManualClock, PathEvidence, PathMonitor, TargetPhase, type PathTarget,
 } from '@bluebellyard/core';
 import {CutOffInstances} from '../cluster/cut-off-instances.js';
 import {LeadHandover} from '../cluster/lead-handover.js';
@@ -12,16 +12,7 @@
 import {
 	sharedQueueId, targetQueueId, View, type NodeInfo,
 } from '../view/index.js';
-
-/** What a partition does to connections. */
-export enum SimulatedPartition {
-	/** Nothing is answered. */
-	Silent = 'silent',
-	/** Open connections are reset, new ones refused. */
-	Reset = 'reset',
-	/** Open connections survive, new ones are refused. */
-	Half = 'half',
-}
+import {SimulatedPartition} from './simulated-partition.js';
 
 /** Size of a simulated deployment. */
 export type SimulationSize = {
@@ -35,7 +26,6 @@
 const requestIntervalMs = 100;
 const overdueMs = 300;
 const connectTimeoutMs = 350;
-const checkTimeoutMs = 250;
 const publishMs = 15;
 const pingIntervalMs = 600;
 
@@ -45,6 +35,12 @@
 /** Time in which a successor becomes leader: two calls to the store, in milliseconds. */
 const electionMs = 60;
 
+/** Time from the end of a leader until another one leads, in milliseconds. */
+const leaderLossMs = 1300;
+
+/** Expected run time of a request, in milliseconds. */
+const expectedMs = 20;
+
 /** Share of immediate reports to the leader that are lost. */
 const lossShare = 0.1;
 
@@ -70,15 +66,18 @@
 	readonly moves = new Map<string, number>();
 	private leader: Instance;
 	private readonly instances = new Map<string, Instance>();
-	private readonly stewards: StewardAssignment;
-	private readonly cutOff: CutOffInstances;
+	private stewards: StewardAssignment;
+	private cutOff: CutOffInstances;
 	private readonly handovers = new Map<string, LeadHandover>();
 	private events: Array<{readonly at: number; readonly run: () => void}> = [];
 	private isPublishing = false;
+	private hasLeader = true;
+	/** When the store became unavailable; undefined while it is available. */
+	private storeLostAt: number | undefined;
+	private readonly telemetry = new Telemetry(this.clock);
 
 	constructor({domains, instancesPerDomain, targetsPerDomain}: SimulationSize, private readonly random: () => number) {
-		const {view, clock} = this;
-		const telemetry = new Telemetry(clock);
+		const {view} = this;
 		view.store.set('service/keyed', {name: 'keyed', isSharded: true, coldRate: 5});
 		view.store.set('service/shared', {name: 'shared', isSharded: false, coldRate: 5});
 		for (const domain of domains) {
@@ -88,20 +87,14 @@
 			}
 
 			for (let i = 0; i < instancesPerDomain; i += 1) {
-				this.addInstance(`${domain}${i}`, domain, telemetry);
+				this.addInstance(`${domain}${i}`, domain);
 			}
 		}
 
-		const nodes = [...this.instances.values()].map(({node}) => node);
+		const nodes = this.allNodes();
 		this.leader = this.instances.get(nodes[Math.floor(random() * nodes.length)].name)!;
-		this.stewards = new StewardAssignment({
-			view, reader: {remainingColdMs: () => 0}, delayMs: () => 0, liveNodes: () => nodes,
-		});
-		this.cutOff = new CutOffInstances({
-			view, clock, telemetry, onChange: () => {
-				this.schedulePublish();
-			},
-		});
+		this.stewards = this.createAssignment();
+		this.cutOff = this.createCutOffInstances();
 		this.schedulePublish();
 		this.advance(1000);
 		this.moves.clear();
@@ -140,6 +133,44 @@
 		}
 	}
 
+	/** Makes the store unavailable, or available again. */
+	setStoreAvailable(isAvailable: boolean): void {
+		this.storeLostAt = isAvailable ? undefined : this.clock.now();
+	}
+
+	/** Ends the leader. Another instance, which may be cut off, leads soon after. */
+	endLeader(): void {
+		const {name} = this.leader.node;
+		this.instances.delete(name);
+		this.view.store.remove(`node/${name}`);
+		this.hasLeader = false;
+		this.schedule(leaderLossMs, () => {
+			const {names} = this;
+			this.leader = this.instances.get(names[Math.floor(this.random() * names.length)])!;
+			this.hasLeader = true;
+			this.stewards = this.createAssignment();
+			this.cutOff = this.createCutOffInstances();
+			this.schedulePublish();
+		});
+	}
+
+	/** Evacuates a failure domain: its targets receive no work. */
+	evacuate(domain: string): void {
+		this.view.store.set(`evacuated/${domain}`, true);
+		this.schedulePublish();
+	}
+
+	/** Adds a service with a target in each domain and removes one target of the keyed service. */
+	changeConfig(domains: readonly string[]): void {
+		this.view.store.set('service/added', {name: 'added', isSharded: false, coldRate: 5});
+		for (const domain of domains) {
+			this.addTarget(`a-${domain}`, 'added', domain);
+		}
+
+		this.view.store.remove(`target/k-${domains[0]}0`);
+		this.schedulePublish();
+	}
+
 	/** Advances the time. */
 	advance(ms: number): void {
 		for (let i = 0; i < ms / stepMs; i += 1) {
@@ -154,15 +185,32 @@
 			this.stepInstance(instance, now);
 		}
 
-		if (now % pingIntervalMs === 0) {
+		if (now % pingIntervalMs === 0 && this.hasLeader) {
 			this.sendPings();
 		}
 
-		const {node} = this.leader;
-		this.cutOff.record(node.name, this.leader.monitor.isCutOff);
-		this.handovers.get(node.name)!.tick({
-			leadership: {era: 1, term: 1}, isRecovering: false, storeAgeMs: 0, followers: {liveNodes: () => this.allNodes()},
-		}, now);
+		if (this.hasLeader) {
+			const {node} = this.leader;
+			this.cutOff.record(node.name, this.leader.monitor.isCutOff);
+			this.cutOff.prune(this.allNodes());
+			this.handovers.get(node.name)!.tick({
+				leadership: {era: 1, term: 1}, isRecovering: false, storeAgeMs: now - (this.storeLostAt ?? now), followers: {liveNodes: () => this.allNodes()},
+			}, now);
+		}
+	}
+
+	private createAssignment(): StewardAssignment {
+		return new StewardAssignment({
+			view: this.view, reader: {remainingColdMs: () => 0}, delayMs: () => 0, liveNodes: () => this.allNodes(),
+		});
+	}
+
+	private createCutOffInstances(): CutOffInstances {
+		return new CutOffInstances({
+			view: this.view, clock: this.clock, telemetry: this.telemetry, onChange: () => {
+				this.schedulePublish();
+			},
+		});
 	}
 
 	private allNodes(): NodeInfo[] {
@@ -175,20 +223,20 @@
 		});
 	}
 
-	private addInstance(name: string, domain: string, telemetry: Telemetry): void {
+	private addInstance(name: string, domain: string): void {
 		const node: NodeInfo = {
 			name, domain, incarnation: name, addr: name, cores: 1,
 		};
 		this.view.store.set(`node/${name}`, node);
-		const targets = (): PathTarget[] => [...this.view.targets.values()];
+		const targets = (): PathTarget[] => [...this.view.targets.values()].filter(target => this.view.isUsable(target));
 		this.instances.set(name, {
 			node, monitor: new PathMonitor({targets, random: this.random}), partition: undefined, queues: [], knownCutOff: new Set(), reported: false,
 		});
 		this.handovers.set(name, new LeadHandover({
-			self: node, view: this.view, telemetry, random: this.random, net: {
+			self: node, view: this.view, telemetry: this.telemetry, random: this.random, net: {
 				call: async addr => {
 					this.schedule(this.linkMs() + electionMs, () => {
-						this.leader = this.instances.get(addr)!;
+						this.leader = this.instances.get(addr) ?? this.leader;
 					});
 					return true;
 				},
@@ -200,15 +248,20 @@
 		const {monitor} = instance;
 		if (now % requestIntervalMs === 0) {
 			for (const queue of instance.queues) {
-				this.sendRequest(instance, this.selectTarget(queue));
+				const target = this.selectTarget(queue);
+				if (target !== undefined) {
+					this.sendRequest(instance, target);
+				}
 			}
 		}
 
 		for (const target of monitor.startRound(now)) {
-			const isConnected = instance.partition === undefined;
-			const tookMs = instance.partition === SimulatedPartition.Silent ? checkTimeoutMs : this.linkMs();
-			this.schedule(tookMs, () => {
-				monitor.recordCheck(target, isConnected, this.clock.now());
+			const {kind, timeoutMs} = monitor.check!;
+			const {partition} = instance;
+			const isReached = partition === undefined || (partition === SimulatedPartition.Unanswered && kind === CheckKind.Connect);
+			const isSilent = !isReached && (partition === SimulatedPartition.Silent || partition === SimulatedPartition.Unanswered);
+			this.schedule(isSilent ? timeoutMs : this.linkMs(), () => {
+				monitor.recordCheck(target, isReached, this.clock.now());
 			});
 		}
 
@@ -222,9 +275,10 @@
 
 	private sendRequest({monitor, partition}: Instance, target: string): void {
 		const isNew = this.random() < newConnectionShare;
+		const sentAt = this.clock.now();
 		const fail = (ms: number, evidence: PathEvidence) => {
 			this.schedule(ms, () => {
-				monitor.recordFailure(target, evidence, this.clock.now());
+				monitor.recordFailure(target, evidence, this.clock.now(), evidence === PathEvidence.Overdue ? {sentAt, expectedMs} : undefined);
 			});
 		};
 
@@ -234,6 +288,11 @@
 				break;
 			}
 
+			case SimulatedPartition.Unanswered: {
+				fail(overdueMs, PathEvidence.Overdue);
+				break;
+			}
+
 			case SimulatedPartition.Reset: {
 				fail(this.linkMs(), isNew ? PathEvidence.ConnectFailed : PathEvidence.Reset);
 				break;
@@ -254,15 +313,18 @@
 		}
 	}
 
-	private selectTarget(queue: string): string {
-		const candidates = [...this.view.targets.values()].filter(({id, service, domain}) => queue === targetQueueId(id) || queue === sharedQueueId(service, domain));
-		return candidates[Math.floor(this.random() * candidates.length)].id;
+	private selectTarget(queue: string): string | undefined {
+		const candidates = [...this.view.targets.values()].filter(target => this.view.isUsable(target)
+			&& (queue === targetQueueId(target.id) || queue === sharedQueueId(target.service, target.domain)));
+		return candidates[Math.floor(this.random() * candidates.length)]?.id;
 	}
 
 	private report({node, monitor}: Instance): void {
 		const {isCutOff} = monitor;
 		this.schedule(this.linkMs(), () => {
-			this.cutOff.record(node.name, isCutOff);
+			if (this.hasLeader && this.instances.has(node.name)) {
+				this.cutOff.record(node.name, isCutOff);
+			}
 		});
 	}
 
@@ -282,7 +344,9 @@
 		this.isPublishing = true;
 		this.schedule(publishMs, () => {
 			this.isPublishing = false;
-			this.publish();
+			if (this.hasLeader) {
+				this.publish();
+			}
 		});
 	}
 
--- a/packages/gateway/src/queue/path-checker.ts
+++ b/packages/gateway/src/queue/path-checker.ts
@@ -3,7 +3,7 @@
  * that are overdue, and with checking connections, which are opened only after evidence against a path.
  */
 import {
-	AttemptOutcome, CheckKind, PathEvidence, PathMonitor, type Clock, type OverdueRequest, type PathCheck, type PathDecision,
+	AttemptOutcome, CheckKind, PathEvidence, PathMonitor, TargetReach, type Clock, type OverdueRequest, type PathCheck, type PathDecision, type TargetInfo,
 } from '@bluebellyard/core';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
@@ -72,6 +72,7 @@
 export class PathChecker {
 	private readonly options: PathCheckerOptions;
 	private readonly monitor: PathMonitor;
+	private readonly reach = new TargetReach();
 	/** Requests without a response. */
 	private readonly open = new Set<OpenRequest>();
 	private readonly waiters = new Set<() => void>();
@@ -83,7 +84,7 @@
 	constructor(options: PathCheckerOptions) {
 		this.options = options;
 		const {view, random} = options;
-		this.monitor = new PathMonitor({targets: () => [...view.targets.values()].filter(target => view.isUsable(target)), random});
+		this.monitor = new PathMonitor({targets: () => this.usableTargets(), random});
 		view.onChange(() => {
 			this.applyView();
 		});
@@ -100,6 +101,11 @@
 		return this.isCutOff && view.nodes().some(({name, addr}) => name !== selfName && !view.isCutOff(name) && !isUnreachable(addr));
 	}
 
+	/** Number of targets that this instance does not reach, by failure domain of all targets that may receive work. */
+	get outOfReach(): ReadonlyMap<string, number> {
+		return this.reach.outOfReach(this.usableTargets(), this.isCutOff, this.options.clock.now());
+	}
+
 	/** Resolves to whether this instance is cut off, once evidence that came before has been checked or `maxSettleMs` have passed. */
 	async settle(): Promise<boolean> {
 		if (this.monitor.isUndecided && !this.isStopped) {
@@ -141,6 +147,7 @@
 			},
 			onResponse: connectedAt => {
 				close();
+				this.reach.recordSuccess(target);
 				this.monitor.recordResponse(target, connectedAt, clock.now());
 				this.advance();
 			},
@@ -162,7 +169,9 @@
 	}
 
 	private recordFailure(target: string, evidence: PathEvidence, overdue?: OverdueRequest): void {
-		this.monitor.recordFailure(target, evidence, this.options.clock.now(), overdue);
+		const now = this.options.clock.now();
+		this.reach.recordFailure(target, now);
+		this.monitor.recordFailure(target, evidence, now, overdue);
 		this.advance();
 	}
 
@@ -216,10 +225,23 @@
 		const isReached = target !== undefined && await (kind === CheckKind.Byte
 			? receivesByte(target.addr, view.allServices.get(target.service)?.healthPath ?? defaultHealthPath, timeoutMs)
 			: canConnect(target.addr, timeoutMs));
-		this.monitor.recordCheck(id, isReached, clock.now());
+		const now = clock.now();
+		if (!isReached) {
+			this.reach.recordFailure(id, now);
+		} else if (kind === CheckKind.Byte) {
+			// A connection that was opened does not show that requests are answered.
+			this.reach.recordSuccess(id);
+		}
+
+		this.monitor.recordCheck(id, isReached, now);
 		this.advance();
 	}
 
+	private usableTargets(): TargetInfo[] {
+		const {view} = this.options;
+		return [...view.targets.values()].filter(target => view.isUsable(target));
+	}
+
 	private applyDecision(): void {
 		const {lastDecision, isSuspected, hasOpenConnections, isCutOff} = this.monitor;
 		const {telemetry, onChange} = this.options;
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -200,6 +200,13 @@
 		registers: [this.registry],
 	});
 
+	readonly targetsOutOfReach = new Gauge({
+		name: 'bluebellyard_targets_out_of_reach',
+		help: 'Targets that this instance does not reach: all if it is cut off, else those without a response since their last failure.',
+		labelNames: ['domain'],
+		registers: [this.registry],
+	});
+
 	/** Returns all metrics in the Prometheus text format. */
 	async text(): Promise<string> {
 		return this.registry.metrics();
