Admission queue: scan the targets once per decision

Each event went over all targets some fifteen times (which ones are permitted, may start, pause, and what they can do together), and sorted all waiting requests even if none could be refused. The permitted and open targets and the capacity are now computed once, the sort is left out if each request could be answered behind all others, and the cheapest target is found without lists.

--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -11,6 +11,9 @@
 import {TeamShares} from '../teams/index.js';
 import {findCheapestTarget} from './cheapest-target.js';
 import {ExclusiveRuns} from './exclusive-runs.js';
+import {
+	findEligible, isEligible, mayRefuse, sumCapacity, type QueueState,
+} from './queue-state.js';
 import {
 	createRefusal, isLate, minRetryAfterMs, timeToRoom, type QueuedRequest, type RequestRefusal,
 } from './queued-request.js';
@@ -50,14 +53,14 @@
 /** Time from becoming steward in which the former steward may still send, or has just sent, in milliseconds. */
 const takeOverMs = 1100;
 
-const msPerSecond = 1000;
-
 /** Longest time between two ticks while requests wait, in milliseconds. */
 const maxTickMs = 50;
 
 /** Queue in front of a group of targets; starts waiting requests as the limits of the targets allow. */
 export class AdmissionQueue {
 	private readonly targets = new Map<string, TargetLimiter>();
+	/** The same targets. */
+	private targetList: readonly TargetLimiter[] = [];
 	private readonly waiting = new Map<string, QueuedRequest>();
 	private readonly exclusive = new ExclusiveRuns();
 	private readonly shares = new TeamShares();
@@ -66,6 +69,8 @@
 	private recentWorkAt = 0;
 	private meanWorkMs: number | undefined;
 	private isSteward = true;
+	/** Share of the limits on requests per second that all targets have; undefined if a new one does not have it yet. */
+	private rateShare: number | undefined;
 	private stewardSince = Number.NEGATIVE_INFINITY;
 
 	/** Number of waiting requests. */
@@ -105,6 +110,11 @@
 	/** Updates the share of the limits on requests per second. `hasContact` is whether this instance would know of a successor as steward. */
 	updateRateShare(hasContact: boolean, now: number): void {
 		const share = hasContact && now - this.stewardSince >= takeOverMs ? 1 : doubtfulShare;
+		if (share === this.rateShare) {
+			return;
+		}
+
+		this.rateShare = share;
 		for (const limiter of this.targets.values()) {
 			limiter.setRateShare(share, now);
 		}
@@ -120,6 +130,8 @@
 
 		const limiter = new TargetLimiter(cfg);
 		this.targets.set(cfg.id, limiter);
+		this.targetList = [...this.targets.values()];
+		this.rateShare = undefined;
 		return limiter;
 	}
 
@@ -127,6 +139,7 @@
 	removeTarget(id: string): void {
 		this.targets.get(id)?.close();
 		this.targets.delete(id);
+		this.targetList = [...this.targets.values()];
 	}
 
 	/** Offers a request. It waits unless the returned decision starts or refuses it. */
@@ -140,7 +153,7 @@
 		this.waiting.set(request.id, request);
 		this.shares.add(request);
 		if (request.isAlone === true) {
-			this.exclusive.reserve(request, this.permittedTargets(now).filter(limiter => isEligible(limiter, request, now)), now);
+			this.exclusive.reserve(request, findEligible(this.permittedTargets(now), request, now), now);
 		}
 
 		return this.tick(now);
@@ -167,8 +180,10 @@
 	/** Starts the requests that may start and refuses those that can no longer be answered in time. */
 	tick(now: number): QueueDecision {
 		const starts: RequestStart[] = [];
+		const permitted = this.permittedTargets(now);
+		let open = permitted.filter(limiter => limiter.mayStart(now));
 		for (;;) {
-			const start = this.nextStart(now);
+			const start = this.nextStart(open, now);
 			if (start === undefined) {
 				break;
 			}
@@ -178,9 +193,13 @@
 			this.exclusive.recordStart(start.limiter, start.request, now);
 			start.limiter.recordStart(now);
 			starts.push(start);
+			// A start changes only the limiter of its target.
+			if (!start.limiter.mayStart(now)) {
+				open = open.filter(limiter => limiter !== start.limiter);
+			}
 		}
 
-		const refusals = this.refuseUnlikely(now);
+		const refusals = this.refuseUnlikely(permitted, now);
 		for (const {request} of refusals) {
 			this.shares.remove(request);
 			this.exclusive.release(request.id);
@@ -209,7 +228,8 @@
 			return 0;
 		}
 
-		return this.estimateWait(request => request.priority <= priority && !isLate(request, now), now);
+		const permitted = this.permittedTargets(now);
+		return this.estimateWait(request => request.priority <= priority && !isLate(request, now), {permitted, capacity: this.capacityOf(permitted, now), now});
 	}
 
 	/** Returns the capacity and the work ahead of a new request of the lowest priority. */
@@ -220,15 +240,14 @@
 		}
 
 		// On average, half of the work of a request in flight is done.
-		return {capacity: this.capacity(now), aheadMs: waitingMs + (this.inFlight * (this.meanWorkMs ?? assumedWorkMs) / 2)};
+		return {capacity: this.capacityOf(this.permittedTargets(now), now), aheadMs: waitingMs + (this.inFlight * (this.meanWorkMs ?? assumedWorkMs) / 2)};
 	}
 
-	private estimateWait(isAhead: (request: QueuedRequest) => boolean, now: number): number {
-		const capacity = this.capacity(now);
+	private estimateWait(isAhead: (request: QueuedRequest) => boolean, {permitted, capacity, now}: QueueState): number {
 		let running = 0;
 		let slots = 0;
 		let nextStartAt = Number.POSITIVE_INFINITY;
-		for (const limiter of this.permittedTargets(now)) {
+		for (const limiter of permitted) {
 			running += limiter.inFlight;
 			slots += limiter.limit;
 			nextStartAt = Math.min(nextStartAt, limiter.nextStartAt(now));
@@ -254,24 +273,26 @@
 	}
 
 	/** Returns the targets that this instance may send to. */
-	private permittedTargets(now: number): TargetLimiter[] {
-		return [...this.targets.values()].filter(limiter => this.isSteward || !limiter.isRateLimited(now));
+	private permittedTargets(now: number): readonly TargetLimiter[] {
+		return this.isSteward ? this.targetList : this.targetList.filter(limiter => !limiter.isRateLimited(now));
 	}
 
 	private findRefusal(request: QueuedRequest, now: number): RequestRefusal | undefined {
-		const usable = this.permittedTargets(now).filter(limiter => isEligible(limiter, request, now));
+		const permitted = this.permittedTargets(now);
+		const usable = findEligible(permitted, request, now);
 		if (usable.length === 0) {
 			return createRefusal(request, ErrorKind.NoTarget, minRetryAfterMs * 4);
 		}
 
-		const quickest = Math.min(...usable.map(limiter => limiter.slowness.factor)) * request.workMs;
 		if (this.waiting.size === 0 && usable.some(limiter => limiter.mayStart(now))) {
 			return now >= request.deadline ? createRefusal(request, ErrorKind.DeadlinePassed, minRetryAfterMs) : undefined;
 		}
 
+		const quickest = Math.min(...usable.map(limiter => limiter.slowness.factor)) * request.workMs;
 		const order = this.startOrder(now, request);
-		const wait = this.estimateWait(other => order.precedes(other, request), now);
-		const lateWait = wait / this.lateShare(now);
+		const capacity = this.capacityOf(permitted, now);
+		const wait = this.estimateWait(other => order.precedes(other, request), {permitted, capacity, now});
+		const lateWait = wait / this.lateShare(capacity, now);
 		const isInTime = now + wait + quickest <= request.objectiveAt;
 		if (isInTime || now + lateWait + quickest <= request.deadline) {
 			return undefined;
@@ -293,21 +314,25 @@
 	}
 
 	/** Returns the share of the capacity that requests in time leave for late ones. */
-	private lateShare(now: number): number {
+	private lateShare(capacity: number, now: number): number {
 		this.decayRecentWork(now);
 		const load = this.recentWorkMs * Math.LN2 / loadHalfLifeMs;
-		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, this.capacity(now))));
+		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, capacity)));
+	}
+
+	private capacityOf(targets: readonly TargetLimiter[], now: number): number {
+		return sumCapacity(targets, this.meanWorkMs ?? assumedWorkMs, now);
 	}
 
 	/** Returns the order of the waiting requests and, if given, a new one. */
 	private startOrder(now: number, request?: QueuedRequest): StartOrder {
 		const isTagged = this.shares.isActive || request?.team !== undefined;
 		const requests = isTagged ? [...this.waiting.values(), ...(request === undefined ? [] : [request])] : [];
-		return new StartOrder(this.shares, {requests, capacity: isTagged ? Math.max(minCapacity, this.capacity(now)) : 0, now});
+		return new StartOrder(this.shares, {requests, capacity: isTagged ? Math.max(minCapacity, this.capacityOf(this.permittedTargets(now), now)) : 0, now});
 	}
 
-	private nextStart(now: number): RequestStart & {readonly tag: number} | undefined {
-		const open = this.permittedTargets(now).filter(limiter => limiter.mayStart(now));
+	/** Returns the next request to start at one of the targets that may start one. */
+	private nextStart(open: readonly TargetLimiter[], now: number): RequestStart & {readonly tag: number} | undefined {
 		if (open.length === 0 || this.waiting.size === 0) {
 			return undefined;
 		}
@@ -335,15 +360,18 @@
 	}
 
 	/** Refuses requests that became late while they waited and can't be expected to be answered any more. */
-	private refuseUnlikely(now: number): RequestRefusal[] {
+	private refuseUnlikely(permitted: readonly TargetLimiter[], now: number): RequestRefusal[] {
 		const refusals: RequestRefusal[] = [];
 		if (this.waiting.size === 0) {
 			return refusals;
 		}
 
-		const capacity = Math.max(minCapacity, this.capacity(now));
-		const lateShare = this.lateShare(now);
-		const permitted = this.permittedTargets(now);
+		const capacity = Math.max(minCapacity, this.capacityOf(permitted, now));
+		const lateShare = this.lateShare(capacity, now);
+		if (!mayRefuse(this.waiting.values(), {permitted, capacity: capacity * lateShare, now})) {
+			return refusals;
+		}
+
 		const order = this.startOrder(now);
 		const queue = [...this.waiting.values()].toSorted((a, b) => order.precedes(a, b) ? -1 : 1);
 		let ahead = 0;
@@ -367,22 +395,4 @@
 
 		return refusals;
 	}
-
-	/** Returns the work that all targets together do per millisecond, in milliseconds of normal speed. */
-	private capacity(now: number): number {
-		const permitted = this.permittedTargets(now);
-		const active = permitted.filter(limiter => !limiter.isPaused(now));
-		let capacity = 0;
-		// If all targets pause, work goes on with all of them after the pause.
-		for (const limiter of active.length > 0 ? active : permitted) {
-			const workPerSecond = limiter.rate(now) * (this.meanWorkMs ?? assumedWorkMs);
-			capacity += Math.min(limiter.limit / limiter.slowness.factor, workPerSecond / msPerSecond);
-		}
-
-		return capacity;
-	}
-}
-
-function isEligible(limiter: TargetLimiter, {excluded, skipsRateLimited}: QueuedRequest, now: number): boolean {
-	return excluded?.has(limiter.id) !== true && !(skipsRateLimited === true && limiter.isRateLimited(now));
 }
--- a/packages/core/src/admission/cheapest-target.ts
+++ b/packages/core/src/admission/cheapest-target.ts
@@ -15,12 +15,34 @@
  * measured counts as fast as the others on average.
  */
 export function findCheapestTarget(targets: readonly TargetLimiter[], now: number): TargetLimiter {
-	const measured = targets.filter(({slowness}) => slowness.isMeasured);
-	const typical = measured.length === 0 ? 1 : measured.reduce((sum, {slowness}) => sum + slowness.longTerm, 0) / measured.length;
-	const costs = targets.map(target => ({target, cost: targetCost(target, typical, now)}));
-	const lowest = Math.min(...costs.map(({cost}) => cost));
-	const equal = costs.filter(({cost}) => cost <= lowest * equalCostFactor);
-	return equal.toSorted((a, b) => b.target.idleMs(now) - a.target.idleMs(now))[0].target;
+	const typical = typicalSlowness(targets);
+	const costs = targets.map(target => targetCost(target, typical, now));
+	const highest = Math.min(...costs) * equalCostFactor;
+	let [cheapest] = targets;
+	let longestIdleMs = Number.NEGATIVE_INFINITY;
+	for (const [i, target] of targets.entries()) {
+		const idleMs = target.idleMs(now);
+		if (costs[i] <= highest && idleMs > longestIdleMs) {
+			cheapest = target;
+			longestIdleMs = idleMs;
+		}
+	}
+
+	return cheapest;
+}
+
+/** Returns the mean long-term slowness of the measured targets; 1 if there are none. */
+function typicalSlowness(targets: readonly TargetLimiter[]): number {
+	let sum = 0;
+	let count = 0;
+	for (const {slowness} of targets) {
+		if (slowness.isMeasured) {
+			sum += slowness.longTerm;
+			count += 1;
+		}
+	}
+
+	return count === 0 ? 1 : sum / count;
 }
 
 /** Returns the cost of sending one more request to a target. */
--- a/packages/core/src/admission/target-conditions.ts
+++ b/packages/core/src/admission/target-conditions.ts
@@ -50,6 +50,11 @@
 	private readonly own = new Map<string, OwnCondition>();
 	private readonly reported = new Map<string, ReportedCondition>();
 
+	/** Whether nothing is known about any target. */
+	get isEmpty(): boolean {
+		return this.own.size === 0 && this.reported.size === 0;
+	}
+
 	/** Returns the limit of a target in requests per second; undefined without a limit. */
 	limit(target: string, now: number): number | undefined {
 		const own = this.own.get(target);
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -202,8 +202,10 @@
 		const {isSteward, hasLeaderContact, tracker} = this.options;
 		this.admission.setSteward(isSteward(), now);
 		this.admission.updateRateShare(hasLeaderContact(), now);
+		const {conditions} = tracker;
+		const {isEmpty} = conditions;
 		for (const limiter of this.admission.allTargets()) {
-			limiter.namedLimiter.setLimit(tracker.conditions.limit(limiter.id, now), now);
+			limiter.namedLimiter.setLimit(isEmpty ? undefined : conditions.limit(limiter.id, now), now);
 		}
 	}
 
