--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -213,8 +213,10 @@
 		this.admission.setSteward(isSteward(), now);
 		this.admission.reservations.setEnabled(isReserving());
 		this.admission.updateRateShare(hasLeaderContact(), now);
+		const {conditions} = tracker;
+		const {isEmpty} = conditions;
 		for (const limiter of this.admission.allTargets()) {
-			limiter.namedLimiter.setLimit(tracker.conditions.limit(limiter.id, now), now);
+			limiter.namedLimiter.setLimit(isEmpty ? undefined : conditions.limit(limiter.id, now), now);
 		}
 	}
 
