--- a/packages/gateway/src/queue/queue-reservations.test.ts
+++ b/packages/gateway/src/queue/queue-reservations.test.ts
@@ -83,7 +83,7 @@
 	};
 	await run(again);
 	t.false(results.has(again));
-	t.regex(await count(), new RegExp(`result="made"\\} ${reserved.length}$`, 'mv'));
+	t.regex(await count(), new RegExp(String.raw`result="made"\} ${reserved.length}$`, 'mv'));
 	t.regex(await count(), /result="used"\} 1$/mv);
 });
 
