Reachability: targets count as reached once an instance recovers

The gauge of targets out of reach kept checked targets for 10 s after a recovery, since connecting checks don't clear overdue requests. A test in path-checker.test.ts plays one lost connection, a cut-off instance and its recovery.

--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -4,3 +4,4 @@
 export * from './team-fleet.js';
 export * from './team-fleet-cfg.js';
 export * from './team-queue.js';
+export * from './target-fleet.js';
--- a/packages/core/src/reachability/target-reach.ts
+++ b/packages/core/src/reachability/target-reach.ts
@@ -18,6 +18,11 @@
 		this.failures.delete(target);
 	}
 
+	/** Forgets all evidence, as the instance reaches targets again. */
+	clear(): void {
+		this.failures.clear();
+	}
+
 	/** Returns the number of targets out of reach by failure domain, 0 for domains with none; all targets if the instance is cut off. */
 	outOfReach(targets: readonly PathTarget[], isCutOff: boolean, now: number): Map<string, number> {
 		const counts = new Map<string, number>();
--- a/packages/gateway/src/queue/path-checker.test.ts
+++ b/packages/gateway/src/queue/path-checker.test.ts
@@ -184,6 +184,25 @@
 	t.deepEqual(harness.changes, []);
 });
 
+test('targets out of reach are counted by failure domain', async t => {
+	const harness = new Harness();
+	t.deepEqual([...harness.checker.outOfReach], [['x', 0]]);
+	const lost = harness.watch('reset');
+	lost.end(reset);
+	await harness.checker.settle();
+	t.deepEqual([...harness.checker.outOfReach], [['x', 1]]);
+	harness.watch('answered').onResponse(systemClock.now());
+	t.deepEqual([...harness.checker.outOfReach], [['x', 0]]);
+	harness.reachesTargets = false;
+	harness.watch('reset again').end(reset);
+	await harness.waitForDecision(true);
+	t.deepEqual([...harness.checker.outOfReach], [['x', 6]]);
+	harness.reachesTargets = true;
+	await harness.waitForDecision(false);
+	t.deepEqual([...harness.checker.outOfReach], [['x', 0]]);
+	harness.checker.stop();
+});
+
 test('it recovers once checks succeed again', async t => {
 	const harness = new Harness();
 	harness.reachesTargets = false;
--- a/packages/gateway/src/queue/path-checker.ts
+++ b/packages/gateway/src/queue/path-checker.ts
@@ -254,6 +254,8 @@
 			onChange(isCutOff);
 			if (isCutOff) {
 				this.endRequests(hasOpenConnections);
+			} else {
+				this.reach.clear();
 			}
 		}
 
