Peers: time for which a process stands still is no silence

A link is closed after 900 ms without received data. After the event loop was blocked for longer, the check ran before the data that had arrived was read, so that all links of the instance were closed and the requests on them had an unknown outcome ('no data received').

The time beyond the interval of the check counts no longer. A test blocks the event loop for 1.2 s during a call; it failed before and passes.

--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -68,6 +68,8 @@
 	private readonly runningCalls = new Map<number, AbortController>();
 	private nextNumber = 1;
 	private receivedAt: number;
+	/** When received data was last checked for. */
+	private checkedAt = 0;
 	private silenceTimer: NodeJS.Timeout | undefined;
 	private isDown = false;
 
@@ -216,9 +218,12 @@
 	}
 
 	private startSilenceTimer(): void {
-		this.silenceTimer ??= setInterval(() => {
-			this.checkSilence();
-		}, checkIntervalMs);
+		if (this.silenceTimer === undefined) {
+			this.checkedAt = this.clock.now();
+			this.silenceTimer = setInterval(() => {
+				this.checkSilence();
+			}, checkIntervalMs);
+		}
 	}
 
 	private checkSilence(): void {
@@ -228,7 +233,12 @@
 			return;
 		}
 
-		const silentMs = this.clock.now() - this.receivedAt;
+		const now = this.clock.now();
+		// What arrived while the event loop was blocked is read after the timers have run, so that this time is no silence.
+		const blockedMs = Math.max(0, now - this.checkedAt - checkIntervalMs);
+		this.checkedAt = now;
+		this.receivedAt = Math.min(now, this.receivedAt + blockedMs);
+		const silentMs = now - this.receivedAt;
 		if (silentMs > closeAfterMs) {
 			this.shutDown('no data received');
 		} else if (silentMs > probeAfterMs) {
--- a/packages/gateway/src/peers/peers.test.ts
+++ b/packages/gateway/src/peers/peers.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import {createServer, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {systemClock} from '@bluebellyard/core';
 import {FrameReader, FrameWriter, type Message} from './frames.js';
@@ -133,6 +134,25 @@
 	net.close();
 });
 
+/** Blocks the event loop for a time in milliseconds, as a machine that is short of CPU time does. */
+function block(ms: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
+// An instance that is short of CPU time closed the links to all others, so that the requests on them had an unknown outcome.
+test('time for which this process stood still is no silence of the other side', async t => {
+	const {net, addr, close} = await pair(async () => {
+		await sleep(150);
+		return reply('answer');
+	});
+	await net.call(addr, 'first', 0);
+	const call = net.call(addr, 'second', 0);
+	await sleep(50);
+	block(1200);
+	t.is(await call, 'answer');
+	close();
+});
+
 test('a link without received data is closed and its call counts as sent', async t => {
 	const sockets: Socket[] = [];
 	const silent = createServer(socket => {
