Teams: 100,000 keys do not block an instance

With 100,000 keys an instance stood still while a configuration was decoded, and the leader and each replica while a view with a row per key was changed.

Keys are now in 4096 groups, one row each, in an order that does not depend on that of the configuration. Decoding runs in slices of 5 ms; large changes of the view are compressed outside the event loop. Strings in DeltaStore are compared without a JSON copy. decodeOperatorRecord returns a promise, and GatewayConfig.teamKeys is a TeamKeys; the tests of both are adapted, and the one of look-ups also bounds the length of a group.

--- a/packages/core/src/teams/team.ts
+++ b/packages/core/src/teams/team.ts
@@ -1,7 +1,7 @@
 /**
  * Teams: groups of callers that share keys, a priority and a limit.
  */
-import {createHash} from 'node:crypto';
+import * as crypto from 'node:crypto';
 
 /** Length of a digest, in characters of base64url: 132 bits, so that two keys never share one. */
 const digestLength = 22;
@@ -19,7 +19,12 @@
 
 /** Returns the digest by which a key is known to the instances. Keys themselves never leave the process that received them. */
 export function digestKey(key: string): string {
-	return createHash('sha256').update(key).digest('base64url').slice(0, digestLength);
+	return sha256(key).slice(0, digestLength);
+}
+
+/** Returns the hash as base64url. Without `crypto.hash`, which Node.js has from 20.12 on, 100,000 hash objects cost pauses of 60 ms for garbage collection. */
+function sha256(text: string): string {
+	return typeof crypto.hash === 'function' ? crypto.hash('sha256', text, 'base64url') : crypto.createHash('sha256').update(text).digest('base64url');
 }
 
 /** Returns the priority of a request. That of its team takes precedence over that of its route. */
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -162,7 +162,7 @@
 					version, routes, teams, teamKeys,
 				} = entry.config;
 				telemetry.info('news', 'A new configuration is active.', {
-					version, routes: routes.length, ...(teams !== undefined && {teams: teams.length, teamKeys: teamKeys?.length}),
+					version, routes: routes.length, ...(teams !== undefined && {teams: teams.length, teamKeys: teamKeys?.size}),
 				});
 			}
 		}
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -80,7 +80,7 @@
 	private readonly options: FollowerSyncOptions;
 	private readonly followers = new Map<string, Follower>();
 	/** Packed changes by the sequence number on which they are based; shared by all followers at that number. */
-	private readonly packedDeltas = new Map<number, Buffer>();
+	private readonly packedDeltas = new Map<number, Buffer | Promise<Buffer>>();
 	/** Sequence number of the store up to which `packedDeltas` reach. */
 	private packedSeq = -1;
 
@@ -151,19 +151,25 @@
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
 		const {net, view, self, leadership, clock, telemetry, onPong} = this.options;
 		const since = this.findBaseSeq(follower.viewState);
-		const ping: Ping = {
-			...leadership(),
-			leader: self,
-			storeAgeMs: Math.round(storeAgeMs),
-			targetsAgeMs: Math.round(clock.now() - this.options.targetsReadAt()),
-			formerEndsMs: toFormerEnds(this.options.formerSendEnds(), clock.now()),
-			base: since === undefined ? undefined : follower.viewState,
-			seq: view.store.lastSeq,
-		};
-		const bytes = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
+		const base = since === undefined ? undefined : follower.viewState;
+		const seq = view.store.lastSeq;
+		const startedAt = clock.now();
+		const packed = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
 		follower.isInFlight = true;
-		follower.sentAt = clock.now();
+		follower.sentAt = startedAt;
 		try {
+			const bytes = packed instanceof Promise ? await packed : packed;
+			const now = clock.now();
+			// Ages in the message count from its sending, not from the time at which large changes began to be packed.
+			const ping: Ping = {
+				...leadership(),
+				leader: self,
+				storeAgeMs: Math.round(storeAgeMs + now - startedAt),
+				targetsAgeMs: Math.round(now - this.options.targetsReadAt()),
+				formerEndsMs: toFormerEnds(this.options.formerSendEnds(), now),
+				base,
+				seq,
+			};
 			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, {timeoutMs: pingTimeoutMs});
 			const pong = reply.value as Pong;
 			if (compareLeaderships(pong, ping) === 0) {
@@ -197,7 +203,7 @@
 		return {leader: self.incarnation, term: leadership().term, seq};
 	}
 
-	private packChangesSince(seq: number): Buffer {
+	private packChangesSince(seq: number): Buffer | Promise<Buffer> {
 		const {store} = this.options.view;
 		if (this.packedSeq !== store.lastSeq) {
 			this.packedSeq = store.lastSeq;
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -2,7 +2,8 @@
  * Messages between instances about leadership and the replicated view.
  */
 import type {Buffer} from 'node:buffer';
-import {deflateRawSync, inflateRawSync} from 'node:zlib';
+import {promisify} from 'node:util';
+import {deflateRaw, deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
 import type {
 	ConditionReport, ReportedCrash, TeamCeiling, TeamUseReport, TrialOutcome,
@@ -171,10 +172,20 @@
 	return new Map(Object.entries(ends).map(([name, ms]) => [name, now + ms]));
 }
 
-/** Packs changes; empty if nothing changed. Followers at the same sequence number share the result. */
-export function packDelta(delta: Delta): Buffer {
+/** Size from which changes are compressed outside the event loop, in bytes; compressing this much takes about 5 ms. */
+const largeDeltaBytes = 128 * 1024;
+
+const deflate = promisify<Buffer, {level: number}, Buffer>(deflateRaw);
+
+/** Packs changes; empty if nothing changed. Followers at the same sequence number share the result. Large changes, as those of many keys, are a promise. */
+export function packDelta(delta: Delta): Buffer | Promise<Buffer> {
 	const isEmpty = !delta.isFull && delta.set.length === 0 && delta.gone.length === 0;
-	return isEmpty ? noBytes : deflateRawSync(packr.pack(delta), {level: 1});
+	if (isEmpty) {
+		return noBytes;
+	}
+
+	const packed = packr.pack(delta);
+	return packed.length > largeDeltaBytes ? deflate(packed, {level: 1}) : deflateRawSync(packed, {level: 1});
 }
 
 /** Unpacks the output of `packDelta`; undefined if nothing changed. Throws if it exceeds `maxDeltaBytes`. */
--- a/packages/gateway/src/front/caller-teams.test.ts
+++ b/packages/gateway/src/front/caller-teams.test.ts
@@ -8,7 +8,7 @@
 import {text} from 'node:stream/consumers';
 import test, {type ExecutionContext} from 'ava';
 import {
-	digestKey, ErrorKind, ManualClock, systemClock,
+	digestKey, ErrorKind, ManualClock, systemClock, TeamKeys,
 } from '@bluebellyard/core';
 import {failure, type Order, type OrderResult} from '../dispatch/index.js';
 import {CountedLimits, createConfig, PlainWire} from '../mocks/index.js';
@@ -20,8 +20,8 @@
 
 const teams = {
 	teams: [{name: 'urgent', priority: 0, burst: 0}, {name: 'limited', ratePerSecond: 10, burst: 0}],
-	teamKeys: [[digestKey('k1'), 'urgent'], [digestKey('k2'), 'limited']],
-} as const;
+	teamKeys: TeamKeys.of([[digestKey('k1'), 'urgent'], [digestKey('k2'), 'limited']]),
+};
 
 /** A caller server whose dispatcher records the orders. */
 class Harness {
@@ -122,7 +122,7 @@
 	const harness = await start(t, createConfig(1, teams));
 	const first = await harness.call('/', {key: 'k1'});
 	t.is(first.error, ErrorKind.NoTarget);
-	harness.view.setConfig(createConfig(2, {...teams, teamKeys: [teams.teamKeys[1]]}));
+	harness.view.setConfig(createConfig(2, {...teams, teamKeys: TeamKeys.of([[digestKey('k2'), 'limited']])}));
 	t.like(await harness.call('/', {key: 'k1'}), {status: 401, from: first.from});
 	harness.view.setConfig(createConfig(3, teams));
 	t.like(await harness.call('/', {key: 'k1'}), {error: ErrorKind.NoTarget, from: first.from});
--- a/packages/gateway/src/ports/feed.ts
+++ b/packages/gateway/src/ports/feed.ts
@@ -1,5 +1,5 @@
 import type {
-	HostRoute, CallerLimits, Service, TargetInfo, Team,
+	HostRoute, CallerLimits, Service, TargetInfo, Team, TeamKeys,
 } from '@bluebellyard/core';
 
 /** Changes since the previous call. */
@@ -32,7 +32,7 @@
 	/** Teams of callers; undefined or empty if callers need no keys. */
 	readonly teams?: readonly Team[];
 	/** Digests of the teams' keys, with the name of the team. */
-	readonly teamKeys?: ReadonlyArray<readonly [digest: string, team: string]>;
+	readonly teamKeys?: TeamKeys;
 };
 
 /** Entry published by operators. */
--- a/packages/gateway/src/teams/team-admission.test.ts
+++ b/packages/gateway/src/teams/team-admission.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {
-	digestKey, ErrorKind, type Team, type TeamLimits,
+	digestKey, ErrorKind, TeamKeys, type Team, type TeamLimits,
 } from '@bluebellyard/core';
 import {failure, type OrderResult} from '../dispatch/index.js';
 import {CountedLimits, createConfig} from '../mocks/index.js';
@@ -11,7 +11,7 @@
 
 const limited: Team = {name: 'limited', ratePerSecond: 10, burst: 5};
 const free: Team = {name: 'free', priority: 0, burst: 0};
-const teams = {teams: [limited, free], teamKeys: [[digestKey('k1'), 'limited'], [digestKey('k2'), 'free']]} as const;
+const teams = {teams: [limited, free], teamKeys: TeamKeys.of([[digestKey('k1'), 'limited'], [digestKey('k2'), 'free']])};
 
 function create(limits?: TeamLimits): {admission: TeamAdmission; view: View; metrics: Metrics} {
 	const view = new View();
@@ -93,7 +93,7 @@
 test('metrics name at most 128 teams', async t => {
 	const {admission, view, metrics} = create();
 	const many = Array.from({length: 130}, (_, i) => `team-${i}`);
-	view.setConfig(createConfig(2, {teams: many.map(name => ({name, burst: 0})), teamKeys: many.map(name => [digestKey(name), name] as const)}));
+	view.setConfig(createConfig(2, {teams: many.map(name => ({name, burst: 0})), teamKeys: TeamKeys.of(many.map(name => [digestKey(name), name]))}));
 	for (const name of many) {
 		admission.decide({}, name, 0);
 	}
--- a/packages/gateway/src/view/delta-store.ts
+++ b/packages/gateway/src/view/delta-store.ts
@@ -14,6 +14,7 @@
 
 type Row = {
 	readonly value: unknown;
+	/** The value by which changes are found: strings as they are, since those of many keys would be costly to copy, others as JSON. */
 	readonly text: string;
 	readonly seq: number;
 	/** Order in which keys were added; deltas list their rows in this order. */
@@ -71,9 +72,9 @@
 
 	/** Sets a value. Returns false if it equals the present one. */
 	set(key: string, value: unknown): boolean {
-		const text = JSON.stringify(value);
+		const text = typeof value === 'string' ? value : JSON.stringify(value);
 		const previous = this.rows.get(key);
-		if (previous?.text === text) {
+		if (previous?.text === text && typeof previous.value === typeof value) {
 			return false;
 		}
 
--- a/packages/gateway/src/view/team-table.test.ts
+++ b/packages/gateway/src/view/team-table.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import {digestKey} from '@bluebellyard/core';
+import {digestKey, TeamKeys} from '@bluebellyard/core';
 import {createConfig} from '../mocks/index.js';
 import {DeltaStore} from './delta-store.js';
-import {TeamTable} from './team-table.js';
+import {TeamTable, teamRows} from './team-table.js';
 import {View} from './view.js';
 
-const teams = {teams: [{name: 'a', burst: 0}, {name: 'b', priority: 0, burst: 3}], teamKeys: [['d1', 'a'], ['d2', 'a'], ['d3', 'b']]} as const;
+const teams = {teams: [{name: 'a', burst: 0}, {name: 'b', priority: 0, burst: 3}], teamKeys: TeamKeys.of([['d1', 'a'], ['d2', 'a'], ['d3', 'b']])};
 
 /** Returns a replica with the rows of a view. */
 function replicate(view: View): View {
@@ -32,7 +32,7 @@
 	view.setConfig(createConfig(1, teams));
 	const replica = replicate(view);
 	const {lastSeq} = view.store;
-	view.setConfig(createConfig(2, {teams: [{name: 'a', burst: 0}], teamKeys: [['d2', 'a']]}));
+	view.setConfig(createConfig(2, {teams: [{name: 'a', burst: 0}], teamKeys: TeamKeys.of([['d2', 'a']])}));
 	replica.apply(view.store.deltaSince(lastSeq));
 	for (const each of [view, replica]) {
 		t.deepEqual(['d1', 'd2', 'd3'].map(digest => each.findTeam(digest)?.name), [undefined, 'a', undefined]);
@@ -49,7 +49,7 @@
 	const leader = new View();
 	leader.setConfig(createConfig(1, teams));
 	const view = new View();
-	view.setConfig(createConfig(2, {teams: [{name: 'a', burst: 0}], teamKeys: [['d2', 'a']]}));
+	view.setConfig(createConfig(2, {teams: [{name: 'a', burst: 0}], teamKeys: TeamKeys.of([['d2', 'a']])}));
 	view.apply(leader.store.deltaSince(-1));
 	t.is(view.configVersion, 2);
 	t.is(view.findTeam('d1'), undefined);
@@ -61,7 +61,7 @@
 test('without teams the view has no rows of them', t => {
 	const view = new View();
 	view.setConfig(createConfig(1));
-	view.setConfig(createConfig(2, {teams: [], teamKeys: []}));
+	view.setConfig(createConfig(2, {teams: [], teamKeys: TeamKeys.of([])}));
 	t.deepEqual(view.store.deltaSince(-1).set.map(([key]) => key), ['route/r', 'route/p', 'config']);
 });
 
@@ -85,17 +85,15 @@
 // A search through all keys would cost each request more than the request itself.
 test('a look-up reads two rows of 100,000 keys', t => {
 	const store = new CountingStore();
-	for (let i = 0; i < 100_000; i += 1) {
-		store.set(`team-key/${digestKey(String(i))}`, `team-${i % 88}`);
-	}
-
-	for (let i = 0; i < 88; i += 1) {
-		store.set(`team/team-${i}`, {name: `team-${i}`, burst: 0});
+	const teamKeys = TeamKeys.of(Array.from({length: 100_000}, (_, i) => [digestKey(String(i)), `team-${i % 88}`]));
+	for (const [key, value] of teamRows({teams: Array.from({length: 88}, (_, i) => ({name: `team-${i}`, burst: 0})), teamKeys}).flatMap(([, rows]) => [...rows])) {
+		store.set(key, value);
 	}
 
 	const table = new TeamTable(store);
 	t.is(table.find(digestKey('99999'))?.name, 'team-31');
 	t.is(store.reads, 2);
+	t.true([...teamKeys.groups.values()].every(group => group.length < 3000), 'a search goes through more than 3000 characters');
 	t.is(table.find(digestKey('none')), undefined);
 	t.is(store.reads, 3);
 	t.is(table.teams.length, 88);
@@ -122,3 +120,19 @@
 	store.set('a/1', 3);
 	t.deepEqual(store.deltaSince(-1).set.map(([key]) => key), ['b', 'a/2', 'c/1', 'b/1', 'a/1']);
 });
+
+// A change of one key would send all keys to all instances, or a replica would keep a revoked one.
+test('a change of a few among many keys changes a few rows', t => {
+	const keys = Array.from({length: 20_000}, (_, i) => [digestKey(String(i)), `team-${i % 3}`] as const);
+	const list = [0, 1, 2].map(i => ({name: `team-${i}`, burst: 0}));
+	const view = new View();
+	view.setConfig(createConfig(1, {teams: list, teamKeys: TeamKeys.of(keys)}));
+	const replica = replicate(view);
+	const {lastSeq} = view.store;
+	const added = [digestKey('new'), 'team-1'] as const;
+	view.setConfig(createConfig(2, {teams: list, teamKeys: TeamKeys.of([added, ...keys.slice(2).toReversed()])}));
+	const delta = view.store.deltaSince(lastSeq);
+	t.true(delta.set.length + delta.gone.length <= 4, `${delta.set.length} rows set, ${delta.gone.length} removed`);
+	replica.apply(delta);
+	t.deepEqual([keys[0], keys[1], keys[2], added].map(([digest]) => replica.findTeam(digest)?.name), [undefined, undefined, 'team-2', 'team-1']);
+});
--- a/packages/gateway/src/view/team-table.ts
+++ b/packages/gateway/src/view/team-table.ts
@@ -1,16 +1,16 @@
-import type {Team} from '@bluebellyard/core';
+import {findInGroup, groupOf, type Team} from '@bluebellyard/core';
 import type {GatewayConfig} from '../ports/index.js';
 import type {DeltaStore} from './delta-store.js';
 
-/** Prefixes of the rows with teams, by name, and with the names of teams, by the digest of a key. */
+/** Prefixes of the rows with teams, by name, and with the keys of teams, by group (see `TeamKeys`). */
 const teamPrefix = 'team/';
 const keyPrefix = 'team-key/';
 
 /** Returns the rows of the teams of a configuration, by prefix. */
-export function teamRows({teams = [], teamKeys = []}: Pick<GatewayConfig, 'teams' | 'teamKeys'>): ReadonlyArray<readonly [prefix: string, rows: ReadonlyMap<string, unknown>]> {
+export function teamRows({teams = [], teamKeys}: Pick<GatewayConfig, 'teams' | 'teamKeys'>): ReadonlyArray<readonly [prefix: string, rows: ReadonlyMap<string, unknown>]> {
 	return [
 		[teamPrefix, new Map(teams.map(team => [teamPrefix + team.name, team]))],
-		[keyPrefix, new Map(teamKeys.map(([digest, team]) => [keyPrefix + digest, team]))],
+		[keyPrefix, new Map([...teamKeys?.groups ?? []].map(([group, lines]) => [keyPrefix + group, lines]))],
 	];
 }
 
@@ -42,7 +42,8 @@
 
 	/** Returns the team that has the key with a digest; undefined if no team has it. Takes the same time for any number of keys. */
 	find(digest: string): Team | undefined {
-		const name = this.store.get<string>(keyPrefix + digest);
+		const group = this.store.get<string>(keyPrefix + groupOf(digest));
+		const name = group === undefined ? undefined : findInGroup(group, digest);
 		return name === undefined ? undefined : this.store.get<Team>(teamPrefix + name);
 	}
 }
