--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -15,8 +15,10 @@
 	findEligible, isEligible, mayRefuse, sumCapacity, type QueueState,
 } from './queue-state.js';
 import {
-	createRefusal, isLate, minRetryAfterMs, timeToRoom, type QueuedRequest, type RequestRefusal,
+	createRefusal, isLate, minRetryAfterMs, type QueuedRequest, type RequestRefusal,
 } from './queued-request.js';
+import {assumedWorkMs, minCapacity, RecentWork} from './recent-work.js';
+import {Reservations} from './reservations.js';
 import {StartOrder} from './start-order.js';
 import {TargetLimiter, type TargetLimiterCfg, type AttemptOutcome} from './target-limiter.js';
 
@@ -32,20 +34,11 @@
 	readonly refusals: readonly RequestRefusal[];
 };
 
-/** Half-life of the measured load of requests in time, in milliseconds; about the time in which a queue drains. */
-const loadHalfLifeMs = 1000;
-
 /** Least share of the capacity that is assumed to be left for late requests, which those in time overtake. */
 const minLateShare = 0.3;
 
-/** Lower bound of the capacity used to estimate waits, in slots of normal speed. */
-const minCapacity = 0.01;
-
-/** Work of a request that is assumed before any was admitted, in milliseconds. */
-const assumedWorkMs = 100;
-
-/** Weight of one request in the mean work. */
-const workWeight = 0.1;
+/** Share of the expected wait of late requests that counts with reservations; the estimate is high while a machine is slow, and slots are idle afterwards. */
+const reservingWaitShare = 0.5;
 
 /** Share of the limits on requests per second that is used while another instance may use the rest of what the limits tolerate. */
 const doubtfulShare = 0.5;
@@ -58,21 +51,24 @@
 
 /** Queue in front of a group of targets; starts waiting requests as the limits of the targets allow. */
 export class AdmissionQueue {
+	/** Capacity kept for rejected callers; turned off unless `setEnabled` is called. */
+	readonly reservations: Reservations;
 	private readonly targets = new Map<string, TargetLimiter>();
 	/** The same targets. */
 	private targetList: readonly TargetLimiter[] = [];
 	private readonly waiting = new Map<string, QueuedRequest>();
 	private readonly exclusive = new ExclusiveRuns();
 	private readonly shares = new TeamShares();
-	/** Work of the requests in time that were admitted recently, as an exponentially decaying sum in milliseconds. */
-	private recentWorkMs = 0;
-	private recentWorkAt = 0;
-	private meanWorkMs: number | undefined;
+	private readonly work = new RecentWork();
 	private isSteward = true;
 	/** Share of the limits on requests per second that all targets have; undefined if a new one does not have it yet. */
 	private rateShare: number | undefined;
 	private stewardSince = Number.NEGATIVE_INFINITY;
 
+	constructor(reservations = new Reservations()) {
+		this.reservations = reservations;
+	}
+
 	/** Number of waiting requests. */
 	get queued(): number {
 		return this.waiting.size;
@@ -143,13 +139,18 @@
 	}
 
 	/** Offers a request. It waits unless the returned decision starts or refuses it. */
-	offer(request: QueuedRequest, now: number): QueueDecision {
+	offer(offered: QueuedRequest, now: number): QueueDecision {
+		if (offered.team !== undefined) {
+			this.shares.setCapacity(this.capacityOf(this.permittedTargets(now), now));
+		}
+
+		const request = this.reservations.claim(offered, now) ? {...offered, isReserved: true} : offered;
 		const refusal = this.findRefusal(request, now);
 		if (refusal !== undefined) {
 			return {starts: [], refusals: [refusal]};
 		}
 
-		this.recordAdmission(request, now);
+		this.work.record(request, now);
 		this.waiting.set(request.id, request);
 		this.shares.add(request);
 		if (request.isAlone === true) {
@@ -240,7 +241,7 @@
 		}
 
 		// On average, half of the work of a request in flight is done.
-		return {capacity: this.capacityOf(this.permittedTargets(now), now), aheadMs: waitingMs + (this.inFlight * (this.meanWorkMs ?? assumedWorkMs) / 2)};
+		return {capacity: this.capacityOf(this.permittedTargets(now), now), aheadMs: waitingMs + (this.inFlight * this.work.meanMs / 2)};
 	}
 
 	private estimateWait(isAhead: (request: QueuedRequest) => boolean, {permitted, capacity, now}: QueueState): number {
@@ -291,37 +292,24 @@
 		const quickest = Math.min(...usable.map(limiter => limiter.slowness.factor)) * request.workMs;
 		const order = this.startOrder(now, request);
 		const capacity = this.capacityOf(permitted, now);
-		const wait = this.estimateWait(other => order.precedes(other, request), {permitted, capacity, now});
+		const wait = this.estimateWait(other => order.precedes(other, request), {permitted, capacity, now}) + this.reservedWait(request, capacity);
 		const lateWait = wait / this.lateShare(capacity, now);
-		const isInTime = now + wait + quickest <= request.objectiveAt;
+		const isInTime = now + wait + quickest <= request.objectiveAt || (request.isReserved === true && now + quickest <= request.deadline);
 		if (isInTime || now + lateWait + quickest <= request.deadline) {
 			return undefined;
 		}
 
-		return createRefusal(request, ErrorKind.DeadlineTooClose, timeToRoom(request, lateWait + quickest, now));
+		return this.reject(request, ErrorKind.DeadlineTooClose, lateWait + quickest, now);
 	}
 
-	private recordAdmission(request: QueuedRequest, now: number): void {
-		this.decayRecentWork(now);
-		this.recentWorkMs += isLate(request, now) ? 0 : request.workMs;
-		this.meanWorkMs ??= request.workMs;
-		this.meanWorkMs += (request.workMs - this.meanWorkMs) * workWeight;
-	}
-
-	private decayRecentWork(now: number): void {
-		this.recentWorkMs *= 0.5 ** ((now - this.recentWorkAt) / loadHalfLifeMs);
-		this.recentWorkAt = now;
-	}
-
-	/** Returns the share of the capacity that requests in time leave for late ones. */
+	/** Returns the share of the capacity by which the waits of late requests are estimated. */
 	private lateShare(capacity: number, now: number): number {
-		this.decayRecentWork(now);
-		const load = this.recentWorkMs * Math.LN2 / loadHalfLifeMs;
-		return Math.max(minLateShare, 1 - (load / Math.max(minCapacity, capacity)));
+		const share = this.work.lateShare(capacity, minLateShare, now);
+		return this.reservations.isEnabled ? share / reservingWaitShare : share;
 	}
 
 	private capacityOf(targets: readonly TargetLimiter[], now: number): number {
-		return sumCapacity(targets, this.meanWorkMs ?? assumedWorkMs, now);
+		return sumCapacity(targets, this.work.meanMs, now);
 	}
 
 	/** Returns the order of the waiting requests and, if given, a new one. */
@@ -384,10 +372,10 @@
 
 			const wait = ahead / capacity / lateShare;
 			const isTooLate = now + (request.workMs / 2) > request.deadline;
-			const isUnlikely = isLate(request, now) && now + wait + request.workMs > request.deadline;
+			const isUnlikely = request.isReserved !== true && isLate(request, now) && now + wait + request.workMs > request.deadline;
 			if (isTooLate || isUnlikely) {
 				this.waiting.delete(request.id);
-				refusals.push(createRefusal(request, ErrorKind.DeadlinePassed, timeToRoom(request, wait + request.workMs, now)));
+				refusals.push(this.reject(request, ErrorKind.DeadlinePassed, wait + request.workMs, now));
 			} else {
 				ahead += request.workMs;
 			}
@@ -395,4 +383,16 @@
 
 		return refusals;
 	}
+
+	private reject(request: QueuedRequest, error: ErrorKind, neededMs: number, now: number): RequestRefusal {
+		return this.reservations.reject(request, error, {
+			neededMs, waiting: this.waiting.values(), capacity: this.capacityOf(this.permittedTargets(now), now), now,
+		});
+	}
+
+	/** Returns the wait that callers with a reservation cause who have yet to come back, in milliseconds. */
+	private reservedWait(request: QueuedRequest, capacity: number): number {
+		const reservedMs = this.reservations.expectedWorkMs(request.priority);
+		return reservedMs === 0 ? 0 : reservedMs / Math.max(minCapacity, capacity);
+	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,8 @@
 	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {
-	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, TargetClient,
+	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, receivesByte, TargetClient,
+	isReserving,
 } from './queue/index.js';
 import {
 	CrashGuard, Dispatcher, isLoadBalanced, RequestExplainer, type Order,
@@ -144,6 +145,9 @@
 			canConnect: async (addr, timeoutMs) => await probeConnection({
 				addr, localAddress: cfg.targets['local-address'], timeoutMs, minOpenMs: minCheckOpenMs,
 			}) === ProbeOutcome.Connected,
+			receivesByte: async (addr, path, timeoutMs) => receivesByte({
+				addr, localAddress: cfg.targets['local-address'], path, timeoutMs,
+			}),
 			isUnreachable: addr => this.net.isUnreachable(addr),
 			onChange: isCutOff => {
 				this.coordinator.leaderChannel.report(PeerOp.CutOff, {instance: name, isCutOff});
@@ -171,6 +175,7 @@
 				this.coordinator.leaderChannel.report(PeerOp.Alive, target);
 			},
 			hasLeaderContact: () => this.coordinator.leaderContactAgeMs < stewardContactMs,
+			isReserving: () => isReserving(cfg.admission.reservations, view),
 			onNotOwner: (target: string, order: Order) => {
 				if (order.key !== undefined) {
 					this.coordinator.leaderChannel.report(PeerOp.Disowned, {service: order.service, owner: target, key: order.key});
@@ -192,6 +197,7 @@
 			retryBudget: instances => toBudget(cfg, instances),
 			guard: this.guard,
 			balancing: cfg.balancing.mode,
+			isReserving: () => isReserving(cfg.admission.reservations, view),
 			isReleased: () => this.paths.isReleased,
 			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
 			reportEnd: (print, outcome) => {
@@ -221,6 +227,7 @@
 			view,
 			net: this.net,
 			clock,
+			isReleased: () => this.paths.isReleased,
 			queueSnapshot: (queueId, priority) => this.queues.snapshot(queueId, priority),
 			viewAgeMs: () => this.coordinator.leaderContactAgeMs,
 		});
@@ -333,6 +340,11 @@
 			metrics.cutOffInstances.set({instance}, 1);
 		}
 
+		metrics.targetsOutOfReach.reset();
+		for (const [domain, count] of this.paths.outOfReach) {
+			metrics.targetsOutOfReach.set({domain}, count);
+		}
+
 		metrics.leads.set(this.coordinator.isLeader ? 1 : 0);
 		metrics.logLinesDropped.set(this.telemetry.suppressedLines);
 	}
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -34,6 +34,13 @@
 		registers: [this.registry],
 	});
 
+	readonly reservations = new Counter({
+		name: 'bluebellyard_reservations_total',
+		help: 'Reservations of capacity for rejected callers, in dispatch queues of this instance: made, used or expired.',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
 	readonly limitedSends = new Counter({
 		name: 'bluebellyard_limited_sends_total',
 		help: 'Requests sent to targets while a limit that they named is known, by the role of this instance: steward or other.',
@@ -200,6 +207,13 @@
 		registers: [this.registry],
 	});
 
+	readonly targetsOutOfReach = new Gauge({
+		name: 'bluebellyard_targets_out_of_reach',
+		help: 'Targets that this instance does not reach: all if it is cut off, else those without a response since their last failure.',
+		labelNames: ['domain'],
+		registers: [this.registry],
+	});
+
 	/** Returns all metrics in the Prometheus text format. */
 	async text(): Promise<string> {
 		return this.registry.metrics();
