Rate limit of teams: fewer rejections while the leader is lost

A second cause showed in the test: the next leader counted instances that it had not heard yet as silent and gave each team a ceiling of 0 until the first reports were in.

In the first 300 ms of a term a team without a ceiling gets none while more than one instance, the former leader, is not heard.

--- a/packages/core/src/teams/allowance-controller.ts
+++ b/packages/core/src/teams/allowance-controller.ts
@@ -32,6 +32,9 @@
 /** Debt at the start of a term, in seconds at the rate: requests since the last report to the former leader. A team below 0.6 of its limit does not notice it. */
 const startDebtSeconds = 0.4;
 
+/** Longest time at the start of a term without a ceiling for a team that had none, in milliseconds, while more than one instance, the former leader, is not heard: instances that are not heard count as silent, and the ceiling would be 0. Instances that lost the leader limit themselves for longer than that. */
+const startHoldMs = 300;
+
 /** Smallest burst that is assumed, as a share of the limit of a window, so that a team without one uses its rate, too. */
 const minBurstShare = 0.06;
 const windowSeconds = 5;
@@ -172,6 +175,10 @@
 		// What ran in the window before the term is not known.
 		const capacity = isNewTerm ? 0 : Math.max(team.burst, minBurstShare * rate * windowSeconds);
 		state.level = Math.max(-maxDebtSeconds * rate, Math.min(capacity, state.level + ((rate - reserved) * seconds)));
+		if (state.ceiling === undefined && this.isStarting(instances, now)) {
+			return undefined;
+		}
+
 		const demand = offers.reduce((sum, offer) => sum + offer, 0);
 		this.updatePressure(team.name, state, {demand, free: rate - reserved}, now);
 		if (!state.isPressing) {
@@ -192,6 +199,11 @@
 		return state.ceiling;
 	}
 
+	/** Returns whether the first reports of the term are still under way. */
+	private isStarting(instances: readonly string[], now: number): boolean {
+		return now - this.startedAt < startHoldMs && instances.filter(name => !this.sources.has(name)).length > 1;
+	}
+
 	private updatePressure(team: string, state: TeamState, {demand, free}: {demand: number; free: number}, now: number): void {
 		if (state.level + ((free - demand) * repaySeconds) < 0) {
 			state.pressedAt = now;
