Cluster: a leader needs contacts, a new leader waits for the last one

A leader renews grants only while followers answer it, or while it is alone by a later confirmation of the store. The next leader waits until the last time at which any instance answered it, and a lease, if pings prove that it was not alone; else as before.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -95,7 +95,7 @@
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
 		});
-		this.followed = new FollowedLeader(clock.now());
+		this.followed = new FollowedLeader(clock);
 		this.handover = new LeadHandover(options);
 		this.leaderChannel = new LeaderChannel({...options, leader: () => this.leader, leaderNode: () => this.followed.node});
 		this.nextElectionAt = clock.now() + this.drawElectionDelayMs();
@@ -226,7 +226,7 @@
 		const order = compareLeaderships(ping, this.leadership);
 		if (order >= 0) {
 			const wasStoreFresh = this.followed.storeAgeMs <= maxLeaderStoreAgeMs;
-			if (this.followed.recordPing(ping, clock.now())) {
+			if (this.followed.recordPing(ping)) {
 				telemetry.info('follower', 'Following a leader.', {leader: ping.leader.name, era, term});
 			}
 
@@ -250,7 +250,9 @@
 		}
 
 		return {
-			...this.leadership, incarnation: self.incarnation, viewState: this.viewState, report: {...report(), isLeaving: this.isLeaving},
+			...this.leadership,
+			...this.followed.describeAnswer((this.directory.announcedEra ?? -1) >= era),
+			incarnation: self.incarnation, viewState: this.viewState, report: {...report(), isLeaving: this.isLeaving},
 		};
 	}
 
@@ -302,7 +304,7 @@
 
 			case ElectionOutcome.OtherElected: {
 				// The new leader will send a ping.
-				this.followed.recordElected(result.leadership, this.options.clock.now());
+				this.followed.recordElected(result.leadership);
 				break;
 			}
 
@@ -318,6 +320,7 @@
 
 	private async startTerm({record, state, knownEnds}: WonElection): Promise<void> {
 		const {self, view, clock, telemetry} = this.options;
+		const lastContacts = record.isRecovering ? undefined : this.followed.findLastContacts(state.leader);
 		telemetry.info('leader', 'This instance became leader.', {
 			era: record.era,
 			term: record.term,
@@ -327,6 +330,7 @@
 			services: state.owners.size,
 			end: state.end,
 			isRecovering: record.isRecovering,
+			knowsContacts: lastContacts !== undefined,
 		});
 		const wasStoreUnreachable = clock.now() - this.storeFailedAt < leaderTimeoutMs || this.followed.storeAgeMs > maxLeaderStoreAgeMs;
 		this.handover.recordStart(clock.now());
@@ -335,6 +339,7 @@
 			...this.options,
 			record,
 			knownEnds,
+			lastContacts,
 			ownerLog: this.ownerLog,
 			suspectLog: this.suspectLog,
 			directory: this.directory,
@@ -354,10 +359,12 @@
 		}
 
 		leader.tick();
-		for (const node of await this.directory.list()) {
+		const registered = await this.directory.list();
+		for (const node of registered) {
 			this.knownInstances.add(node);
-			leader.addNode(node);
 		}
+
+		leader.addRegistered(registered);
 	}
 
 	private stepDown(reason: string): void {
--- a/packages/gateway/src/cluster/followed-leader.test.ts
+++ b/packages/gateway/src/cluster/followed-leader.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {ManualClock} from '@bluebellyard/core';
 import {FollowedLeader} from './followed-leader.js';
 import type {Ping} from './messages.js';
 
@@ -13,20 +14,25 @@
 }
 
 test('durations in a ping count from its arrival', t => {
-	const followed = new FollowedLeader(0);
-	t.true(followed.recordPing(ping(), 5000));
+	const clock = new ManualClock(5000);
+	const followed = new FollowedLeader(clock);
+	t.true(followed.recordPing(ping()));
 	t.is(followed.targetsReadAt, 4700);
 	t.deepEqual(followed.formerSendEnds, new Map([['e0', 9000], ['e9', -15_000]]));
-	t.false(followed.recordPing(ping(), 5600));
+	clock.advance(600);
+	t.false(followed.recordPing(ping()));
 	t.is(followed.since, 5000);
-	t.true(followed.recordPing(ping({term: 3}), 6000));
+	clock.advance(400);
+	t.true(followed.recordPing(ping({term: 3})));
 	t.is(followed.since, 6000);
 });
 
 test('what the former leader told does not count for one that is not heard yet', t => {
-	const followed = new FollowedLeader(0);
-	followed.recordPing(ping(), 5000);
-	followed.recordElected({era: 0, term: 3}, 6000);
+	const clock = new ManualClock(5000);
+	const followed = new FollowedLeader(clock);
+	followed.recordPing(ping());
+	clock.advance(1000);
+	followed.recordElected({era: 0, term: 3});
 	t.is(followed.formerSendEnds.size, 0);
 	t.is(followed.lastPingAt, 6000);
 });
--- a/packages/gateway/src/cluster/followed-leader.ts
+++ b/packages/gateway/src/cluster/followed-leader.ts
@@ -1,7 +1,13 @@
+import type {Clock} from '@bluebellyard/core';
 import type {NodeInfo} from '../view/index.js';
+import {ContactProofs} from './contact-proof.js';
 import type {SendEnds} from './former-leaders.js';
-import type {Leadership} from './leader-record.js';
-import {toSendEnds, type Ping} from './messages.js';
+import {LastContacts} from './last-contacts.js';
+import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import {toSendEnds, type Ping, type Pong} from './messages.js';
+
+/** Longest time since an answer to an earlier leader that an answer states, in milliseconds; longer than any wait for its grants. */
+const maxFormerAgeMs = 20_000;
 
 /** What an instance knows of the leader that it follows. All times are monotonic milliseconds of this process. */
 export class FollowedLeader {
@@ -18,20 +24,35 @@
 	since = Number.NEGATIVE_INFINITY;
 	/** Until when the leaders before it may send grants. */
 	formerSendEnds: SendEnds = new Map();
+	/** Time at which this process last answered a ping as a follower, at first that of the start. */
+	private answeredAt: number;
+	/** The same for leaders before the present one. */
+	private formerAnsweredAt: number;
+	private proofs: ContactProofs;
 
-	constructor(startedAt: number) {
-		this.lastPingAt = startedAt;
+	constructor(private readonly clock: Clock) {
+		this.lastPingAt = clock.now();
+		this.answeredAt = this.lastPingAt;
+		this.formerAnsweredAt = this.lastPingAt;
+		this.proofs = new ContactProofs(clock);
 	}
 
-	/** Records a ping. Returns whether the leader is another one than before. */
-	recordPing(ping: Ping, now: number): boolean {
+	/** Records a ping, which is answered at once. Returns whether the leader is another one than before. */
+	recordPing(ping: Ping): boolean {
+		const now = this.clock.now();
 		const {era, term, leader, storeAgeMs, targetsAgeMs, formerEndsMs} = ping;
 		const isNew = era !== this.leadership.era || term !== this.leadership.term || leader.name !== this.node?.name;
 		if (isNew) {
 			this.since = now;
+			this.proofs = new ContactProofs(this.clock);
+		}
+
+		this.raiseLeadership({era, term});
+		this.answeredAt = now;
+		if (ping.contact !== undefined) {
+			this.proofs.record(ping.contact);
 		}
 
-		this.leadership = {era, term};
 		this.node = leader;
 		this.lastPingAt = now;
 		this.storeAgeMs = storeAgeMs;
@@ -41,10 +62,35 @@
 	}
 
 	/** Records that the store names a leader that this instance has not heard of yet. */
-	recordElected(leadership: Leadership, now: number): void {
-		this.leadership = leadership;
-		this.lastPingAt = now;
+	recordElected(leadership: Leadership): void {
+		this.raiseLeadership(leadership);
+		this.lastPingAt = this.clock.now();
 		this.storeAgeMs = 0;
 		this.formerSendEnds = new Map();
 	}
+
+	/** Returns what an answer to a ping tells of this process. */
+	describeAnswer(isRegistered: boolean): Pick<Pong, 'stamp' | 'formerAgeMs'> {
+		const formerAgeMs = Math.floor(this.clock.now() - this.formerAnsweredAt);
+		return {
+			...(isRegistered ? {stamp: this.proofs.createStamp()} : {}),
+			...(formerAgeMs < maxFormerAgeMs ? {formerAgeMs} : {}),
+		};
+	}
+
+	/** Returns the last contacts of the recorded leader that this instance has superseded just now; undefined if it may have been alone. */
+	findLastContacts(superseded: LeaderRecord | undefined): LastContacts | undefined {
+		const isFollowed = superseded !== undefined && !superseded.isRecovering
+			&& superseded.incarnation === this.node?.incarnation && compareLeaderships(superseded, this.leadership) === 0;
+		const proof = isFollowed ? this.proofs.find() : undefined;
+		return proof && isFollowed ? new LastContacts({leader: superseded.name, answeredAt: this.answeredAt, absent: proof.absent}) : undefined;
+	}
+
+	private raiseLeadership(leadership: Leadership): void {
+		if (compareLeaderships(leadership, this.leadership) > 0) {
+			this.formerAnsweredAt = this.answeredAt;
+		}
+
+		this.leadership = leadership;
+	}
 }
--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -50,6 +50,7 @@
 		baseState,
 		targetsReadAt: () => 0,
 		formerSendEnds: () => new Map(),
+		contactStatement: () => undefined,
 		isLeaving: () => false,
 		onPong() {
 			// The reports are not used here.
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -7,6 +7,7 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo, View} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
+import type {ContactStatement} from './leader-contacts.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {
 	isSameState, packDelta, toFormerEnds, PeerOp, type Ping, type Pong, type ViewState,
@@ -50,8 +51,10 @@
 	readonly targetsReadAt: () => number;
 	/** Returns the latest times at which former leaders may send a grant. */
 	readonly formerSendEnds: () => SendEnds;
-	/** Called for each answer to a ping. */
-	readonly onPong: (node: NodeInfo, pong: Pong) => void;
+	/** Returns what a ping that is sent now tells of the leader's contacts, if anything. */
+	readonly contactStatement: () => ContactStatement | undefined;
+	/** Called for each answer to a ping, with the monotonic time at which the ping was sent. */
+	readonly onPong: (node: NodeInfo, pong: Pong, sentAt: number) => void;
 };
 
 /** The state of a former leader on which a term is based. */
@@ -73,6 +76,8 @@
 	/** Time at which the last ping was sent. */
 	sentAt: number;
 	isLeaving: boolean;
+	/** Stamp of the last answer; the next ping repeats it. */
+	stamp: number | undefined;
 };
 
 /** Sends the leader's pings to all other instances and records their answers. */
@@ -142,14 +147,16 @@
 
 		// A new instance counts as live until it does not answer.
 		const follower: Follower = {
-			isInFlight: false, viewState: this.options.baseState?.state, isFullSyncNeeded: false, repliedAt: now, nextAt: now, sentAt: Number.NEGATIVE_INFINITY, isLeaving: false,
+			isInFlight: false, viewState: this.options.baseState?.state, isFullSyncNeeded: false, repliedAt: now, nextAt: now, sentAt: Number.NEGATIVE_INFINITY, isLeaving: false, stamp: undefined,
 		};
 		this.followers.set(node.name, follower);
 		return follower;
 	}
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
-		const {net, view, self, leadership, clock, telemetry, onPong} = this.options;
+		const {net, view, self, leadership, clock, telemetry, onPong, contactStatement} = this.options;
+		const sentAt = clock.now();
+		const statement = contactStatement();
 		const since = this.findBaseSeq(follower.viewState);
 		const ping: Ping = {
 			...leadership(),
@@ -157,12 +164,13 @@
 			storeAgeMs: Math.round(storeAgeMs),
 			targetsAgeMs: Math.round(clock.now() - this.options.targetsReadAt()),
 			formerEndsMs: toFormerEnds(this.options.formerSendEnds(), clock.now()),
+			...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
 			base: since === undefined ? undefined : follower.viewState,
 			seq: view.store.lastSeq,
 		};
 		const bytes = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
 		follower.isInFlight = true;
-		follower.sentAt = clock.now();
+		follower.sentAt = sentAt;
 		try {
 			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, {timeoutMs: pingTimeoutMs});
 			const pong = reply.value as Pong;
@@ -170,7 +178,7 @@
 				this.handlePong(node, follower, pong);
 			}
 
-			onPong(node, pong);
+			onPong(node, pong, sentAt);
 		} catch (err) {
 			if (clock.now() - follower.repliedAt < lostAfterMs) {
 				telemetry.info('leader', 'An instance did not answer a ping.', {instance: node.name, err});
@@ -217,6 +225,7 @@
 
 		follower.repliedAt = now;
 		follower.viewState = pong.viewState;
+		follower.stamp = pong.stamp;
 		follower.isFullSyncNeeded = this.findBaseSeq(pong.viewState) === undefined;
 		follower.nextAt = now + (follower.isFullSyncNeeded ? 0 : pingIntervalMs);
 		follower.isLeaving = pong.report.isLeaving;
--- a/packages/gateway/src/cluster/former-leaders.ts
+++ b/packages/gateway/src/cluster/former-leaders.ts
@@ -1,4 +1,5 @@
 import {leaseExpiry, type LeaseTiming} from '@bluebellyard/core';
+import type {LastContacts} from './last-contacts.js';
 
 /** Time for which a leader that can't reach the store still renews existing grants, in milliseconds. */
 export const leaderGraceMs = 12_000;
@@ -14,6 +15,8 @@
 	readonly hadLeader: boolean;
 	/** What the last leader told of the leaders before it. Without it, all of them may send grants as long as the last one. */
 	readonly knownEnds?: SendEnds;
+	/** Last contacts of the last leader, if it was certainly not alone at the start. */
+	readonly lastContacts?: LastContacts;
 };
 
 /**
@@ -28,8 +31,11 @@
 	private readonly timing: LeaseTiming;
 	private readonly startedAt: number;
 
-	constructor(names: readonly string[], timing: LeaseTiming, {now, hadLeader, knownEnds}: TermStart) {
+	private readonly lastContacts: LastContacts | undefined;
+
+	constructor(names: readonly string[], timing: LeaseTiming, {now, hadLeader, knownEnds, lastContacts}: TermStart) {
 		this.timing = timing;
+		this.lastContacts = lastContacts;
 		this.startedAt = now;
 		this.ends = new Map(names.map(name => [name, Math.min(now + leaderGraceMs, knownEnds?.get(name) ?? Number.POSITIVE_INFINITY)]));
 		// A former process of this instance sends no more grants, but it may have sent the last ones immediately before this start.
@@ -46,7 +52,20 @@
 		return this.sendEnd + this.timing.transitMs;
 	}
 
-	/** Latest times at which the former leaders may send a grant. */
+	/**
+	 * The same as `leaseEnd`, but a former leader counts no longer than its contacts. Only while the store confirms this
+	 * leader: after a return of the store from an older copy the former leader may have been confirmed again.
+	 */
+	get confirmedLeaseEnd(): number {
+		return leaseExpiry(this.confirmedSendEnd, this.timing);
+	}
+
+	/** The same as `arrivalEnd`, under the condition of `confirmedLeaseEnd`. */
+	get confirmedArrivalEnd(): number {
+		return this.confirmedSendEnd + this.timing.transitMs;
+	}
+
+	/** Latest times at which the former leaders may send a grant. Those by their contacts are left out, as the receiver does not know the condition. */
 	get sendEnds(): SendEnds {
 		return this.ends;
 	}
@@ -66,6 +85,12 @@
 		}
 	}
 
+	private get confirmedSendEnd(): number {
+		const {lastContacts} = this;
+		const ends = [...this.ends].map(([name, end]) => name === lastContacts?.leader ? Math.min(end, lastContacts.sendEnd) : end);
+		return Math.max(this.ownSendEnd, ...ends);
+	}
+
 	private get sendEnd(): number {
 		return Math.max(this.ownSendEnd, ...this.ends.values());
 	}
--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -4,7 +4,7 @@
 import {StaleAppendError, UnknownAppendError} from '../ports/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {leaderGraceMs} from './former-leaders.js';
-import {LeadConfirmation} from './lead-confirmation.js';
+import {LeadConfirmation, type FollowerPong} from './lead-confirmation.js';
 import type {LeaderRecord} from './leader-record.js';
 import {OwnerLog} from './owner-log.js';
 
@@ -17,6 +17,10 @@
 	};
 }
 
+function pong(era: number): FollowerPong {
+	return {era, term: 5, incarnation: '1'};
+}
+
 /** Leader e0 of term 5, which claimed the lead in era 1 after another leader's record. */
 class Harness {
 	readonly clock = new ManualClock(100_000);
@@ -135,10 +139,10 @@
 	await confirmation.confirm();
 	const reclaimedAt = clock.now();
 	clock.advance(1000);
-	confirmation.recordFollower('e1', {era: 1, term: 5});
-	confirmation.recordFollower('e2', {era: 2, term: 5});
+	confirmation.recordFollower('e1', pong(1), clock.now());
+	confirmation.recordFollower('e2', pong(2), clock.now());
 	t.is(confirmation.formerLeaseEnd, leaseExpiry(reclaimedAt + leaderGraceMs, timing));
-	confirmation.recordFollower('e1', {era: 2, term: 5});
+	confirmation.recordFollower('e1', pong(2), clock.now());
 	t.is(confirmation.formerLeaseEnd, leaseExpiry(clock.now(), timing));
 });
 
@@ -146,8 +150,8 @@
 	const {confirmation, store, clock} = await setUp();
 	store.returnWithout(topic, 1);
 	await confirmation.confirm();
-	confirmation.recordFollower('e1', {era: 2, term: 5});
-	confirmation.recordFollower('e2', {era: 2, term: 5});
+	confirmation.recordFollower('e1', pong(2), clock.now());
+	confirmation.recordFollower('e2', pong(2), clock.now());
 	clock.advance(3000);
 	store.returnWithout(topic, 1);
 	await confirmation.confirm();
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -6,8 +6,14 @@
 import {leaseExpiry, type Clock, type LeaseTiming} from '@bluebellyard/core';
 import {StaleAppendError} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {FormerLeaders, leaderGraceMs, type SendEnds} from './former-leaders.js';
+import {maxClockDifference} from './contact-proof.js';
+import {
+	FormerLeaders, leaderGraceMs, type SendEnds, type TermStart,
+} from './former-leaders.js';
+import type {LastContacts} from './last-contacts.js';
+import {LeaderContacts, type ContactStatement} from './leader-contacts.js';
 import {compareLeaderships, type LeaderRecord, type Leadership} from './leader-record.js';
+import type {Pong} from './messages.js';
 import type {OwnerLog, OwnerState} from './owner-log.js';
 
 /** Interval between two questions to the store, in milliseconds. */
@@ -16,6 +22,15 @@
 /** Delay before a failed question is repeated, in milliseconds. */
 const retryDelayMs = 250;
 
+/**
+ * Age of the confirmation up to which the contacts of a former leader bound its grants, in milliseconds: less than a
+ * lease, so that a leader that is confirmed again after a return of the store can't renew beside this one.
+ */
+const maxBoundAgeMs = 2500;
+
+/** The part of an answer to a ping that concerns the lead. */
+export type FollowerPong = Leadership & Pick<Pong, 'incarnation' | 'stamp' | 'formerAgeMs'>;
+
 /** Options of `LeadConfirmation`. */
 export type LeadConfirmationOptions = {
 	readonly record: LeaderRecord;
@@ -23,6 +38,8 @@
 	readonly hadLeader: boolean;
 	/** What the last leader told of the leaders before it. */
 	readonly knownEnds?: SendEnds;
+	/** Last contacts of the last leader, if it was certainly not alone when it was superseded. */
+	readonly lastContacts?: LastContacts;
 	readonly ownerLog: OwnerLog;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -52,11 +69,18 @@
 	private mustReload = false;
 	private nextAttemptAt = Number.NEGATIVE_INFINITY;
 	private isStopped = false;
+	private readonly contacts: LeaderContacts;
+	private readonly startedAt: number;
+	/** Whether the contacts of the last leader have bounded its grants, for the log. */
+	private isBoundKnown = false;
 
 	constructor(private readonly options: LeadConfirmationOptions) {
-		this.lead = options.record;
-		this.lastConfirmedAt = options.clock.now();
-		this.formers = this.startWaiting(options.hadLeader, options.knownEnds);
+		const {record, clock, hadLeader, knownEnds, lastContacts} = options;
+		this.lead = record;
+		this.startedAt = clock.now();
+		this.lastConfirmedAt = this.startedAt;
+		this.contacts = new LeaderContacts(this.startedAt);
+		this.formers = this.startWaiting({hadLeader, knownEnds, lastContacts});
 	}
 
 	/** Leadership in the present era of the store. */
@@ -72,7 +96,7 @@
 
 	/** Monotonic time at which all grants of former leaders have certainly expired. */
 	get formerLeaseEnd(): number {
-		return this.formers.leaseEnd;
+		return this.mayUseBound ? this.formers.confirmedLeaseEnd : this.formers.leaseEnd;
 	}
 
 	/** Latest times at which the former leaders may send a grant. */
@@ -82,7 +106,7 @@
 
 	/** Monotonic time from which no grant of a former leader arrives at a target. */
 	get formerArrivalEnd(): number {
-		return this.formers.arrivalEnd;
+		return this.mayUseBound ? this.formers.confirmedArrivalEnd : this.formers.arrivalEnd;
 	}
 
 	/** Whether the store must be asked before anything is written. */
@@ -100,9 +124,21 @@
 		return this.lead.isRecovering && now < this.formerLeaseEnd;
 	}
 
-	/** Returns whether this leader may send grants: it has been confirmed recently enough. */
+	/** Returns whether this leader may send grants: it has been confirmed recently enough, and has followers or is alone. */
 	mayGrant(now: number): boolean {
-		return !this.mustConfirm && now - this.lastConfirmedAt < leaderGraceMs;
+		return !this.mustConfirm && now - this.lastConfirmedAt < leaderGraceMs && this.contacts.mayGrant(now);
+	}
+
+	/** Returns what a ping that is sent now tells of this leader's contacts; undefined if it may not tell anything. */
+	createContactStatement(): ContactStatement | undefined {
+		// After a return of the store instances may be known here that the register has lost.
+		return this.lead.era === this.options.record.era ? this.contacts.createStatement(this.options.clock.now()) : undefined;
+	}
+
+	/** Stops grants until the store and a follower answer: a clock made a step, so this process may have been suspended. */
+	recordClockStep(): void {
+		this.requireConfirmation();
+		this.contacts.forget(this.options.clock.now());
 	}
 
 	/** Stops grants until the store answers a question asked from now on; another instance may have led since an earlier one. */
@@ -131,29 +167,44 @@
 		}
 
 		this.lastConfirmedAt = Math.max(this.lastConfirmedAt, askedAt);
+		this.contacts.recordConfirmation(askedAt, clock.now());
 		this.mustConfirm = false;
 	}
 
-	/** Records that an instance follows this leader, so that it sends no grants from now on. */
-	recordFollower(name: string, pong: Leadership): void {
-		const now = this.options.clock.now();
-		if (compareLeaderships(pong, this.lead) === 0) {
-			this.formers.markFollowing(name, now);
+	/** Records the answer to a ping that was sent at `sentAt`. An instance that follows this leader sends no grants from now on, and none to an earlier leader. */
+	recordFollower(name: string, pong: FollowerPong, sentAt: number): void {
+		if (compareLeaderships(pong, this.lead) !== 0) {
+			return;
 		}
+
+		const {clock, lastContacts} = this.options;
+		const now = clock.now();
+		this.formers.markFollowing(name, now);
+		this.contacts.recordAnswer(name, {incarnation: pong.incarnation, isRegistered: pong.stamp !== undefined, sentAt}, now);
+		lastContacts?.recordFollower(name, now - ((pong.formerAgeMs ?? 0) * (1 - maxClockDifference)));
+		this.reportBound(now);
 	}
 
-	/** Records an instance that was not known before; it may have led in records that the store has lost. */
-	recordInstance(name: string): void {
+	/** Records a process that announced itself or is in the register. One that was not known before may have led in records that the store has lost. */
+	recordInstance(name: string, incarnation: string): void {
+		this.contacts.add(name, incarnation, this.options.clock.now());
 		if (this.lead.isRecovering) {
 			this.formers.add(name);
 		}
 	}
 
+	/** Records the other instances in the register, as read after the election. */
+	recordRegister(names: readonly string[]): void {
+		const {lastContacts, clock} = this.options;
+		lastContacts?.setInstances(names);
+		this.reportBound(clock.now());
+	}
+
 	/** Asks the store, if that is due, whether this instance still leads. */
 	async confirm(): Promise<void> {
 		const {clock, ownerLog, telemetry} = this.options;
 		const askedAt = clock.now();
-		const isDue = this.isInDoubt ? askedAt >= this.nextAttemptAt : askedAt - this.lastConfirmedAt >= confirmIntervalMs;
+		const isDue = this.isInDoubt ? askedAt >= this.nextAttemptAt : askedAt - this.lastConfirmedAt >= confirmIntervalMs || this.contacts.isConfirmationDue(askedAt);
 		if (this.isAsking || !isDue) {
 			return;
 		}
@@ -196,9 +247,29 @@
 		this.isStopped = true;
 	}
 
-	private startWaiting(hadLeader: boolean, knownEnds?: SendEnds): FormerLeaders {
+	private get mayUseBound(): boolean {
+		return this.isInPresentEra && this.options.clock.now() - this.lastConfirmedAt < maxBoundAgeMs;
+	}
+
+	private startWaiting(start: Omit<TermStart, 'now'>): FormerLeaders {
 		const {clock, timing} = this.options;
-		return new FormerLeaders(this.lead.formers, timing, {now: clock.now(), hadLeader, knownEnds});
+		return new FormerLeaders(this.lead.formers, timing, {...start, now: clock.now()});
+	}
+
+	private reportBound(now: number): void {
+		const {lastContacts, telemetry} = this.options;
+		if (this.isBoundKnown || lastContacts === undefined || !Number.isFinite(lastContacts.sendEnd)) {
+			return;
+		}
+
+		this.isBoundKnown = true;
+		telemetry.info('leader', 'All instances that the former leader may count follow; its grants end with its contacts.', {
+			former: lastContacts.leader,
+			sendEndMs: Math.round(lastContacts.sendEnd - this.startedAt),
+			afterMs: Math.round(now - this.startedAt),
+			waitMs: Math.round(this.formerLeaseEnd - this.startedAt),
+			term: this.lead.term,
+		});
 	}
 
 	/** Reads leader and owners again. */
@@ -239,12 +310,12 @@
 
 	/**
 	 * Claims the lead in the present era; waits for all other instances, since any of them may have led in lost records.
-	 * Such a leader waits for this one's grants, but no longer than its grace and a lease. A leader that was confirmed
-	 * less than a lease ago renews its grants before that wait can have ended.
+	 * Such a leader waits for this one's grants, but no longer than its grace and a lease, or than its last contacts and a
+	 * lease. A leader that was confirmed less than a lease ago and has contacts renews its grants before that wait can have ended.
 	 */
 	private async reclaim(state: OwnerState, askedAt: number): Promise<void> {
 		const {ownerLog, telemetry, timing, listOtherInstances, onReclaimed} = this.options;
-		const mayRenew = askedAt - this.lastConfirmedAt < leaseExpiry(0, timing);
+		const mayRenew = askedAt - this.lastConfirmedAt < leaseExpiry(0, timing) && this.contacts.mayGrant(askedAt);
 		const formers = new Set([...this.lead.formers, ...await listOtherInstances()]);
 		const record = {
 			...this.lead, era: state.era, formers: [...formers], isRecovering: true,
@@ -254,7 +325,7 @@
 		});
 		await ownerLog.claimLead(record, state);
 		this.lead = record;
-		this.formers = this.startWaiting(true);
+		this.formers = this.startWaiting({hadLeader: true});
 		onReclaimed(mayRenew);
 	}
 }
--- a/packages/gateway/src/cluster/leader-options.ts
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -7,6 +7,7 @@
 import type {FeedReader} from './feed-reader.js';
 import type {BaseState} from './follower-sync.js';
 import type {SendEnds} from './former-leaders.js';
+import type {LastContacts} from './last-contacts.js';
 import type {LeaderRecord} from './leader-record.js';
 import type {Report} from './messages.js';
 import type {OwnerLog} from './owner-log.js';
@@ -19,6 +20,8 @@
 	readonly record: LeaderRecord;
 	/** What the last leader told of the leaders before it. */
 	readonly knownEnds: SendEnds;
+	/** Last contacts of the last leader, if it was certainly not alone when it was superseded. */
+	readonly lastContacts?: LastContacts;
 	readonly view: View;
 	readonly net: PeerNet;
 	readonly ownerLog: OwnerLog;
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -74,8 +74,9 @@
 			leadership: () => this.leadership,
 			targetsReadAt: () => options.reader.lastReadAt,
 			formerSendEnds: () => this.formerSendEnds,
-			onPong: (node, pong) => {
-				this.handlePong(node, pong);
+			contactStatement: () => this.confirmation.createContactStatement(),
+			onPong: (node, pong, sentAt) => {
+				this.handlePong(node, pong, sentAt);
 			},
 		});
 		const onChange = this.schedulePublish.bind(this);
@@ -88,11 +89,21 @@
 	/** Adds an instance that announced itself. */
 	addNode(node: NodeInfo): void {
 		if (this.followers.add(node)) {
-			this.confirmation.recordInstance(node.name);
+			this.confirmation.recordInstance(node.name, node.incarnation);
 			this.schedulePublish();
 		}
 	}
 
+	/** Adds the instances in the register, as read after the election. */
+	addRegistered(nodes: readonly NodeInfo[]): void {
+		for (const node of nodes) {
+			this.addNode(node);
+		}
+
+		const {view, self} = this.options;
+		this.confirmation.recordRegister([...new Set([...nodes, ...view.nodes()].map(({name}) => name))].filter(name => name !== self.name));
+	}
+
 	/** Latest times at which former leaders may send a grant. */
 	get formerSendEnds(): SendEnds {
 		return this.confirmation.formerSendEnds;
@@ -126,7 +137,7 @@
 		const now = clock.now();
 		if (this.clockStepDetector.hasStepped()) {
 			this.options.telemetry.info('leader', 'A clock made a step; checking in the store which instance leads.', {});
-			this.confirmation.requireConfirmation();
+			this.confirmation.recordClockStep();
 		}
 
 		void this.confirmation.confirm();
@@ -315,7 +326,7 @@
 		}
 	}
 
-	private handlePong(node: NodeInfo, pong: Pong): void {
+	private handlePong(node: NodeInfo, pong: Pong, sentAt: number): void {
 		if (this.isStopped) {
 			return;
 		}
@@ -330,7 +341,7 @@
 			this.schedulePublish();
 		}
 
-		this.confirmation.recordFollower(node.name, pong);
+		this.confirmation.recordFollower(node.name, pong, sentAt);
 	}
 
 	private applyReport({name, incarnation}: Pick<NodeInfo, 'name' | 'incarnation'>, report: Report, now: number): void {
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -9,6 +9,7 @@
 } from '@bluebellyard/core';
 import {noBytes} from '../peers/index.js';
 import type {Delta, NodeInfo} from '../view/index.js';
+import type {ContactMessage} from './contact-proof.js';
 import type {SendEnds} from './former-leaders.js';
 import type {Leadership} from './leader-record.js';
 
@@ -63,6 +64,8 @@
 	readonly targetsAgeMs: number;
 	/** For each former leader, the time until which it may send grants, in milliseconds from now; negative if that is over. */
 	readonly formerEndsMs: FormerEnds;
+	/** What the leader tells of its contacts; absent from one that is alone, or of an earlier version. */
+	readonly contact?: ContactMessage;
 	/** State to which the changes apply; undefined if they are the whole content or if there are none. */
 	readonly base: ViewState | undefined;
 	/** Sequence number of the view after the changes. */
@@ -96,6 +99,10 @@
 	readonly incarnation: string;
 	/** State of its view; undefined if it does not match any state that a leader sent. */
 	readonly viewState: ViewState | undefined;
+	/** Stamp that the leader repeats in its next ping; absent from instances that are not in the register in the leader's era, or of an earlier version. */
+	readonly stamp?: number;
+	/** Time since this process last answered an earlier leader as its follower, or started, in milliseconds; 0 if absent. */
+	readonly formerAgeMs?: number;
 	readonly report: Report;
 };
 
