--- a/packages/gateway/src/cluster/followed-leader.test.ts
+++ b/packages/gateway/src/cluster/followed-leader.test.ts
@@ -36,3 +36,42 @@
 	t.is(followed.formerSendEnds.size, 0);
 	t.is(followed.lastPingAt, 6000);
 });
+
+// The next leader bounds the grants of the former one by these times.
+test('an answer states the time since the last answer to an earlier leader, or the start', t => {
+	const clock = new ManualClock(5000);
+	const followed = new FollowedLeader(clock);
+	clock.advance(100);
+	t.is(followed.describeAnswer(false).formerAgeMs, 100);
+	t.is(followed.describeAnswer(false).stamp, undefined);
+	followed.recordPing(ping());
+	clock.advance(600);
+	followed.recordPing(ping());
+	clock.advance(1000);
+	followed.recordElected({era: 0, term: 3});
+	clock.advance(500);
+	followed.recordPing(ping({term: 3}));
+	t.deepEqual(followed.describeAnswer(true), {stamp: 7200, formerAgeMs: 1500});
+	clock.advance(30_000);
+	t.is(followed.describeAnswer(true).formerAgeMs, undefined);
+});
+
+// The former leader may be of an earlier version, may have been alone, or may not be the one that was followed.
+test('only the recorded leader that was followed, with a proof, has known contacts', t => {
+	const clock = new ManualClock(5000);
+	const followed = new FollowedLeader(clock);
+	const record = {
+		era: 0, term: 2, name: 'e1', incarnation: 'e1-1', formers: [], isRecovering: false,
+	};
+	followed.recordPing(ping());
+	const {stamp} = followed.describeAnswer(true);
+	t.is(followed.findLastContacts(record), undefined);
+	followed.recordPing(ping({contact: {ageMs: 0, echo: stamp!}}));
+	t.is(followed.findLastContacts(record)?.leader, 'e1');
+	t.is(followed.findLastContacts({...record, term: 3}), undefined);
+	t.is(followed.findLastContacts({...record, incarnation: 'e1-2'}), undefined);
+	t.is(followed.findLastContacts({...record, isRecovering: true}), undefined);
+	t.is(followed.findLastContacts(undefined), undefined);
+	followed.recordPing(ping({term: 3}));
+	t.is(followed.findLastContacts({...record, term: 3}), undefined);
+});
--- a/packages/gateway/src/cluster/former-leaders.test.ts
+++ b/packages/gateway/src/cluster/former-leaders.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {leaseExpiry} from '@bluebellyard/core';
 import {FormerLeaders, leaderGraceMs} from './former-leaders.js';
+import {LastContacts, sendAfterContactMs} from './last-contacts.js';
 
 const timing = {leaseMs: 6000, transitMs: 500};
 const start = {now: 1000, hadLeader: true};
@@ -37,3 +38,16 @@
 	formers.markFollowing('b', 1200);
 	t.is(formers.leaseEnd, leaseExpiry(1000 + leaderGraceMs, timing));
 });
+
+// Keys stayed closed for 18.7 s after a leader was lost for good.
+test('the contacts of the last leader bound its grants, not those of earlier ones, and are not passed on', t => {
+	const lastContacts = new LastContacts({leader: 'b', answeredAt: -500, absent: []});
+	const formers = new FormerLeaders(['a', 'b'], timing, {...start, knownEnds: new Map([['a', -9000]]), lastContacts});
+	t.is(formers.confirmedLeaseEnd, leaseExpiry(1000 + leaderGraceMs, timing));
+	lastContacts.setInstances([]);
+	t.is(formers.confirmedLeaseEnd, leaseExpiry(-500 + sendAfterContactMs, timing));
+	t.is(formers.leaseEnd, leaseExpiry(1000 + leaderGraceMs, timing));
+	t.is(formers.sendEnds.get('b'), 1000 + leaderGraceMs);
+	const both = new FormerLeaders(['a', 'b'], timing, {...start, lastContacts});
+	t.is(both.confirmedLeaseEnd, leaseExpiry(1000 + leaderGraceMs, timing));
+});
--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -4,6 +4,7 @@
 import {StaleAppendError, UnknownAppendError} from '../ports/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {leaderGraceMs} from './former-leaders.js';
+import {LastContacts} from './last-contacts.js';
 import {LeadConfirmation, type FollowerPong} from './lead-confirmation.js';
 import type {LeaderRecord} from './leader-record.js';
 import {OwnerLog} from './owner-log.js';
@@ -29,14 +30,15 @@
 	readonly events: string[] = [];
 	confirmation!: LeadConfirmation;
 
-	async start(): Promise<void> {
+	async start({formers = [], lastContacts}: {formers?: string[]; lastContacts?: LastContacts} = {}): Promise<void> {
 		this.store.era = 1;
 		await this.writeLeader('e1', {era: 1, term: 4});
-		const record = leaderRecord('e0', {era: 1, term: 5});
+		const record = {...leaderRecord('e0', {era: 1, term: 5}), formers};
 		await this.ownerLog.claimLead(record, await this.ownerLog.read());
 		this.confirmation = new LeadConfirmation({
 			record,
 			hadLeader: true,
+			lastContacts,
 			ownerLog: this.ownerLog,
 			clock: this.clock,
 			telemetry: new Telemetry(this.clock),
@@ -181,3 +183,32 @@
 	harness.clock.advance(400);
 	t.false(harness.confirmation.mayGrant(harness.clock.now()));
 });
+
+// A later leader in records that the store has lost may have bounded the grants of this one by its contacts.
+test('a leader without contacts renews nothing after it claimed the lead again', async t => {
+	const harness = await setUp();
+	harness.confirmation.recordInstance('e2', 'e2-1');
+	await harness.confirm();
+	harness.clock.advance(1000);
+	t.false(harness.confirmation.mayGrant(harness.clock.now()));
+	harness.store.returnWithout(topic, 1);
+	await harness.confirm();
+	t.deepEqual(harness.events, ['reclaimed without renewals', 'reload']);
+	t.is(harness.confirmation.createContactStatement(), undefined);
+});
+
+// After a return of the store the former leader may have been confirmed again.
+test('the contacts of the last leader count only while the store confirms the present one', async t => {
+	const lastContacts = new LastContacts({leader: 'e1', answeredAt: 100_000, absent: []});
+	const harness = new Harness();
+	await harness.start({formers: ['e1'], lastContacts});
+	harness.confirmation.recordRegister(['e1', 'e2']);
+	await harness.confirm();
+	const longEnd = leaseExpiry(100_000 + leaderGraceMs, timing);
+	t.is(harness.confirmation.formerLeaseEnd, longEnd);
+	harness.confirmation.recordFollower('e2', pong(1), harness.clock.now());
+	t.true(harness.confirmation.formerLeaseEnd < longEnd);
+	harness.store.isDown = true;
+	harness.clock.advance(2500);
+	t.is(harness.confirmation.formerLeaseEnd, longEnd);
+});
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -9,3 +9,7 @@
 export * from './ownership-harness.js';
 export * from './usual-order.js';
 export * from './plain-wire.js';
+export * from './simulated-network.js';
+export * from './simulated-process.js';
+export * from './lost-leader-simulation.js';
+export * from './lost-leader-types.js';
