--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -87,3 +87,50 @@
 	const sent = await runSync(undefined, () => undefined);
 	t.deepEqual(sent.map(keys => keys.length), [0, 101]);
 });
+
+// The follower proves by the repeated stamp that the statement is not older than its last answer.
+test('a ping tells of the contacts of the leader and repeats the stamp of the last answer', async t => {
+	const view = new View();
+	const clock = new ManualClock(10_000);
+	view.store.set('node/follower', node('follower'));
+	const contacts: Array<Ping['contact']> = [];
+	const sentTimes: number[] = [];
+	let isAlone = false;
+	const sync = new FollowerSync({
+		self: node('leader'),
+		leadership: () => ({era: 0, term: 2}),
+		view,
+		net: {
+			async exchange(_addr: string, _op: string, {value, bytes}: Message): Promise<Message> {
+				contacts.push((value as Ping).contact);
+				clock.advance(100);
+				const pong: Pong = {
+					era: 0, term: 2, incarnation: 'follower', viewState: undefined, stamp: contacts.length, report: {keys: {}, slowness: [], isLeaving: false},
+				};
+				return {value: pong, bytes};
+			},
+		},
+		clock,
+		telemetry: new Telemetry(clock),
+		baseState: undefined,
+		targetsReadAt: () => 0,
+		formerSendEnds: () => new Map(),
+		contactStatement: () => isAlone ? undefined : {ageMs: 5},
+		isLeaving: () => false,
+		onPong(_node, _pong, sentAt) {
+			sentTimes.push(sentAt);
+		},
+	});
+	for (let i = 0; i < 3; i += 1) {
+		isAlone = i === 2;
+		sync.sendDue(clock.now(), 0);
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		clock.advance(900);
+	}
+
+	t.deepEqual(contacts, [{ageMs: 5}, {ageMs: 5, echo: 1}, undefined]);
+	t.deepEqual(sentTimes, [10_000, 11_000, 12_000]);
+});
