Cluster: an instance that follows a later leader does not start its own term

The answer to a claim may come after another instance has been elected and has been answered as its follower; that one then counts on it that this instance sends no grants. The simulation found two leaders with grants of one key.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -277,7 +277,7 @@
 		this.nextElectionAt = clock.now() + retryDelayMs + this.drawElectionDelayMs();
 		try {
 			const result = await this.election.stand({
-				isSuccessor, leadership: this.leadership, leaderName: this.followed.node?.name, contactAgeMs: this.leaderContactAgeMs, knownEnds: this.followed.formerSendEnds,
+				isSuccessor, leadership: this.leadership, leaderName: this.followed.node?.name, contactAgeMs: this.leaderContactAgeMs, knownEnds: this.followed.formerSendEnds, presentLeadership: () => this.leadership,
 			});
 			await this.applyElectionResult(result);
 		} catch (err) {
@@ -318,7 +318,7 @@
 		}
 	}
 
-	private async startTerm({record, state, knownEnds}: WonElection): Promise<void> {
+	private async startTerm({record, state, knownEnds, claimedAt}: WonElection): Promise<void> {
 		const {self, view, clock, telemetry} = this.options;
 		const lastContacts = record.isRecovering ? undefined : this.followed.findLastContacts(state.leader);
 		telemetry.info('leader', 'This instance became leader.', {
@@ -340,6 +340,7 @@
 			record,
 			knownEnds,
 			lastContacts,
+			claimedAt,
 			ownerLog: this.ownerLog,
 			suspectLog: this.suspectLog,
 			directory: this.directory,
--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -39,6 +39,7 @@
 			record,
 			hadLeader: true,
 			lastContacts,
+			claimedAt: this.clock.now(),
 			ownerLog: this.ownerLog,
 			clock: this.clock,
 			telemetry: new Telemetry(this.clock),
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -40,6 +40,8 @@
 	readonly knownEnds?: SendEnds;
 	/** Last contacts of the last leader, if it was certainly not alone when it was superseded. */
 	readonly lastContacts?: LastContacts;
+	/** Monotonic time at which the lead was claimed; another instance may have been elected since. */
+	readonly claimedAt: number;
 	readonly ownerLog: OwnerLog;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -75,10 +77,10 @@
 	private isBoundKnown = false;
 
 	constructor(private readonly options: LeadConfirmationOptions) {
-		const {record, clock, hadLeader, knownEnds, lastContacts} = options;
+		const {record, clock, hadLeader, knownEnds, lastContacts, claimedAt} = options;
 		this.lead = record;
 		this.startedAt = clock.now();
-		this.lastConfirmedAt = this.startedAt;
+		this.lastConfirmedAt = claimedAt;
 		this.contacts = new LeaderContacts(this.startedAt);
 		this.formers = this.startWaiting({hadLeader, knownEnds, lastContacts});
 	}
--- a/packages/gateway/src/cluster/leader-election.test.ts
+++ b/packages/gateway/src/cluster/leader-election.test.ts
@@ -199,3 +199,14 @@
 	t.is(await harness.stand({leadership: {era: 1, term: 3}}), ElectionOutcome.OtherElected);
 	t.is(await harness.stand({leadership: {era: 2, term: 3}}), ElectionOutcome.Won);
 });
+
+// Two leaders granted keys: the later one counted on it that this instance, which answered it, sends no grants.
+test('an instance that follows a later leader when the answer to its claim arrives does not lead', async t => {
+	const harness = new Harness();
+	await harness.start();
+	const later = {era: 1, term: 7};
+	t.deepEqual(await harness.elect({presentLeadership: () => later}), {outcome: ElectionOutcome.OtherElected, leadership: later});
+	const other = new Harness();
+	await other.start();
+	t.is(await other.stand({presentLeadership: () => ({era: 1, term: 5})}), ElectionOutcome.Won);
+});
--- a/packages/gateway/src/cluster/leader-election.ts
+++ b/packages/gateway/src/cluster/leader-election.ts
@@ -46,6 +46,8 @@
 	readonly state: OwnerState;
 	/** What the leader before told of those before it. */
 	readonly knownEnds: SendEnds;
+	/** Monotonic time at which the lead was claimed; another instance may have been elected since. */
+	readonly claimedAt: number;
 };
 
 /** Result of an election, with what it found. */
@@ -65,6 +67,8 @@
 	readonly contactAgeMs: number;
 	/** What the leader with that leadership told of the leaders before it. */
 	readonly knownEnds: SendEnds;
+	/** Returns the leadership that this instance follows when it is called, which may have changed during the election. */
+	readonly presentLeadership?: () => Leadership;
 };
 
 /** Options of `LeaderElection`. */
@@ -106,9 +110,16 @@
 
 		const knownEnds = this.selectKnownEnds(state, candidacy);
 		const record = await this.createRecord(state, candidacy.leadership, knownEnds);
+		const claimedAt = clock.now();
 		await ownerLog.claimLead(record, state);
+		const present = candidacy.presentLeadership?.();
+		if (present !== undefined && compareLeaderships(present, record) > 0) {
+			// The answer was late, and a leader elected since counts on it that this instance sends no grants.
+			return {outcome: ElectionOutcome.OtherElected, leadership: present};
+		}
+
 		return {
-			outcome: ElectionOutcome.Won, record, state, knownEnds,
+			outcome: ElectionOutcome.Won, record, state, knownEnds, claimedAt,
 		};
 	}
 
--- a/packages/gateway/src/cluster/leader-options.ts
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -22,6 +22,8 @@
 	readonly knownEnds: SendEnds;
 	/** Last contacts of the last leader, if it was certainly not alone when it was superseded. */
 	readonly lastContacts?: LastContacts;
+	/** Monotonic time at which the lead was claimed. */
+	readonly claimedAt: number;
 	readonly view: View;
 	readonly net: PeerNet;
 	readonly ownerLog: OwnerLog;
--- a/packages/gateway/src/mocks/lost-leader-simulation.ts
+++ b/packages/gateway/src/mocks/lost-leader-simulation.ts
@@ -4,6 +4,7 @@
  * grants the key to a target of its own once no earlier leader's grant counts.
  */
 import {seededRandom, type LeaseTiming} from '@bluebellyard/core';
+import {leaderGraceMs} from '../cluster/former-leaders.js';
 import {FollowedLeader} from '../cluster/followed-leader.js';
 import {LeadConfirmation, type FollowerPong} from '../cluster/lead-confirmation.js';
 import {ClockStepDetector} from '../cluster/clock-step-detector.js';
@@ -73,7 +74,7 @@
 		const incarnation = `${name}-${this.incarnations}`;
 		const process = new SimulatedProcess(this.queue, this.random, 0.995 + (this.random() * 0.01), this.random() * 100_000);
 		const self: Instance = {
-			index, name, incarnation, process, followed: new FollowedLeader(process), known: new Map(), isRegistered: false,
+			index, name, incarnation, process, followed: new FollowedLeader(process), known: new Map(), isRegistered: false, isEarlier: this.random() < this.options.earlierShare,
 			electAt: process.now() + (this.random() * 1000), isElecting: false, term: undefined,
 		};
 		this.instances.set(name, self);
@@ -149,24 +150,25 @@
 				era: 1, term: Math.max(self.followed.leadership.term, record?.term ?? 0) + 1, name: self.name, incarnation: self.incarnation, isRecovering: false,
 				formers: [...new Set([...record?.formers ?? [], ...record === undefined ? [] : [record.name]])].filter(name => name !== self.name),
 			};
+			const claimedAt = self.process.now();
 			this.network.askStore(self, () => this.write(claim, version), isWritten => {
 				end();
-				if (isWritten) {
-					this.startTerm(self, claim, record);
+				if (isWritten && compareLeaderships(self.followed.leadership, claim) < 0) {
+					this.startTerm(self, {record: claim, former: record, claimedAt});
 				}
 			}, end);
 		}, end);
 	}
 
-	private startTerm(self: Instance, record: LeaderRecord, former: LeaderRecord | undefined): void {
+	private startTerm(self: Instance, {record, former, claimedAt}: {record: LeaderRecord; former: LeaderRecord | undefined; claimedAt: number}): void {
 		const {process, followed} = self;
 		const isFollowed = former !== undefined && compareLeaderships(followed.leadership, former) === 0;
 		const ownerLog: Pick<OwnerLog, 'newestEra'> = {newestEra: 1};
 		const confirmation = new LeadConfirmation({
 			record, clock: process, timing, telemetry: new Telemetry(process), ownerLog: ownerLog as OwnerLog,
-			hadLeader: former !== undefined,
+			hadLeader: former !== undefined, claimedAt,
 			knownEnds: isFollowed ? followed.formerSendEnds : undefined,
-			lastContacts: followed.findLastContacts(former),
+			lastContacts: self.isEarlier ? undefined : followed.findLastContacts(former),
 			listOtherInstances: async () => [],
 			onReload() {
 				// Not used, since the simulation asks the store itself.
@@ -213,7 +215,8 @@
 			});
 		}
 
-		if (confirmation.mayGrant(now) && now >= confirmation.formerLeaseEnd) {
+		const mayGrant = self.isEarlier ? !confirmation.isInDoubt && now - confirmation.confirmedAt < leaderGraceMs : confirmation.mayGrant(now);
+		if (mayGrant && now >= confirmation.formerLeaseEnd) {
 			this.grant(term);
 		}
 
@@ -243,7 +246,7 @@
 	/** Sends a ping; it and its answer may be lost, late or repeated. */
 	private ping(self: Instance, term: Term, name: string): void {
 		const sentAt = self.process.now();
-		const statement = term.confirmation.createContactStatement();
+		const statement = self.isEarlier ? undefined : term.confirmation.createContactStatement();
 		const echo = term.stamps.get(name);
 		const ping: Ping = {
 			era: 1, term: term.record.term, leader: {
--- a/packages/gateway/src/mocks/lost-leader-types.ts
+++ b/packages/gateway/src/mocks/lost-leader-types.ts
@@ -27,6 +27,8 @@
 	readonly instances: number;
 	/** Whether instances join, restart and stand for election without need, and the store fails for some seconds. */
 	readonly isRough: boolean;
+	/** Share of the instances that are of an earlier version. */
+	readonly earlierShare: number;
 };
 
 /** Entry of an instance in the register. */
@@ -38,6 +40,8 @@
 	readonly process: SimulatedProcess;
 	readonly followed: FollowedLeader;
 	readonly known: Map<string, Entry>;
+	/** Whether it is of a version that knows nothing of contacts. */
+	readonly isEarlier: boolean;
 	isRegistered: boolean;
 	electAt: number;
 	isElecting: boolean;
