--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -277,7 +277,8 @@
 		this.nextElectionAt = clock.now() + retryDelayMs + this.drawElectionDelayMs();
 		try {
 			const result = await this.election.stand({
-				isSuccessor, leadership: this.leadership, leaderName: this.followed.node?.name, contactAgeMs: this.leaderContactAgeMs, knownEnds: this.followed.formerSendEnds, presentLeadership: () => this.leadership,
+				isSuccessor, leadership: this.leadership, leaderName: this.followed.node?.name, contactAgeMs: this.leaderContactAgeMs,
+				knownEnds: this.followed.formerSendEnds, presentLeadership: () => this.leadership,
 			});
 			await this.applyElectionResult(result);
 		} catch (err) {
