Tests: review of the wait for a lost leader

Change: tests for a leadership that falls back after a late read of the store, a process that registers after the last confirmation, a proof beside an undetected clock step, and a grant that waits through a freeze in which the monotonic clock stands still.

No product code is changed.

--- a/packages/gateway/src/cluster/contact-proof.test.ts
+++ b/packages/gateway/src/cluster/contact-proof.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '@bluebellyard/core';
 import {ContactProofs} from './contact-proof.js';
 import {LastContacts, sendAfterContactMs} from './last-contacts.js';
+import {aloneAfterMs} from './leader-contacts.js';
 
 test('a proof holds from the repeated stamp, less the age of the contact, for a limited time', t => {
 	const clock = new ManualClock(10_000);
@@ -55,3 +56,14 @@
 	contacts.recordFollower('b', 1600);
 	t.is(contacts.sendEnd, 1500 + sendAfterContactMs);
 });
+
+// A step of less than 200 ms is not detected. The leader may ask the store, and be alone, 4500 ms after its contact.
+test('a proof ends early enough for a clock step that is too small to be detected', t => {
+	const clock = new ManualClock(10_000);
+	const proofs = new ContactProofs(clock);
+	proofs.record({ageMs: 0, echo: proofs.createStamp()});
+	const undetectedMs = 190;
+	clock.stepWall(undetectedMs);
+	clock.advance(aloneAfterMs - undetectedMs);
+	t.is(proofs.find(), undefined);
+});
--- a/packages/gateway/src/cluster/followed-leader.test.ts
+++ b/packages/gateway/src/cluster/followed-leader.test.ts
@@ -75,3 +75,28 @@
 	followed.recordPing(ping({term: 3}));
 	t.is(followed.findLastContacts({...record, term: 3}), undefined);
 });
+
+// An election reads the store while it names the leader of term 6; a ping of term 7 is answered before that read is.
+// If the leadership falls back, this process answers the leader of term 6 again, after the time that it stated to that of term 7.
+test('a late answer of the store does not end the following of a newer leader', t => {
+	const clock = new ManualClock(5000);
+	const followed = new FollowedLeader(clock);
+	followed.recordPing(ping({term: 7}));
+	clock.advance(200);
+	followed.recordElected({era: 0, term: 6});
+	t.deepEqual(followed.leadership, {era: 0, term: 7});
+});
+
+// Statements of a leader say nothing of the one after it, which may be alone.
+test('a proof of one leader does not count for the next one', t => {
+	const clock = new ManualClock(5000);
+	const followed = new FollowedLeader(clock);
+	followed.recordPing(ping());
+	const {stamp} = followed.describeAnswer(true);
+	followed.recordPing(ping({contact: {ageMs: 0, echo: stamp!}}));
+	const next = {...leader, name: 'e2', incarnation: 'e2-1'};
+	followed.recordPing(ping({term: 3, leader: next}));
+	t.is(followed.findLastContacts({
+		era: 0, term: 3, name: 'e2', incarnation: 'e2-1', formers: [], isRecovering: false,
+	}), undefined);
+});
--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -212,3 +212,35 @@
 	harness.clock.advance(2500);
 	t.is(harness.confirmation.formerLeaseEnd, longEnd);
 });
+
+// The store may have returned from an older copy an instant ago; the confirmation of before says nothing of it.
+test('the contacts of the last leader do not count in a later era of the store', async t => {
+	const lastContacts = new LastContacts({leader: 'e1', answeredAt: 100_000, absent: []});
+	const harness = new Harness();
+	await harness.start({formers: ['e1'], lastContacts});
+	harness.confirmation.recordRegister([]);
+	await harness.confirm();
+	const longEnd = leaseExpiry(100_000 + leaderGraceMs, timing);
+	t.true(harness.confirmation.formerLeaseEnd < longEnd);
+	harness.store.returnWithout(topic, 0);
+	t.is(harness.confirmation.formerLeaseEnd, longEnd);
+});
+
+// A suspended process takes old answers for new ones if its monotonic clock stood still.
+test('after a clock step a confirmation is not enough, a follower must answer a new ping, too', async t => {
+	const {confirmation, clock, events} = await setUp();
+	confirmation.recordInstance('e2', '1');
+	clock.advance(10);
+	await confirmation.confirm();
+	confirmation.recordFollower('e2', {...pong(1), stamp: 1}, clock.now());
+	clock.advance(1000);
+	t.true(confirmation.mayGrant(clock.now()));
+	confirmation.recordClockStep();
+	clock.advance(10);
+	await confirmation.confirm();
+	t.false(confirmation.isInDoubt);
+	t.false(confirmation.mayGrant(clock.now()));
+	confirmation.recordFollower('e2', {...pong(1), stamp: 2}, clock.now());
+	t.true(confirmation.mayGrant(clock.now()));
+	t.deepEqual(events, []);
+});
--- a/packages/gateway/src/cluster/leader-contacts.test.ts
+++ b/packages/gateway/src/cluster/leader-contacts.test.ts
@@ -111,3 +111,22 @@
 	contacts.recordAnswer('b', answer(start + 750), start + 760);
 	t.true(contacts.mayGrant(start + 770));
 });
+
+// The next leader may have read the register before the process wrote its entry, as after a return of the store.
+test('a process that registers after the last confirmation is no contact', t => {
+	const contacts = new LeaderContacts(start);
+	contacts.recordAnswer('b', answer(start + 100, {isRegistered: false}), start + 120);
+	contacts.recordConfirmation(start + 500, start + 510);
+	contacts.recordAnswer('b', answer(start + 2500), start + 2510);
+	t.false(contacts.mayGrant(start + 2520));
+});
+
+// A restart must not shorten the time after an absence: a proof of an earlier time may leave the instance out.
+test('a process that starts again after an absence does not count sooner', t => {
+	const contacts = setUp();
+	contacts.createStatement(start + 3200);
+	contacts.recordAnswer('b', answer(start + 3300), start + 3310);
+	contacts.recordAnswer('b', answer(start + 3900, {incarnation: 'b-2'}), start + 3910);
+	contacts.recordConfirmation(start + 4000, start + 4010);
+	t.false(contacts.mayGrant(start + 4020));
+});
