--- a/packages/gateway/src/cluster/contact-proof.ts
+++ b/packages/gateway/src/cluster/contact-proof.ts
@@ -40,7 +40,11 @@
 	private stamps: Stamp[] = [];
 	private best: {readonly proof: ContactProof; readonly stamp: Stamp} | undefined;
 
-	constructor(private readonly clock: Clock) {}
+	private readonly clock: Clock;
+
+	constructor(clock: Clock) {
+		this.clock = clock;
+	}
 
 	/** Returns the stamp of an answer that is sent now: the whole milliseconds of the time. */
 	createStamp(): number {
--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -94,6 +94,7 @@
 	const clock = new ManualClock(10_000);
 	view.store.set('node/follower', node('follower'));
 	const contacts: Array<Ping['contact']> = [];
+	const hasContactField: boolean[] = [];
 	const sentTimes: number[] = [];
 	let isAlone = false;
 	const sync = new FollowerSync({
@@ -103,6 +104,7 @@
 		net: {
 			async exchange(_addr: string, _op: string, {value, bytes}: Message): Promise<Message> {
 				contacts.push((value as Ping).contact);
+				hasContactField.push(Object.hasOwn(value as Ping, 'contact'));
 				clock.advance(100);
 				const pong: Pong = {
 					era: 0, term: 2, incarnation: 'follower', viewState: undefined, stamp: contacts.length, report: {keys: {}, slowness: [], isLeaving: false},
@@ -132,5 +134,7 @@
 	}
 
 	t.deepEqual(contacts, [{ageMs: 5}, {ageMs: 5, echo: 1}, undefined]);
+	// Without a statement the message is that of an earlier version.
+	t.deepEqual(hasContactField, [true, true, false]);
 	t.deepEqual(sentTimes, [10_000, 11_000, 12_000]);
 });
