Cluster: instances in the view of the leader before are contacts

Cause: a new leader added only processes that its view did not hold to its contacts. A removed instance in the view was never declared absent, so that the next leader would wait long, and a leader with followers that never answered took itself for the only instance. Change: processes in the view are contacts from the start of the term, and count from their first answer. Only with contact-bound on.

--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -267,3 +267,14 @@
 	await confirmation.confirm();
 	t.true(confirmation.mayGrant(clock.now()));
 });
+
+// Without this a removed instance, which never answers a later leader, is not declared absent, and the one after it waits long.
+test('instances in the view of the leader before are contacts, and absent if they do not answer', async t => {
+	const {confirmation, clock} = await setUp();
+	confirmation.recordView([{
+		name: 'e2', incarnation: '1', domain: 'x', addr: 'e2:1', cores: 1,
+	}]);
+	t.false(confirmation.mayGrant(clock.now()));
+	clock.advance(2000);
+	t.deepEqual(confirmation.createContactStatement()?.absent, ['e2']);
+});
--- a/packages/gateway/src/cluster/lead-confirmation.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.ts
@@ -6,6 +6,7 @@
 import {leaseExpiry, type Clock, type LeaseTiming} from '@bluebellyard/core';
 import {StaleAppendError} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
+import type {NodeInfo} from '../view/index.js';
 import {maxClockDifference} from './contact-proof.js';
 import {
 	FormerLeaders, leaderGraceMs, type SendEnds, type TermStart,
@@ -198,6 +199,13 @@
 		}
 	}
 
+	/** Records the other processes in the view of the leader before, which this leader asks as followers, too. */
+	recordView(nodes: readonly NodeInfo[]): void {
+		for (const {name, incarnation} of nodes) {
+			this.contacts?.addFromView(name, incarnation, this.startedAt);
+		}
+	}
+
 	/** Records the other instances in the register, as read after the election. */
 	recordRegister(names: readonly string[]): void {
 		const {lastContacts, clock} = this.options;
--- a/packages/gateway/src/cluster/leader-contacts.test.ts
+++ b/packages/gateway/src/cluster/leader-contacts.test.ts
@@ -130,3 +130,14 @@
 	contacts.recordConfirmation(start + 4000, start + 4010);
 	t.false(contacts.mayGrant(start + 4020));
 });
+
+// The process may have registered anew, after a return of the store, since the question was asked.
+test('a process of the view of the leader before counts from its first answer', t => {
+	const contacts = new LeaderContacts(start);
+	contacts.addFromView('b', 'b-1', start);
+	contacts.recordConfirmation(start + 500, start + 510);
+	contacts.recordAnswer('b', answer(start + 2500), start + 2510);
+	t.false(contacts.mayGrant(start + 2520));
+	contacts.recordConfirmation(start + 2600, start + 2610);
+	t.true(contacts.mayGrant(start + 2620));
+});
--- a/packages/gateway/src/cluster/leader-contacts.ts
+++ b/packages/gateway/src/cluster/leader-contacts.ts
@@ -87,6 +87,12 @@
 		});
 	}
 
+	/** Adds a process of an earlier leader's view, which may not be in the register in the present era: it counts from its first answer. */
+	addFromView(name: string, incarnation: string, now: number): void {
+		this.add(name, incarnation, now);
+		this.contacts.get(name)!.isRegistered ??= false;
+	}
+
 	/** Records the answer of a follower. */
 	recordAnswer(name: string, {incarnation, isRegistered, sentAt}: FollowerAnswer, now: number): void {
 		this.add(name, incarnation, now);
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -69,6 +69,7 @@
 				this.suspendManagers(mayRenew);
 			},
 		});
+		this.confirmation.recordView(options.view.nodes().filter(({name}) => name !== options.self.name));
 		this.followers = new FollowerSync({
 			...options,
 			leadership: () => this.leadership,
