--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -7,6 +7,7 @@
 import type {Telemetry} from '../telemetry/index.js';
 import type {NodeInfo, View} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
+import type {ContactStatement} from './leader-contacts.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {
 	isSameState, packDelta, toFormerEnds, PeerOp, type Ping, type Pong, type ViewState,
@@ -50,8 +51,10 @@
 	readonly targetsReadAt: () => number;
 	/** Returns the latest times at which former leaders may send a grant. */
 	readonly formerSendEnds: () => SendEnds;
-	/** Called for each answer to a ping. */
-	readonly onPong: (node: NodeInfo, pong: Pong) => void;
+	/** Returns what a ping that is sent now tells of the leader's contacts, if anything. */
+	readonly contactStatement: () => ContactStatement | undefined;
+	/** Called for each answer to a ping, with the monotonic time at which the ping was sent. */
+	readonly onPong: (node: NodeInfo, pong: Pong, sentAt: number) => void;
 };
 
 /** The state of a former leader on which a term is based. */
@@ -73,6 +76,8 @@
 	/** Time at which the last ping was sent. */
 	sentAt: number;
 	isLeaving: boolean;
+	/** Stamp of the last answer; the next ping repeats it. */
+	stamp: number | undefined;
 };
 
 /** Sends the leader's pings to all other instances and records their answers. */
@@ -142,14 +147,14 @@
 
 		// A new instance counts as live until it does not answer.
 		const follower: Follower = {
-			isInFlight: false, viewState: this.options.baseState?.state, isFullSyncNeeded: false, repliedAt: now, nextAt: now, sentAt: Number.NEGATIVE_INFINITY, isLeaving: false,
+			isInFlight: false, viewState: this.options.baseState?.state, isFullSyncNeeded: false, repliedAt: now, nextAt: now, sentAt: Number.NEGATIVE_INFINITY, isLeaving: false, stamp: undefined,
 		};
 		this.followers.set(node.name, follower);
 		return follower;
 	}
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
-		const {net, view, self, leadership, clock, telemetry, onPong} = this.options;
+		const {net, view, self, leadership, clock, telemetry, onPong, contactStatement} = this.options;
 		const since = this.findBaseSeq(follower.viewState);
 		const base = since === undefined ? undefined : follower.viewState;
 		const seq = view.store.lastSeq;
@@ -161,12 +166,14 @@
 			const bytes = packed instanceof Promise ? await packed : packed;
 			const now = clock.now();
 			// Ages in the message count from its sending, not from the time at which large changes began to be packed.
+			const statement = contactStatement();
 			const ping: Ping = {
 				...leadership(),
 				leader: self,
 				storeAgeMs: Math.round(storeAgeMs + now - startedAt),
 				targetsAgeMs: Math.round(now - this.options.targetsReadAt()),
 				formerEndsMs: toFormerEnds(this.options.formerSendEnds(), now),
+				...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
 				base,
 				seq,
 			};
@@ -176,7 +183,7 @@
 				this.handlePong(node, follower, pong);
 			}
 
-			onPong(node, pong);
+			onPong(node, pong, now);
 		} catch (err) {
 			if (clock.now() - follower.repliedAt < lostAfterMs) {
 				telemetry.info('leader', 'An instance did not answer a ping.', {instance: node.name, err});
@@ -223,6 +230,7 @@
 
 		follower.repliedAt = now;
 		follower.viewState = pong.viewState;
+		follower.stamp = pong.stamp;
 		follower.isFullSyncNeeded = this.findBaseSeq(pong.viewState) === undefined;
 		follower.nextAt = now + (follower.isFullSyncNeeded ? 0 : pingIntervalMs);
 		follower.isLeaving = pong.report.isLeaving;
--- a/packages/gateway/src/cluster/lead-confirmation.test.ts
+++ b/packages/gateway/src/cluster/lead-confirmation.test.ts
@@ -4,7 +4,9 @@
 import {StaleAppendError, UnknownAppendError} from '../ports/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {leaderGraceMs} from './former-leaders.js';
-import {LeadConfirmation} from './lead-confirmation.js';
+import {LastContacts} from './last-contacts.js';
+import {contactLimitMs} from './leader-contacts.js';
+import {LeadConfirmation, type FollowerPong} from './lead-confirmation.js';
 import type {LeaderRecord} from './leader-record.js';
 import {OwnerLog} from './owner-log.js';
 
@@ -17,6 +19,10 @@
 	};
 }
 
+function pong(era: number): FollowerPong {
+	return {era, term: 5, incarnation: '1'};
+}
+
 /** Leader e0 of term 5, which claimed the lead in era 1 after another leader's record. */
 class Harness {
 	readonly clock = new ManualClock(100_000);
@@ -25,14 +31,17 @@
 	readonly events: string[] = [];
 	confirmation!: LeadConfirmation;
 
-	async start(): Promise<void> {
+	async start({formers = [], lastContacts, usesContactBound = true}: {formers?: string[]; lastContacts?: LastContacts; usesContactBound?: boolean} = {}): Promise<void> {
 		this.store.era = 1;
 		await this.writeLeader('e1', {era: 1, term: 4});
-		const record = leaderRecord('e0', {era: 1, term: 5});
+		const record = {...leaderRecord('e0', {era: 1, term: 5}), formers};
 		await this.ownerLog.claimLead(record, await this.ownerLog.read());
 		this.confirmation = new LeadConfirmation({
 			record,
 			hadLeader: true,
+			lastContacts,
+			usesContactBound,
+			claimedAt: this.clock.now(),
 			ownerLog: this.ownerLog,
 			clock: this.clock,
 			telemetry: new Telemetry(this.clock),
@@ -135,10 +144,10 @@
 	await confirmation.confirm();
 	const reclaimedAt = clock.now();
 	clock.advance(1000);
-	confirmation.recordFollower('e1', {era: 1, term: 5});
-	confirmation.recordFollower('e2', {era: 2, term: 5});
+	confirmation.recordFollower('e1', pong(1), clock.now());
+	confirmation.recordFollower('e2', pong(2), clock.now());
 	t.is(confirmation.formerLeaseEnd, leaseExpiry(reclaimedAt + leaderGraceMs, timing));
-	confirmation.recordFollower('e1', {era: 2, term: 5});
+	confirmation.recordFollower('e1', pong(2), clock.now());
 	t.is(confirmation.formerLeaseEnd, leaseExpiry(clock.now(), timing));
 });
 
@@ -146,8 +155,8 @@
 	const {confirmation, store, clock} = await setUp();
 	store.returnWithout(topic, 1);
 	await confirmation.confirm();
-	confirmation.recordFollower('e1', {era: 2, term: 5});
-	confirmation.recordFollower('e2', {era: 2, term: 5});
+	confirmation.recordFollower('e1', pong(2), clock.now());
+	confirmation.recordFollower('e2', pong(2), clock.now());
 	clock.advance(3000);
 	store.returnWithout(topic, 1);
 	await confirmation.confirm();
@@ -177,3 +186,95 @@
 	harness.clock.advance(400);
 	t.false(harness.confirmation.mayGrant(harness.clock.now()));
 });
+
+// A later leader in records that the store has lost may have bounded the grants of this one by its contacts.
+test('a leader without contacts renews nothing after it claimed the lead again', async t => {
+	const harness = await setUp();
+	harness.confirmation.recordInstance('e2', 'e2-1');
+	await harness.confirm();
+	harness.clock.advance(1000);
+	t.false(harness.confirmation.mayGrant(harness.clock.now()));
+	harness.store.returnWithout(topic, 1);
+	await harness.confirm();
+	t.deepEqual(harness.events, ['reclaimed without renewals', 'reload']);
+	t.is(harness.confirmation.createContactStatement(), undefined);
+});
+
+// After a return of the store the former leader may have been confirmed again.
+test('the contacts of the last leader count only while the store confirms the present one', async t => {
+	const lastContacts = new LastContacts({leader: 'e1', answeredAt: 100_000, absent: []});
+	const harness = new Harness();
+	await harness.start({formers: ['e1'], lastContacts});
+	harness.confirmation.recordRegister(['e1', 'e2']);
+	await harness.confirm();
+	const longEnd = leaseExpiry(100_000 + leaderGraceMs, timing);
+	t.is(harness.confirmation.formerLeaseEnd, longEnd);
+	harness.confirmation.recordFollower('e2', pong(1), harness.clock.now());
+	t.true(harness.confirmation.formerLeaseEnd < longEnd);
+	harness.store.isDown = true;
+	harness.clock.advance(2500);
+	t.is(harness.confirmation.formerLeaseEnd, longEnd);
+});
+
+// The store may have returned from an older copy an instant ago; the confirmation of before says nothing of it.
+test('the contacts of the last leader do not count in a later era of the store', async t => {
+	const lastContacts = new LastContacts({leader: 'e1', answeredAt: 100_000, absent: []});
+	const harness = new Harness();
+	await harness.start({formers: ['e1'], lastContacts});
+	harness.confirmation.recordRegister([]);
+	await harness.confirm();
+	const longEnd = leaseExpiry(100_000 + leaderGraceMs, timing);
+	t.true(harness.confirmation.formerLeaseEnd < longEnd);
+	harness.store.returnWithout(topic, 0);
+	t.is(harness.confirmation.formerLeaseEnd, longEnd);
+});
+
+// A suspended process takes old answers for new ones if its monotonic clock stood still.
+test('after a clock step a confirmation is not enough, a follower must answer a new ping, too', async t => {
+	const {confirmation, clock, events} = await setUp();
+	confirmation.recordInstance('e2', '1');
+	clock.advance(10);
+	await confirmation.confirm();
+	confirmation.recordFollower('e2', {...pong(1), stamp: 1}, clock.now());
+	clock.advance(1000);
+	t.true(confirmation.mayGrant(clock.now()));
+	confirmation.recordClockStep();
+	clock.advance(10);
+	await confirmation.confirm();
+	t.false(confirmation.isInDoubt);
+	t.false(confirmation.mayGrant(clock.now()));
+	confirmation.recordFollower('e2', {...pong(1), stamp: 2}, clock.now());
+	t.true(confirmation.mayGrant(clock.now()));
+	t.deepEqual(events, []);
+});
+
+// With the setting off a leader acts as one of an earlier version.
+test('without the bound a leader needs no contacts and tells nothing of them', async t => {
+	const harness = new Harness();
+	await harness.start({usesContactBound: false});
+	const {confirmation, clock} = harness;
+	confirmation.recordInstance('e2', '1');
+	clock.advance(contactLimitMs);
+	t.true(confirmation.mayGrant(clock.now()));
+	t.is(confirmation.createContactStatement(), undefined);
+	clock.advance(100_000 + leaderGraceMs - 1 - clock.now());
+	t.true(confirmation.mayGrant(clock.now()));
+	clock.advance(1);
+	t.false(confirmation.mayGrant(clock.now()));
+	await confirmation.confirm();
+	confirmation.recordClockStep();
+	clock.advance(1000);
+	await confirmation.confirm();
+	t.true(confirmation.mayGrant(clock.now()));
+});
+
+// Without this a removed instance, which never answers a later leader, is not declared absent, and the one after it waits long.
+test('instances in the view of the leader before are contacts, and absent if they do not answer', async t => {
+	const {confirmation, clock} = await setUp();
+	confirmation.recordView([{
+		name: 'e2', incarnation: '1', domain: 'x', addr: 'e2:1', cores: 1,
+	}]);
+	t.false(confirmation.mayGrant(clock.now()));
+	clock.advance(2000);
+	t.deepEqual(confirmation.createContactStatement()?.absent, ['e2']);
+});
