--- a/packages/core/src/admission/reservation-mode.ts
+++ b/packages/core/src/admission/reservation-mode.ts
@@ -1,6 +1,6 @@
 /** Whether queues reserve capacity for callers that they reject. */
 export enum ReservationMode {
-	/** As with `On` while a route of the configuration has large answers, else as with `Off`. */
+	/** As with `Off`, unless the contracts of the platform turn it on. */
 	Auto = 'auto',
 	On = 'on',
 	Off = 'off',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,11 +3,10 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
+	ReservationMode, systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {
 	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, receivesByte, TargetClient,
-	isReserving,
 } from './queue/index.js';
 import {
 	CrashGuard, Dispatcher, isLoadBalanced, RequestExplainer, type Order,
@@ -176,7 +175,7 @@
 				this.coordinator.leaderChannel.report(PeerOp.Alive, target);
 			},
 			hasLeaderContact: () => this.coordinator.leaderContactAgeMs < stewardContactMs,
-			isReserving: () => isReserving(cfg.admission.reservations, view),
+			isReserving: () => cfg.admission.reservations === ReservationMode.On,
 			onNotOwner: (target: string, order: Order) => {
 				if (order.key !== undefined) {
 					this.coordinator.leaderChannel.report(PeerOp.Disowned, {service: order.service, owner: target, key: order.key});
@@ -198,7 +197,7 @@
 			retryBudget: instances => toBudget(cfg, instances),
 			guard: this.guard,
 			balancing: cfg.balancing.mode,
-			isReserving: () => isReserving(cfg.admission.reservations, view),
+			isReserving: () => cfg.admission.reservations === ReservationMode.On,
 			isReleased: () => this.paths.isReleased,
 			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
 			reportEnd: (print, outcome) => {
--- a/packages/gateway/src/queue/index.ts
+++ b/packages/gateway/src/queue/index.ts
@@ -5,5 +5,4 @@
 export * from './dispatch-queues.js';
 export * from './path-checker.js';
 export * from './probe-connection.js';
-export {isReserving} from './return-key.js';
 export * from './target-client.js';
