Ownership: a move that cannot be written leaves its range with its owner

Cause: while the record of a move is written, the owner gets no grant of the keys that move, but the whole range that contains them was excluded from renewals. The exclusion lasted until the next write succeeded. When the store became unavailable at that moment, or returned from an older copy (no write for 7 to 19 s), the lease of the range expired after 6 s and all its keys were closed.

Change: a rejected write ends the exclusion unless an earlier one may still be carried out; a return of the store ends it, as what a record of an earlier era states of grants is forgotten then; while an outcome is unknown, the rest of the range is granted without the keys that move. Grants are sent by a class of their own.

--- a/packages/gateway/src/cluster/held-ranges.ts
+++ b/packages/gateway/src/cluster/held-ranges.ts
@@ -36,7 +36,19 @@
 		return this.ranges.some(held => overlaps(held, range));
 	}
 
-	/** Ends the hold once a write has succeeded. */
+	/** Returns the parts of a range that are not held. */
+	withoutHeld({from, to}: KeyRange): KeyRange[] {
+		let parts: KeyRange[] = [{from, to}];
+		for (const held of this.ranges) {
+			parts = parts.flatMap(part => overlaps(part, held)
+				? [{from: part.from, to: held.from - 1}, {from: held.to + 1, to: part.to}].filter(rest => rest.from <= rest.to)
+				: [part]);
+		}
+
+		return parts;
+	}
+
+	/** Ends the hold once the record of the move is written, or states nothing that counts. */
 	clear(): void {
 		this.ranges = [];
 	}
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -8,11 +8,12 @@
  * fencing token is that of the record.
  */
 import {
-	ErrorKind, planKeyMoves, type FormerOwner, type OwnershipMap, type RangeOwnership,
+	ErrorKind, planKeyMoves, type FormerOwner, type KeyRange, type OwnershipMap, type RangeOwnership,
 } from '@bluebellyard/core';
-import {GrantReply, StaleAppendError, UnsentError} from '../ports/index.js';
+import {GrantReply, StaleAppendError, UnknownAppendError} from '../ports/index.js';
 import type {OwnedRange} from '../view/index.js';
 import {describeMoves} from './describe-moves.js';
+import {GrantSender} from './grant-sender.js';
 import {HeldRanges} from './held-ranges.js';
 import {MoveAdjuster} from './move-adjuster.js';
 import {OwnerProcess} from './owner-process.js';
@@ -21,15 +22,9 @@
 import {Revocations} from './revocations.js';
 import {SilentOwners} from './silent-owners.js';
 import {
-	grantKey, createGrantState, inheritGrantState, latestSend, pendingSince, recordAccepted, type GrantState,
+	grantKey, createGrantState, inheritGrantState, latestSend, pendingSince, type GrantState,
 } from './grant.js';
 
-/** Share of the lease after which a grant is renewed; leaves time for three more attempts and a change of the leader before it expires. */
-const renewalShare = 1 / 2;
-
-/** Delay before a failed grant is sent again, in milliseconds. */
-const retryDelayMs = 250;
-
 /** Delay before the removal of former owners is written, in milliseconds, so that another write can include it. */
 const cleanupDelayMs = 400;
 
@@ -45,6 +40,8 @@
 	/** Whether a write is under way, or has failed and `reload` has not followed. */
 	private isWriting = false;
 	private hasFailedWrite = false;
+	/** Whether a write that was not answered may still be carried out. */
+	private hasUnknownWrite = false;
 	private rangesRevision = 1;
 	private mustRenewFences = false;
 	private areGrantsSuspended = false;
@@ -55,11 +52,13 @@
 	private readonly adjuster: MoveAdjuster;
 	private readonly held: HeldRanges;
 	private readonly silentOwners: SilentOwners;
+	private readonly sender: GrantSender;
 
 	constructor(private readonly options: OwnershipManagerOptions, private map: OwnershipMap, isInherited: boolean) {
 		this.held = new HeldRanges(options.timing);
 		this.adjuster = new MoveAdjuster(options.timing);
 		this.silentOwners = new SilentOwners(options);
+		this.sender = new GrantSender({...options, silentOwners: this.silentOwners});
 		this.revocations = new Revocations({...options, silentOwners: this.silentOwners});
 		for (const range of map.ranges) {
 			if (range.owner !== '') {
@@ -106,6 +105,8 @@
 	/** Until `resume`, writes nothing. Renews grants under the present tokens and completes moves that were written, if `mayRenew`. */
 	suspend(mayRenew: boolean): void {
 		this.areMovesSuspended = true;
+		// What a record of an earlier era states of grants does not count.
+		this.endHold();
 		this.areGrantsSuspended ||= !mayRenew;
 	}
 
@@ -244,6 +245,7 @@
 			this.isWriting = false;
 			this.mustRenewFences = false;
 			this.areGrantsSuspended = false;
+			this.hasUnknownWrite = false;
 			this.held.clear();
 			this.applyMap(map);
 			this.options.onChange();
@@ -253,10 +255,28 @@
 				service: this.options.service, isStale, err,
 			});
 			this.hasFailedWrite = true;
+			this.hasUnknownWrite ||= err instanceof UnknownAppendError;
+			if (!this.hasUnknownWrite) {
+				this.endHold();
+			}
+
 			this.options.onFailedWrite(err);
 		});
 	}
 
+	/** Ends the hold of ranges whose move is not written, and renews their grants, as some may be due. */
+	private endHold(): void {
+		const now = this.options.clock.now();
+		for (const range of this.map.ranges) {
+			const grant = this.grants.get(grantKey(range));
+			if (grant !== undefined && this.held.includes(range)) {
+				grant.nextAt = Math.min(grant.nextAt, now);
+			}
+		}
+
+		this.held.clear();
+	}
+
 	/** Applies a new map. Ranges that stay with their owner remain granted. */
 	private applyMap(map: OwnershipMap): void {
 		const formerMap = this.map;
@@ -329,57 +349,32 @@
 
 	private renewIfDue(range: RangeOwnership, now: number): void {
 		const grant = this.grants.get(grantKey(range));
-		const isDue = grant !== undefined && !grant.isInFlight && now >= grant.nextAt && !this.held.includes(range);
-		if (isDue && this.options.findProcess(range.owner) === OwnerProcess.Running) {
-			void this.sendGrant(range, grant);
+		if (grant === undefined || grant.isInFlight || now < grant.nextAt) {
+			return;
 		}
-	}
 
-	private async sendGrant(range: RangeOwnership, grant: GrantState): Promise<void> {
-		const {
-			control, findTarget, clock, timing, telemetry, service, onChange,
-		} = this.options;
-		const target = findTarget(range.owner);
-		const sentAt = clock.now();
-		grant.nextAt = sentAt + retryDelayMs;
-		if (target === undefined) {
+		const isHeld = this.held.includes(range);
+		if ((isHeld && !this.hasFailedWrite) || this.options.findProcess(range.owner) !== OwnerProcess.Running) {
 			return;
 		}
 
-		grant.isInFlight = true;
-		const formerSentAt = grant.lastSentAt;
-		grant.lastSentAt = sentAt;
-		const handover = this.handovers.get(grantKey(range));
-		const wasOpen = grant.isOpen;
-		try {
-			const reply = await control.grant(target, {
-				from: range.from, to: range.to, fence: range.fence, leaseMs: timing.leaseMs, handover,
-			}, timing.transitMs);
-			this.silentOwners.recordAnswer(range.owner);
-			if (reply === GrantReply.Accepted) {
-				recordAccepted(grant, sentAt, timing);
-				grant.nextAt = sentAt + (timing.leaseMs * renewalShare);
-			} else {
-				this.handleRefusal(range, reply);
-			}
-		} catch (err) {
-			if (err instanceof UnsentError) {
-				grant.lastSentAt = formerSentAt;
-			} else {
-				grant.unansweredSentAt = sentAt;
-			}
+		// While the outcome of a write is unknown, only the keys that it moves get no grant.
+		const parts = isHeld ? this.held.withoutHeld(range) : [range];
+		if (parts.length > 0) {
+			void this.sendGrant(range, grant, parts);
+		}
+	}
 
-			this.silentOwners.recordSilence(range, sentAt);
-			telemetry.warn('keeper', 'The target did not answer a grant.', {
-				service, owner: range.owner, from: range.from, to: range.to, fence: range.fence, err,
-			});
-		} finally {
-			grant.isInFlight = false;
+	private async sendGrant(range: RangeOwnership, grant: GrantState, parts: readonly KeyRange[]): Promise<void> {
+		const wasOpen = grant.isOpen;
+		const reply = await this.sender.send(grant, {range, parts, handover: this.handovers.get(grantKey(range))});
+		if (reply !== undefined && reply !== GrantReply.Accepted) {
+			this.handleRefusal(range, reply);
 		}
 
 		if (grant.isOpen !== wasOpen) {
 			this.rangesRevision += 1;
-			onChange();
+			this.options.onChange();
 		}
 	}
 
--- a/packages/gateway/src/mocks/memory-log.ts
+++ b/packages/gateway/src/mocks/memory-log.ts
@@ -8,6 +8,8 @@
 	Refused = 'refused',
 	/** The record is written but the answer is lost. */
 	AnswerLost = 'answer-lost',
+	/** Nothing is written and nothing is answered; the writer can't know which. */
+	Unanswered = 'unanswered',
 }
 
 type StoredRecord = {readonly key: string; readonly value: string; readonly offset: number};
@@ -44,6 +46,10 @@
 			throw new Error('refused');
 		}
 
+		if (fault === AppendFault.Unanswered) {
+			throw new UnknownAppendError('no answer');
+		}
+
 		const rows = this.topic(topic);
 		const offset = rows.length;
 		if (at !== undefined && at !== offset) {
