Elections: large instances come first when a leader is lost without notice

Cause: the delay by which small instances let larger ones come first was drawn at the start and after a stale reading of the store, but not when the leader fell silent, so that whoever had missed pings for 1.4 s first stood for election.

Change: the delay counts from the end of the timeout.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -203,15 +203,21 @@
 			return;
 		}
 
-		const hasLeaderTimedOut = now - this.followed.lastPingAt > leaderTimeoutMs || this.leadership.term === 0;
+		const silentMs = now - this.followed.lastPingAt;
+		const hasLeaderTimedOut = this.leadership.term === 0 || (silentMs > leaderTimeoutMs && silentMs > leaderTimeoutMs + this.sizeDelayMs);
 		const hasStaleLeader = this.followed.storeAgeMs > maxLeaderStoreAgeMs && now - this.followed.since > minFollowMs;
 		if (!this.isLeaving && (hasLeaderTimedOut || hasStaleLeader) && now >= this.nextElectionAt) {
 			void this.elect(false);
 		}
 	}
 
+	/** Delay by which larger instances stand for election before this one, in milliseconds. */
+	private get sizeDelayMs(): number {
+		return electionDelayMs(this.options.self, this.knownInstances.all(), this.options.minStewardCores);
+	}
+
 	private drawElectionDelayMs(): number {
-		return electionDelayMs(this.options.self, this.knownInstances.all()) + (this.options.random() * maxRandomDelayMs);
+		return this.sizeDelayMs + (this.options.random() * maxRandomDelayMs);
 	}
 
 	private async register(): Promise<void> {
