Bundle: msgpackr reads strings without an exception for each message

The bundle replaced msgpackr's optional native add-on by a function that throws when it is called, but msgpackr took this module for the add-on and called its missing extractStrings for each message; the exception, with its stack, was caught and strings were then read in JavaScript. Loading the add-on now fails, as if it were not installed.

In a profile of rejections tryExtractStrings alone had 5.3% of the samples.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -39,16 +39,19 @@
 
 /**
  * Modules of libraries that a gateway never uses and that cost CPU time to load: the HTTP/2 client (targets and the store
- * are called with HTTP/1.1), metrics of the process, of worker processes and for a push gateway, and a native add-on that
- * msgpackr does without.
+ * are called with HTTP/1.1), and metrics of the process, of worker processes and for a push gateway.
  */
-const unusedModules = /(?:undici\/lib\/dispatcher\/client-h2|prom-client\/lib\/(?:pushgateway|cluster|defaultMetrics)|msgpackr-extract\/index)\.js$/;
+const unusedModules = /(?:undici\/lib\/dispatcher\/client-h2|prom-client\/lib\/(?:pushgateway|cluster|defaultMetrics))\.js$/;
+
+/** The optional native add-on of msgpackr. Loading it must fail as if it were not installed: msgpackr calls whatever it loads for each string, and a stand-in that throws then costs a tenth of a request. */
+const nativeAddOn = /msgpackr-extract\/index\.js$/;
 
 /** Replaces modules of libraries by smaller ones. */
 const libraryParts = {
 	name: 'library-parts',
 	setup({onResolve, onLoad}) {
 		onResolve({filter: /^undici$/}, () => ({path: path.resolve('platform/src/bundle/undici.mjs')}));
+		onLoad({filter: nativeAddOn}, () => ({contents: 'throw new Error("not in the bundle");'}));
 		onLoad({filter: unusedModules}, () => ({contents: 'module.exports = () => { throw new Error("not in the bundle"); };'}));
 	},
 };
