Telemetry: log lines are written in batches

Each line was a write of its own in a thread of the pool (sonic-boom with minLength 0). A batch that is dropped counts with all its lines.

--- a/packages/gateway/src/telemetry/bounded-writer.ts
+++ b/packages/gateway/src/telemetry/bounded-writer.ts
@@ -6,17 +6,26 @@
 /** File descriptor of standard output. */
 const standardOutputFd = 1;
 
-/** Writes lines to standard output without blocking on its reader. Drops lines while the buffer is full. */
+/** Longest time for which lines are kept to be written together, in milliseconds. A write of its own for each line wakes a thread and costs more than the line. */
+const batchMs = 50;
+
+/** Length of the kept lines at which they are written at once, in characters. */
+const maxBatchLength = 16 * 1024;
+
+/** Writes lines in batches to standard output without blocking on its reader. Drops lines while the buffer is full. */
 export class BoundedWriter {
 	private readonly stream: SonicBoom.SonicBoom;
 	private droppedLines = 0;
+	private lines: string[] = [];
+	private batchLength = 0;
+	private timer: NodeJS.Timeout | undefined;
 
 	constructor(fd: number = standardOutputFd) {
 		this.stream = new SonicBoom.SonicBoom({
 			fd, sync: false, maxLength: maxBufferedBytes, minLength: 0,
 		});
-		this.stream.on('drop', () => {
-			this.droppedLines += 1;
+		this.stream.on('drop', (batch: string) => {
+			this.droppedLines += batch.split('\n').length - 1;
 		});
 		this.stream.on('error', () => {
 			this.droppedLines += 1;
@@ -28,12 +37,35 @@
 		return this.droppedLines;
 	}
 
+	/** Writes a line, at the latest after `batchMs`. */
 	write(line: string): void {
-		this.stream.write(line + '\n');
+		this.lines.push(line);
+		this.batchLength += line.length;
+		if (this.batchLength >= maxBatchLength) {
+			this.flush();
+		} else {
+			this.timer ??= setTimeout(() => {
+				this.flush();
+			}, batchMs);
+		}
 	}
 
-	/** Writes the buffered lines and closes. */
+	/** Writes the kept lines and closes. May be called as the process exits, which waits for writes that have begun. */
 	end(): void {
+		this.flush();
 		this.stream.end();
 	}
+
+	private flush(): void {
+		clearTimeout(this.timer);
+		this.timer = undefined;
+		if (this.lines.length === 0) {
+			return;
+		}
+
+		const batch = this.lines.join('\n') + '\n';
+		this.lines = [];
+		this.batchLength = 0;
+		this.stream.write(batch);
+	}
 }
--- a/packages/gateway/src/telemetry/telemetry.test.ts
+++ b/packages/gateway/src/telemetry/telemetry.test.ts
@@ -1,4 +1,7 @@
-import {openSync} from 'node:fs';
+import {mkdtempSync, openSync, readFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {ManualClock} from '@bluebellyard/core';
 import {configureLogging} from '@bluebellyard/router/logging';
@@ -36,3 +39,34 @@
 	// The writer closes the descriptor, which it owns from its start.
 	writer.end();
 });
+
+/*
+Lines are written in batches, and a drop concerns a whole batch: guards against lines that are lost or counted as one when
+a batch is dropped, and against lines that are never written since nothing follows them.
+*/
+test('each line is written or counted as dropped', async t => {
+	const path = join(mkdtempSync(join(tmpdir(), 'bounded-writer-')), 'log');
+	const writer = new BoundedWriter(openSync(path, 'w'));
+	const lines = Array.from({length: 5000}, (_, i) => `${i} ${'x'.repeat(200)}`);
+	for (const line of lines) {
+		writer.write(line);
+	}
+
+	writer.end();
+	const written = lines.length - writer.dropped;
+	t.true(written > 0 && written < lines.length);
+	while (readFileSync(path, 'utf8').split('\n').length - 1 < written) {
+		// eslint-disable-next-line no-await-in-loop
+		await sleep(10);
+	}
+
+	t.true(readFileSync(path, 'utf8').startsWith(`${lines[0]}\n${lines[1]}\n`));
+	const last = new BoundedWriter(openSync(path, 'w'));
+	last.write('the only line');
+	while (readFileSync(path, 'utf8') !== 'the only line\n') {
+		// eslint-disable-next-line no-await-in-loop
+		await sleep(10);
+	}
+
+	last.end();
+});
