Requests: a light cancellation signal, and bodies of known length without an iterator

AbortController and its EventTarget took 2.3% of the CPU time of a request in a profile, the async iterator of the body another percent. Cancellation has the part of AbortSignal that requests use; an AbortSignal still fits wherever a signal is taken. The type of the signal in peers.test.ts follows.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -7,6 +7,7 @@
 } from '@bluebellyard/core';
 import type {DispatchQueues} from '../queue/index.js';
 import {PeerOp} from '../cluster/index.js';
+import type {CancelSignal} from '../net/index.js';
 import {
 	isUnsent, type Message, type PeerNet,
 } from '../peers/index.js';
@@ -99,7 +100,7 @@
 	}
 
 	/** Runs an order. `maxTargets` is the number of targets that it may be sent to. Never rejects. */
-	async run(order: Order, maxTargets: number, signal: AbortSignal): Promise<OrderResult> {
+	async run(order: Order, maxTargets: number, signal: CancelSignal): Promise<OrderResult> {
 		this.getBudget(order.service).deposit(this.options.clock.now());
 		const tried: string[] = [];
 		let combined: OrderResult | undefined;
@@ -118,7 +119,7 @@
 	}
 
 	/** Runs an order that another instance forwarded to a dispatch queue of this one. */
-	async runForPeer({value, bytes}: Message, signal: AbortSignal): Promise<Message> {
+	async runForPeer({value, bytes}: Message, signal: CancelSignal): Promise<Message> {
 		const wire = value as WireOrder;
 		const isSteward = this.options.view.findSteward(wire.desk) === this.options.self.name;
 		const order = decodeOrder(wire, bytes, {now: this.options.clock.now(), skipsRateLimited: !isSteward});
@@ -131,7 +132,7 @@
 		order: Order,
 		result: OrderResult,
 		{attempts, tried, maxTargets}: {attempts: number; tried: string[]; maxTargets: number},
-		signal: AbortSignal,
+		signal: CancelSignal,
 	): Promise<boolean> {
 		const {clock, telemetry} = this.options;
 		const isKeyed = order.key !== undefined && this.isSharded(order.service);
@@ -169,7 +170,7 @@
 	}
 
 	/** Runs an order once; as a trial, if the leader permits it, when it is known or turns out that targets ended under the same request. */
-	private async attemptUnlessSuspect(order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async attemptUnlessSuspect(order: Order, signal: CancelSignal): Promise<OrderResult> {
 		const {guard} = this.options;
 		const known = guard.findSuspect(order);
 		if (known === undefined) {
@@ -183,7 +184,7 @@
 		return await this.trials.run(order, {print, isTold: known === undefined, signal}, async trial => this.attempt(trial, signal)) ?? this.attempt(order, signal);
 	}
 
-	private async attempt(order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async attempt(order: Order, signal: CancelSignal): Promise<OrderResult> {
 		return this.isSharded(order.service) ? this.attemptKeyed(order, signal) : this.attemptShared(order, signal);
 	}
 
@@ -191,7 +192,7 @@
 		return this.options.view.allServices.get(service)?.isSharded ?? false;
 	}
 
-	private async attemptKeyed(order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async attemptKeyed(order: Order, signal: CancelSignal): Promise<OrderResult> {
 		const {view, clock} = this.options;
 		const {key, service} = order;
 		if (key === undefined) {
@@ -220,7 +221,7 @@
 		}
 	}
 
-	private async attemptShared(order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async attemptShared(order: Order, signal: CancelSignal): Promise<OrderResult> {
 		const {
 			self, clock, random, queues,
 		} = this.options;
@@ -291,7 +292,7 @@
 	}
 
 	/** Sends an order to the steward of a dispatch queue. An order that an instance gives back unsent goes to another one; this costs no retry budget. */
-	private async send(queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async send(queueId: string, order: Order, signal: CancelSignal): Promise<OrderResult> {
 		for (let returns = 0; ; returns += 1) {
 			const {node, isSteward} = this.router.select(queueId);
 			// Where the order goes depends on whether it was given back.
@@ -308,13 +309,13 @@
 	}
 
 	/** Runs an order in the dispatch queue of this instance. The steward adds the load of the queue where that is used. */
-	private async runHere(queueId: string, order: Order, {isSteward, signal}: {isSteward: boolean; signal: AbortSignal}): Promise<OrderResult> {
+	private async runHere(queueId: string, order: Order, {isSteward, signal}: {isSteward: boolean; signal: CancelSignal}): Promise<OrderResult> {
 		const result = await this.options.queues.run(queueId, {...order, skipsRateLimited: !isSteward}, signal);
 		return isSteward ? this.withLoad(result, queueId, order) : result;
 	}
 
 	/** Forwards an order to another instance, or runs it here if that one can't be reached. */
-	private async sendTo(node: NodeInfo, queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async sendTo(node: NodeInfo, queueId: string, order: Order, signal: CancelSignal): Promise<OrderResult> {
 		const {queues, telemetry, clock} = this.options;
 		const now = clock.now();
 		const left = {objectiveMs: order.objectiveAt - now, deadlineMs: order.deadline - now};
@@ -349,7 +350,7 @@
 		}
 	}
 
-	private async forward(addr: string, queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
+	private async forward(addr: string, queueId: string, order: Order, signal: CancelSignal): Promise<OrderResult> {
 		const now = this.options.clock.now();
 		const wire = encodeOrder(order, queueId, now);
 		const timeoutMs = Math.max(1, Math.ceil(order.deadline - now + forwardSlackMs));
@@ -358,7 +359,7 @@
 	}
 
 	/** Waits for a change of the view, the given time or an abort, whichever is first. */
-	private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
+	private async waitForChange(ms: number, signal: CancelSignal): Promise<void> {
 		return new Promise(resolve => {
 			const done = () => {
 				clearTimeout(timer);
--- a/packages/gateway/src/dispatch/trial-runner.ts
+++ b/packages/gateway/src/dispatch/trial-runner.ts
@@ -1,6 +1,7 @@
 import {
 	ErrorKind, quarantineMs, RunMode, TrialOutcome, type Clock, type TrialDecision,
 } from '@bluebellyard/core';
+import type {CancelSignal} from '../net/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {CrashGuard} from './crash-guard.js';
 import {failure, type Order, type OrderResult} from './order.js';
@@ -21,14 +22,14 @@
 	/** Tells the leader how a trial ended. */
 	readonly reportEnd: (print: string, outcome: TrialOutcome) => void;
 	/** Waits for a change of the view, the given time in milliseconds or an abort, whichever is first. */
-	readonly waitForChange: (ms: number, signal: AbortSignal) => Promise<void>;
+	readonly waitForChange: (ms: number, signal: CancelSignal) => Promise<void>;
 };
 
 /** A suspected order: its fingerprint, whether a steward told so, and the signal that its caller left. */
 export type SuspectedOrder = {
 	readonly print: string;
 	readonly isTold: boolean;
-	readonly signal: AbortSignal;
+	readonly signal: CancelSignal;
 };
 
 /**
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -12,7 +12,7 @@
 import type {AdmittedRequest, TeamAdmission} from '../teams/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
-import {listen, waitForPendingReads} from '../net/index.js';
+import {Cancellation, listen, waitForPendingReads} from '../net/index.js';
 import type {OverloadCheck} from './overload-check.js';
 import {sendFailure, getHttpStatus} from './refusal.js';
 
@@ -122,7 +122,7 @@
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, wire, telemetry} = this.options;
 		const arrivedAt = clock.now();
-		const abort = new AbortController();
+		const abort = new Cancellation();
 		const abortUnfinished = () => {
 			if (!res.writableFinished) {
 				abort.abort();
@@ -151,7 +151,7 @@
 		}
 	}
 
-	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: AbortController): Promise<Outcome> {
+	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: Cancellation): Promise<Outcome> {
 		const {view, admission, clock} = this.options;
 		if (view.configVersion === undefined) {
 			return {result: failure(ErrorKind.NotReady, {retryAfterMs: startingRetryMs, reason: 'no configuration yet'})};
@@ -177,9 +177,8 @@
 	}
 
 	/** Reads the body of a request and runs it. */
-	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: AbortController): Promise<Outcome> {
+	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: Cancellation): Promise<Outcome> {
 		const {view, dispatcher, clock} = this.options;
-		// The controller creates its signal on first use, which requests that were refused before do not pay for.
 		const {signal} = abort;
 		const body = await readBody(req, view.limits.bodyBytes);
 		if (body === undefined) {
@@ -335,6 +334,26 @@
 		return Buffer.alloc(0);
 	}
 
+	return Number(req.headers['content-length']) <= maxBytes ? readKnownLength(req) : readChunks(req, maxBytes);
+}
+
+/** Reads a body that is as long as its header states, without the cost of an iterator. Resolves to undefined if the caller disconnects. */
+async function readKnownLength(req: IncomingMessage): Promise<Buffer | undefined> {
+	return new Promise(resolve => {
+		const chunks: Buffer[] = [];
+		req.on('data', (chunk: Buffer) => {
+			chunks.push(chunk);
+		});
+		req.once('end', () => {
+			resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+		});
+		req.once('close', () => {
+			resolve(undefined);
+		});
+	});
+}
+
+async function readChunks(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
 	const chunks: Buffer[] = [];
 	let size = 0;
 	try {
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
-import {waitForPendingReads} from '../net/index.js';
+import {Cancellation, waitForPendingReads, type CancelSignal} from '../net/index.js';
 import {
 	FrameReader, FrameWriter, noBytes, type Message,
 } from './frames.js';
@@ -45,12 +45,12 @@
 }
 
 /** Handles a call of another instance. `signal` aborts when the caller cancels the call or the link closes. */
-export type CallHandler = (op: string, message: Message, signal: AbortSignal) => Promise<Message>;
+export type CallHandler = (op: string, message: Message, signal: CancelSignal) => Promise<Message>;
 
 /** Conditions that cancel a call. The timeout is a plain timer, since `AbortSignal.timeout` costs more than the rest of a call. */
 export type CallOptions = {
 	/** Aborts when the reply is no longer needed. */
-	readonly signal?: AbortSignal;
+	readonly signal?: CancelSignal;
 	/** Longest wait for the reply, in milliseconds. */
 	readonly timeoutMs?: number;
 };
@@ -65,7 +65,7 @@
 	private readonly reader = new FrameReader();
 	private readonly writer = new FrameWriter();
 	private readonly openCalls = new Map<number, OpenCall>();
-	private readonly runningCalls = new Map<number, AbortController>();
+	private readonly runningCalls = new Map<number, Cancellation>();
 	private nextNumber = 1;
 	private receivedAt: number;
 	/** When received data was last checked for. */
@@ -194,7 +194,7 @@
 	}
 
 	private async run(number: number, op: string, message: Message): Promise<void> {
-		const abort = new AbortController();
+		const abort = new Cancellation();
 		this.runningCalls.set(number, abort);
 		// If the event loop lags, the other side may have cancelled the call already.
 		await waitForPendingReads();
--- a/packages/gateway/src/peers/peers.test.ts
+++ b/packages/gateway/src/peers/peers.test.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {systemClock} from '@bluebellyard/core';
+import type {CancelSignal} from '../net/index.js';
 import {FrameReader, FrameWriter, type Message} from './frames.js';
 import {LinkError} from './peer-link.js';
 import {PeerNet} from './peer-net.js';
@@ -88,11 +89,11 @@
 });
 
 test('aborting a call aborts its handler', async t => {
-	const work = new Promise<AbortSignal>(resolve => {
+	const work = new Promise<CancelSignal>(resolve => {
 		t.context = resolve;
 	});
 	const {net, addr, close} = await pair(async (_op, _body, signal) => new Promise(() => {
-		(t.context as (signal: AbortSignal) => void)(signal);
+		(t.context as (signal: CancelSignal) => void)(signal);
 	}));
 	const abort = new AbortController();
 	const call = net.call(addr, 'wait', 0, {signal: abort.signal});
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -11,6 +11,7 @@
 import {
 	failure, hasReturned, type Order, type OrderResult,
 } from '../dispatch/order.js';
+import type {CancelSignal} from '../net/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {CrashDetector} from './crash-detector.js';
 import {SenderRole, type ConditionTracker} from './condition-tracker.js';
@@ -61,7 +62,7 @@
 
 type PendingOrder = {
 	readonly order: Order;
-	readonly signal: AbortSignal;
+	readonly signal: CancelSignal;
 	readonly queuedAt: number;
 	readonly settle: (result: OrderResult) => void;
 };
@@ -156,7 +157,7 @@
 	}
 
 	/** Queues an order and sends it once a target has a free slot. Never rejects. */
-	async run(order: Order, signal: AbortSignal): Promise<OrderResult> {
+	async run(order: Order, signal: CancelSignal): Promise<OrderResult> {
 		const {clock, estimator, paths} = this.options;
 		if (paths.isReleased) {
 			return failure(ErrorKind.NotSteward, {retryAfterMs: refusalRetryMs, reason: releaseReason});
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -3,6 +3,7 @@
 } from '@bluebellyard/core';
 import type {CrashGuard} from '../dispatch/crash-guard.js';
 import type {Order, OrderResult} from '../dispatch/order.js';
+import type {CancelSignal} from '../net/index.js';
 import type {TargetHeaders, TargetRef} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
@@ -99,7 +100,7 @@
 	}
 
 	/** Runs an order through a dispatch queue. Never rejects. */
-	async run(id: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
+	async run(id: string, order: Order, signal: CancelSignal): Promise<OrderResult> {
 		return this.getQueue(id).run(order, signal);
 	}
 
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {AttemptOutcome, type Clock} from '@bluebellyard/core';
+import type {CancelSignal} from '../net/index.js';
 import type {HeaderList, TargetHeaders, Wire} from '../ports/index.js';
 import {TrackedClient, type ConnectionState} from './tracked-client.js';
 
@@ -38,7 +39,7 @@
 	readonly isOnce: boolean;
 	/** Largest number of idle connections kept to this target. */
 	readonly connections: number;
-	readonly signal: AbortSignal;
+	readonly signal: CancelSignal;
 	readonly observer?: ConnectionObserver;
 };
 
