A new leader sends changes, not whole views, to followers of the former one

Cause: the changes of a term were based on exactly one state of the former leader, the one that the next leader had. Followers are pinged at times of their own, so that with many instances most have another state and needed the whole view: 41 to 46 kB each with 999 targets, and some 24 ms of CPU time at a whole core. Their pings timed out and the whole views were sent again. A new configuration also waited for the interval between two pings to an instance (2.5 ms for each instance), for the timeout of a ping on its way, and for a second after it.

Change: every instance keeps the states of its view of the last 5 s with the values that changed (ViewReplica). The next leader sends the rows that changed there since an earlier state, encoded once, to all followers that have a state since then; a follower that is ahead of it first returns to a state that both have had. An older configuration never replaces a newer one, as before. A new configuration is sent at once, also beside a ping on its way, and again after 0.1 s to an instance that did not answer.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -20,7 +20,7 @@
 import {Leader} from './leader.js';
 import {LeaderChannel} from './leader-channel.js';
 import {
-	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type Ping, type Pong, type Report, type ViewState,
+	PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type Ping, type Pong, type Report,
 } from './messages.js';
 import {KnownInstances, type KnownInstancesOptions} from './known-instances.js';
 import {FeedReader} from './feed-reader.js';
@@ -29,6 +29,7 @@
 import {loadSuspects} from './load-suspects.js';
 import {Registration} from './registration.js';
 import {SuspectLog} from './suspect-log.js';
+import {ViewReplica} from './view-replica.js';
 
 /** Interval between two ticks, in milliseconds. */
 const tickIntervalMs = 100;
@@ -77,8 +78,7 @@
 	private leader: Leader | undefined;
 	private readonly handover: LeadHandover;
 	private readonly followed: FollowedLeader;
-	/** State of the view; undefined if it does not match any state that a leader sent. */
-	private viewState: ViewState | undefined;
+	private readonly replica: ViewReplica;
 	private isElecting = false;
 	private isStopped = false;
 	private nextElectionAt: number;
@@ -97,6 +97,7 @@
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
 		});
+		this.replica = new ViewReplica(options.view, clock);
 		this.followed = new FollowedLeader(clock, options.usesContactBound);
 		this.handover = new LeadHandover(options);
 		this.leaderChannel = new LeaderChannel({...options, leader: () => this.leader, leaderNode: () => this.followed.node});
@@ -241,20 +242,15 @@
 				this.nextElectionAt = clock.now() + (this.drawElectionDelayMs() / 2);
 			}
 
-			const delta = unpackDelta(changes);
-			if (delta?.isFull === true || isSameState(ping.base, this.viewState)) {
-				this.viewState = {leader: ping.leader.incarnation, term, seq: ping.seq};
-				if (delta !== undefined && !view.apply(delta)) {
-					telemetry.info('follower', 'Changes of the configuration are based on another one than the one kept here; asking for the whole view.', {version: view.configVersion, term});
-					this.viewState = undefined;
-				}
+			if (!this.replica.receive(ping, unpackDelta(changes))) {
+				telemetry.info('follower', 'Changes of the configuration are based on another one than the one kept here; asking for the whole view.', {version: view.configVersion, term});
 			}
 		}
 
 		return {
 			...this.leadership,
 			...this.followed.describeAnswer((this.directory.announcedEra ?? -1) >= era),
-			incarnation: self.incarnation, viewState: this.viewState, report: {...report(), isLeaving: this.isLeaving},
+			incarnation: self.incarnation, viewState: this.replica.state, report: {...report(), isLeaving: this.isLeaving},
 		};
 	}
 
@@ -312,7 +308,7 @@
 			}
 
 			case ElectionOutcome.LeaderUnreachable: {
-				this.viewState = undefined;
+				this.replica.clear();
 				this.reader.start();
 				break;
 			}
@@ -348,7 +344,7 @@
 			suspectLog: this.suspectLog,
 			directory: this.directory,
 			reader: this.reader,
-			baseState: this.viewState === undefined || view.keepsOwnConfig ? undefined : {state: this.viewState, seq: view.store.lastSeq},
+			baseState: this.replica.createBase(),
 			isLeaving: () => this.isLeaving,
 			onSuperseded: () => {
 				this.stepDown('the store names another leader');
@@ -375,7 +371,7 @@
 		this.options.telemetry.info('leader', 'This instance is no longer leader.', {reason, ...this.leadership});
 		if (this.leader !== undefined) {
 			const {leadership} = this.leader;
-			this.viewState = {leader: this.options.self.incarnation, term: leadership.term, seq: this.options.view.store.lastSeq};
+			this.replica.reset({leader: this.options.self.incarnation, term: leadership.term, seq: this.options.view.store.lastSeq});
 			if (compareLeaderships(leadership, this.followed.leadership) > 0) {
 				this.followed.leadership = leadership;
 				this.followed.formerSendEnds = this.leader.formerSendEnds;
--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -3,10 +3,11 @@
 import type {Message} from '../peers/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {View, type NodeInfo} from '../view/index.js';
-import {FollowerSync, type BaseState} from './follower-sync.js';
+import {FollowerSync} from './follower-sync.js';
 import {
 	isSameState, unpackDelta, type Ping, type Pong, type ViewState,
 } from './messages.js';
+import type {BaseState} from './view-replica.js';
 
 function node(name: string): NodeInfo {
 	return {
@@ -14,6 +15,11 @@
 	};
 }
 
+/** Returns the base of a term of an instance that has had no other state. */
+function createBase(state: ViewState, view: View): BaseState {
+	return {assumed: state, steps: [{state, seq: view.store.lastSeq}]};
+}
+
 /** Runs a leader of term 2 with one follower in a given state; resolves to the keys of each ping to the follower. */
 async function runSync(followerState: ViewState | undefined, makeBaseState: (view: View) => BaseState | undefined): Promise<string[][]> {
 	const view = new View();
@@ -74,12 +80,12 @@
 
 test('an instance with the state of the former leader receives only the changes since then', async t => {
 	const state = {leader: 'former', term: 1, seq: 77};
-	const sent = await runSync(state, view => ({state, seq: view.store.lastSeq}));
+	const sent = await runSync(state, view => createBase(state, view));
 	t.deepEqual(sent, [['node/follower']]);
 });
 
 test('an instance with another state receives the whole view once', async t => {
-	const sent = await runSync({leader: 'former', term: 1, seq: 70}, view => ({state: {leader: 'former', term: 1, seq: 77}, seq: view.store.lastSeq}));
+	const sent = await runSync({leader: 'former', term: 1, seq: 70}, view => createBase({leader: 'former', term: 1, seq: 77}, view));
 	t.deepEqual(sent.map(keys => keys.length), [1, 101]);
 });
 
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -5,13 +5,14 @@
 import type {Clock} from '@bluebellyard/core';
 import {noBytes, type PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import type {NodeInfo, View} from '../view/index.js';
+import {configPart, type NodeInfo, type View} from '../view/index.js';
 import type {SendEnds} from './former-leaders.js';
 import type {ContactStatement} from './leader-contacts.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {
-	isSameState, packDelta, toFormerEnds, PeerOp, type Ping, type Pong, type ViewState,
+	isSameState, packDelta, toFormerEnds, PeerOp, type Ping, type Pong, type StateRange, type ViewState,
 } from './messages.js';
+import type {BaseState} from './view-replica.js';
 
 /** Interval between two pings to an instance while nothing changes, in milliseconds. */
 const pingIntervalMs = 600;
@@ -34,6 +35,15 @@
  */
 const minPingIntervalPerNodeMs = 2.5;
 
+/** Time after a change of the configuration, or the start of a term, in which instances that may lack the configuration are pinged more often, in milliseconds: the longest time within which one must be in force. */
+const configDelayMs = 3000;
+
+/** Interval between two pings to such an instance, also after one without an answer, in milliseconds. */
+const configRetryMs = 100;
+
+/** Most pings without an answer to one instance: one, and one with a new configuration. */
+const maxInFlight = 2;
+
 /** Options of `FollowerSync`. */
 export type FollowerSyncOptions = {
 	readonly self: NodeInfo;
@@ -43,7 +53,7 @@
 	readonly net: Pick<PeerNet, 'exchange'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
-	/** State of this instance's view at the start of its term; instances with the same state only need the changes since then. */
+	/** States of former leaders on which the term is based; instances with such a state only need the changes since then. */
 	readonly baseState: BaseState | undefined;
 	/** Returns whether this instance is about to stop. */
 	readonly isLeaving: () => boolean;
@@ -57,15 +67,9 @@
 	readonly onPong: (node: NodeInfo, pong: Pong, sentAt: number) => void;
 };
 
-/** The state of a former leader on which a term is based. */
-export type BaseState = {
-	readonly state: ViewState;
-	/** Sequence number of that state in the store of this instance. */
-	readonly seq: number;
-};
-
 type Follower = {
-	isInFlight: boolean;
+	/** Number of pings without an answer so far. */
+	inFlight: number;
 	/** State that it reported, or is assumed to have. */
 	viewState: ViewState | undefined;
 	/** Whether it reported a state on which no changes can be based, so that it needs the whole view. */
@@ -75,6 +79,8 @@
 	nextAt: number;
 	/** Time at which the last ping was sent. */
 	sentAt: number;
+	/** Sequence number of the view that the last ping brought it to. */
+	sentSeq: number;
 	isLeaving: boolean;
 	/** Stamp of the last answer; the next ping repeats it. */
 	stamp: number | undefined;
@@ -88,6 +94,9 @@
 	private readonly packedDeltas = new Map<number, Buffer | Promise<Buffer>>();
 	/** Sequence number of the store up to which `packedDeltas` reach. */
 	private packedSeq = -1;
+	/** Sequence number of the configuration, and when it was first to be sent. */
+	private configSeq = -1;
+	private configChangedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: FollowerSyncOptions) {
 		this.options = options;
@@ -117,10 +126,19 @@
 		return [...(isLeaving() ? [] : [self]), ...others];
 	}
 
-	/** Sends the pings that are due: with changes as soon as the pace allows, otherwise at intervals. */
+	/**
+	 * Sends the pings that are due: with a new configuration at once, with other changes as soon as the pace allows,
+	 * otherwise at intervals.
+	 */
 	sendDue(now: number, storeAgeMs: number): void {
 		const {view, self} = this.options;
 		const nodes = view.nodes();
+		const configSeq = view.store.lastSeqOfPart(configPart);
+		if (configSeq !== this.configSeq) {
+			this.configSeq = configSeq;
+			this.configChangedAt = now;
+		}
+
 		const minIntervalMs = nodes.length * minPingIntervalPerNodeMs;
 		for (const node of nodes) {
 			if (node.name === self.name) {
@@ -131,9 +149,11 @@
 			const isBehind = !isSameState(follower.viewState, this.stateAt(view.store.lastSeq));
 			const isLost = now - follower.repliedAt > lostAfterMs;
 			const isFrequentPingDue = storeAgeMs > frequentPingStoreAgeMs && now - follower.sentAt > frequentPingStoreAgeMs;
-			const isThrottled = now - follower.sentAt < minIntervalMs;
+			const isThrottled = now - follower.sentAt < (this.mayLackConfig(follower) ? Math.min(minIntervalMs, configRetryMs) : minIntervalMs);
+			// A configuration does not wait for the answer to an earlier ping, as that may take until its timeout.
+			const isConfigDue = follower.sentSeq < configSeq && follower.inFlight < maxInFlight;
 			const isDue = now >= follower.nextAt || (!isLost && !isThrottled && (isBehind || isFrequentPingDue));
-			if (!follower.isInFlight && isDue) {
+			if (isConfigDue || (follower.inFlight === 0 && isDue)) {
 				void this.ping(node, follower, storeAgeMs);
 			}
 		}
@@ -147,7 +167,8 @@
 
 		// A new instance counts as live until it does not answer.
 		const follower: Follower = {
-			isInFlight: false, viewState: this.options.baseState?.state, isFullSyncNeeded: false, repliedAt: now, nextAt: now, sentAt: Number.NEGATIVE_INFINITY, isLeaving: false, stamp: undefined,
+			inFlight: 0, viewState: this.options.baseState?.assumed, isFullSyncNeeded: false, repliedAt: now, nextAt: now,
+			sentAt: Number.NEGATIVE_INFINITY, sentSeq: -1, isLeaving: false, stamp: undefined,
 		};
 		this.followers.set(node.name, follower);
 		return follower;
@@ -155,13 +176,16 @@
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
 		const {net, view, self, leadership, clock, telemetry, onPong, contactStatement} = this.options;
-		const since = this.findBaseSeq(follower.viewState);
-		const base = since === undefined ? undefined : follower.viewState;
+		// Messages of a link keep their order, so that an earlier ping is applied before this one.
+		const assumed = follower.inFlight > 0 && follower.sentSeq >= 0 ? this.stateAt(follower.sentSeq) : follower.viewState;
+		const since = this.findBaseSeq(assumed);
+		const base = since === undefined ? undefined : assumed;
 		const seq = view.store.lastSeq;
 		const startedAt = clock.now();
 		const packed = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
-		follower.isInFlight = true;
+		follower.inFlight += 1;
 		follower.sentAt = startedAt;
+		follower.sentSeq = seq;
 		try {
 			const bytes = packed instanceof Promise ? await packed : packed;
 			const now = clock.now();
@@ -175,6 +199,7 @@
 				formerEndsMs: toFormerEnds(this.options.formerSendEnds(), now),
 				...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
 				base,
+				...(since !== undefined && bytes.length > 0 && {bases: this.listBases(since, seq)}),
 				seq,
 			};
 			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, {timeoutMs: pingTimeoutMs});
@@ -189,12 +214,18 @@
 				telemetry.info('leader', 'An instance did not answer a ping.', {instance: node.name, err});
 			}
 
-			follower.nextAt = clock.now() + lostPingIntervalMs;
+			follower.nextAt = clock.now() + (this.mayLackConfig(follower) ? configRetryMs : lostPingIntervalMs);
 		} finally {
-			follower.isInFlight = false;
+			follower.inFlight -= 1;
 		}
 	}
 
+	/** Returns whether an instance may lack a configuration that must soon be in force everywhere. */
+	private mayLackConfig({viewState}: Follower): boolean {
+		const isKnown = viewState !== undefined && viewState.seq >= this.configSeq && isSameState(viewState, this.stateAt(viewState.seq));
+		return !isKnown && this.options.clock.now() - this.configChangedAt < configDelayMs;
+	}
+
 	/** Returns the sequence number of a state in the store of this instance; undefined if changes cannot be based on it. */
 	private findBaseSeq(state: ViewState | undefined): number | undefined {
 		const {baseState} = this.options;
@@ -202,7 +233,29 @@
 			return state.seq;
 		}
 
-		return isSameState(state, baseState?.state) ? baseState?.seq : undefined;
+		const steps = baseState?.steps.filter(step => step.state.leader === state?.leader && step.state.term === state.term) ?? [];
+		const isReached = state !== undefined && steps.some(step => step.state.seq >= state.seq);
+		return isReached ? steps.findLast(step => step.state.seq <= state.seq)?.seq : undefined;
+	}
+
+	/** Returns the states to which the changes after a sequence number apply: those of this term, and those that this instance had before it. */
+	private listBases(since: number, seq: number): StateRange[] {
+		const own = this.stateAt(seq);
+		const ranges: StateRange[] = [{
+			leader: own.leader, term: own.term, from: since, to: seq,
+		}];
+		for (const {state: {leader, term, seq: at}} of this.options.baseState?.steps.filter(step => step.seq >= since) ?? []) {
+			const index = ranges.findIndex(range => range.leader === leader && range.term === term);
+			if (index === -1) {
+				ranges.push({
+					leader, term, from: at, to: at,
+				});
+			} else {
+				ranges[index] = {...ranges[index], to: Math.max(ranges[index].to, at)};
+			}
+		}
+
+		return ranges;
 	}
 
 	private stateAt(seq: number): ViewState {
--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -15,3 +15,5 @@
 export * from './suspect-registry.js';
 export * from './cut-off-instances.js';
 export * from './lead-handover.js';
+export * from './follower-sync.js';
+export * from './view-replica.js';
--- a/packages/gateway/src/cluster/leader-options.ts
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -5,13 +5,13 @@
 import type {NodeInfo, View} from '../view/index.js';
 import type {Directory} from './directory.js';
 import type {FeedReader} from './feed-reader.js';
-import type {BaseState} from './follower-sync.js';
 import type {SendEnds} from './former-leaders.js';
 import type {LastContacts} from './last-contacts.js';
 import type {LeaderRecord} from './leader-record.js';
 import type {Report} from './messages.js';
 import type {OwnerLog} from './owner-log.js';
 import type {SuspectLog} from './suspect-log.js';
+import type {BaseState} from './view-replica.js';
 
 /** Options of `Leader`. */
 export type LeaderOptions = {
@@ -40,7 +40,7 @@
 	readonly detectsSurges?: () => boolean;
 	/** Processor time in cores below which an instance gets queues only if its domain has no larger one. */
 	readonly minStewardCores?: number;
-	/** State of a former leader on which the view of this instance is based. */
+	/** States of former leaders on which the changes of this term can be based. */
 	readonly baseState: BaseState | undefined;
 	/** Returns the measurements of this instance since the last call. */
 	readonly report: () => Report;
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -53,6 +53,12 @@
 	readonly seq: number;
 };
 
+/** States of the view at one leader, from one sequence number to another. */
+export type StateRange = Pick<ViewState, 'leader' | 'term'> & {
+	readonly from: number;
+	readonly to: number;
+};
+
 /** Times until which former leaders may send grants, in milliseconds from the time of the message, by their names. */
 export type FormerEnds = Readonly<Record<string, number>>;
 
@@ -69,6 +75,8 @@
 	readonly contact?: ContactMessage;
 	/** State to which the changes apply; undefined if they are the whole content or if there are none. */
 	readonly base: ViewState | undefined;
+	/** Further states to which the changes apply; absent without changes and from instances of an earlier version. */
+	readonly bases?: readonly StateRange[];
 	/** Sequence number of the view after the changes. */
 	readonly seq: number;
 };
@@ -204,3 +212,8 @@
 export function isSameState(a: ViewState | undefined, b: ViewState | undefined): boolean {
 	return a !== undefined && a.leader === b?.leader && a.term === b.term && a.seq === b.seq;
 }
+
+/** Returns the range that contains a state. */
+export function findRange(ranges: readonly StateRange[], state: ViewState): StateRange | undefined {
+	return ranges.find(({leader, term, from, to}) => leader === state.leader && term === state.term && from <= state.seq && state.seq <= to);
+}
--- a/packages/gateway/src/mocks/index.ts
+++ b/packages/gateway/src/mocks/index.ts
@@ -13,3 +13,4 @@
 export * from './simulated-process.js';
 export * from './lost-leader-simulation.js';
 export * from './lost-leader-types.js';
+export * from './follower-fleet.js';
--- a/packages/gateway/src/view/delta-store.ts
+++ b/packages/gateway/src/view/delta-store.ts
@@ -95,12 +95,25 @@
 		}
 
 		this.changePart(key).rows.delete(key);
-		this.tombstones.delete(key);
-		this.tombstones.set(key, this.seq);
-		this.trimTombstones();
+		this.recordRemoval(key);
 		return true;
 	}
 
+	/** Numbers rows as changed although their values stay, so that the next delta has them; keys without a row count as removed. */
+	touch(keys: Iterable<string>): void {
+		for (const key of new Set(keys)) {
+			const row = this.rows.get(key);
+			const part = this.changePart(key);
+			if (row === undefined) {
+				this.recordRemoval(key);
+			} else {
+				const touched = {...row, seq: this.seq};
+				this.rows.set(key, touched);
+				part.rows.set(key, touched);
+			}
+		}
+	}
+
 	/** Returns the changes after a sequence number, or the whole content if the removals since then are no longer known. */
 	deltaSince(seq: number): Delta {
 		const isFull = seq < this.oldestBase || seq > this.seq;
@@ -147,7 +160,9 @@
 		return part;
 	}
 
-	private trimTombstones(): void {
+	private recordRemoval(key: string): void {
+		this.tombstones.delete(key);
+		this.tombstones.set(key, this.seq);
 		const [oldest] = this.tombstones;
 		if (this.tombstones.size > maxTombstones) {
 			this.oldestBase = oldest[1];
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -41,6 +41,9 @@
 	headerBytes: 16_384, bodyBytes: 67_108_864, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
 
+/** Part of the view with the version of the active configuration; changes last and with each configuration. */
+export const configPart = 'config';
+
 /** Part of the view with the limits that targets name, by target id, in requests per second. */
 export const limitPart = 'limit';
 
