Stewards: queues with large responses go to instances by bandwidth

Cause: each dispatch queue counted the same when stewards were assigned, whether it was that of one target or that of a shared service in a whole domain, and bandwidth was not considered. The responses of one domain of the deployment with large responses (29 Mbit/s) could go through an instance with a link of 18 Mbit/s.

Change: an instance states its bandwidth (setting [instance] link). While a route has large responses, queues count by the slots of their targets; those of services with such a route are assigned by the scarcer of CPU time and bandwidth, and move only if that at least halves the load of the link. Otherwise the plan is the same as before.

--- a/packages/gateway/src/cluster/directory.ts
+++ b/packages/gateway/src/cluster/directory.ts
@@ -6,7 +6,7 @@
 const topic = 'keyed.bluebellyard-nodes';
 
 const nodeSchema = z.object({
-	name: z.string(), incarnation: z.string(), domain: z.string(), addr: z.string(), cores: z.number().positive().default(1),
+	name: z.string(), incarnation: z.string(), domain: z.string(), addr: z.string(), cores: z.number().positive().default(1), linkMbps: z.number().positive().optional(),
 });
 
 /** Register of all instances that ever started; each one writes its own entry. */
--- a/packages/gateway/src/cluster/steward-assignment.ts
+++ b/packages/gateway/src/cluster/steward-assignment.ts
@@ -1,13 +1,15 @@
+import type {Telemetry} from '../telemetry/index.js';
 import {
-	sharedQueueId, targetQueueId, type NodeInfo, type View,
+	sharedQueueId, targetQueueId, weighQueues, type NodeInfo, type View,
 } from '../view/index.js';
 import {withoutCutOff} from './cut-off-instances.js';
 import type {FeedReader} from './feed-reader.js';
-import {planStewards, type QueueToAssign} from './steward-plan.js';
+import {planStewards} from './steward-plan.js';
 
 /** Options of a steward assignment. */
 export type StewardAssignmentOptions = {
 	readonly view: View;
+	readonly telemetry: Telemetry;
 	readonly reader: Pick<FeedReader, 'remainingColdMs'>;
 	/** Returns the instances that may be stewards. */
 	readonly liveNodes: () => readonly NodeInfo[];
@@ -20,6 +22,9 @@
 /** Delay at which an instance gets half of the new stewardships that its processor time stands for, in milliseconds; instances reject requests from about this delay on. */
 const halfShareDelayMs = 50;
 
+/** Largest number of queues that a log line names. */
+const maxLoggedQueues = 12;
+
 /** Keeps the stewards in the view up to date with targets, services and live instances. */
 export class StewardAssignment {
 	private readonly options: StewardAssignmentOptions;
@@ -34,26 +39,34 @@
 	update(now: number): void {
 		const {view, liveNodes, delayMs, minStewardCores = 0} = this.options;
 		const live = withoutCutOff(liveNodes(), name => view.isCutOff(name));
-		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...live.map(node => node.incarnation)].join(' ');
+		const inputs = [view.store.lastSeqOfPart('target'), view.store.lastSeqOfPart('service'), ...view.largeServices, ...live.map(node => node.incarnation)].join(' ');
 		if (inputs === this.inputs) {
 			return;
 		}
 
 		this.inputs = inputs;
-		const queues = new Map<string, QueueToAssign>();
-		for (const target of view.targets.values()) {
-			const isSharded = view.allServices.get(target.service)?.isSharded ?? false;
-			const queueId = isSharded ? targetQueueId(target.id) : sharedQueueId(target.service, target.domain);
-			queues.set(queueId, {queueId, domain: target.domain});
-		}
-
+		const hasLarge = view.hasLargeAnswers;
+		const queues = weighQueues(view).map(queue => hasLarge ? queue : {queueId: queue.queueId, domain: queue.domain});
 		const candidates = live.map(node => ({...node, cores: node.cores / (1 + (delayMs(node.name) / halfShareDelayMs))}));
 		const small = new Set(live.filter(({cores}) => cores < minStewardCores).map(({name}) => name));
-		const plan = planStewards([...queues.values()], candidates, queueId => view.findSteward(queueId), name => small.has(name));
+		const plan = planStewards(queues, candidates, queueId => view.findSteward(queueId), name => small.has(name));
+		if (hasLarge) {
+			this.logChanges(plan);
+		}
+
 		this.updateColdTimes(plan, now);
 		view.replacePrefix('steward/', new Map([...plan].map(([queueId, name]) => [`steward/${queueId}`, name])));
 	}
 
+	private logChanges(plan: ReadonlyMap<string, string>): void {
+		const {view, telemetry} = this.options;
+		const changed = [...plan].filter(([queueId, name]) => view.findSteward(queueId) !== name);
+		if (changed.length > 0) {
+			const large = weighQueues(view).filter(({isLarge}) => isLarge).map(({queueId}) => `${queueId} ${plan.get(queueId) ?? 'none'}`).slice(0, maxLoggedQueues);
+			telemetry.info('leader', 'Assigned dispatch queues by CPU time and bandwidth.', {queues: plan.size, changed: changed.length, large});
+		}
+	}
+
 	/** Updates the remaining cold time of targets with a new steward, which counts it from now on. */
 	private updateColdTimes(plan: ReadonlyMap<string, string>, now: number): void {
 		const {view, reader} = this.options;
--- a/packages/gateway/src/cluster/steward-plan.test.ts
+++ b/packages/gateway/src/cluster/steward-plan.test.ts
@@ -65,3 +65,17 @@
 	t.true([...planStewards(queues, mixed.slice(0, 1), noSteward, isShort).values()].every(name => name === 'small'));
 	t.is(planStewards(queues, [mixed[0], nodes[2]], noSteward, isShort).get('x'), 'small');
 });
+
+// The queue of a shared service with 36 slots counted as much as that of a target with one.
+test('queues count by their slots, and by bandwidth where that is scarcer', t => {
+	const weighed = [...queues.map(queue => ({...queue, weight: 1})), {
+		queueId: 'heavy', domain: 'a', weight: 4, isLarge: true,
+	}];
+	const plan = planStewards(weighed, nodes, noSteward);
+	t.deepEqual(['x', 'y', 'z', 'w'].map(id => plan.get(id) === plan.get('heavy')), [false, false, false, false]);
+	const wide = {...node('wide', 'a', 0.5), linkMbps: 200};
+	const fast = {...node('fast', 'a', 1), linkMbps: 10};
+	t.is(planStewards(weighed, [fast, wide], noSteward).get('heavy'), 'wide');
+	t.is(planStewards(weighed, [fast, wide], () => 'fast').get('heavy'), 'wide');
+	t.is(planStewards(weighed, [fast, {...wide, linkMbps: 12}], () => 'fast').get('heavy'), 'fast');
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,7 @@
 import {ContactBoundMode, type GatewaySettings} from './settings/index.js';
 import {TeamAdmission, TeamRates} from './teams/index.js';
 import {type Telemetry} from './telemetry/index.js';
-import {View, type NodeInfo} from './view/index.js';
+import {stewardSlots, View, type NodeInfo} from './view/index.js';
 
 /** Usual lease of a grant, in milliseconds: long enough for a change of the leader, short enough that the keys of a lost target are soon free again. */
 const usualLeaseMs = 6000;
@@ -103,7 +103,12 @@
 		const peers = cfg.listen['peers-advertised'] ?? cfg.listen.peers;
 		const {name, domain} = cfg.instance;
 		this.self = {
-			name, domain, incarnation: randomUUID(), addr: `${peers.host}:${peers.port}`, cores: cfg.instance['processor-share'] * cfg.instance['processor-speed'],
+			name,
+			domain,
+			incarnation: randomUUID(),
+			addr: `${peers.host}:${peers.port}`,
+			cores: cfg.instance['processor-share'] * cfg.instance['processor-speed'],
+			...(cfg.instance.link !== undefined && {linkMbps: cfg.instance.link}),
 		};
 		const {self} = this;
 		const random = () => Math.random();
@@ -335,6 +340,11 @@
 		metrics.inFlight.set(this.queues.inFlight);
 		metrics.delay.set((this.overload?.delayMs ?? 0) / 1000);
 		metrics.viewAge.set(this.coordinator.leaderContactAgeMs / 1000);
+		metrics.stewardSlots.reset();
+		for (const [responses, slots] of stewardSlots(this.view, this.self.name)) {
+			metrics.stewardSlots.set({responses}, slots);
+		}
+
 		metrics.cutOffInstances.reset();
 		for (const instance of this.view.cutOffInstances) {
 			metrics.cutOffInstances.set({instance}, 1);
--- a/packages/gateway/src/mocks/path-simulation.ts
+++ b/packages/gateway/src/mocks/path-simulation.ts
@@ -201,7 +201,7 @@
 
 	private createAssignment(): StewardAssignment {
 		return new StewardAssignment({
-			view: this.view, reader: {remainingColdMs: () => 0}, delayMs: () => 0, liveNodes: () => this.allNodes(),
+			view: this.view, telemetry: this.telemetry, reader: {remainingColdMs: () => 0}, delayMs: () => 0, liveNodes: () => this.allNodes(),
 		});
 	}
 
--- a/packages/gateway/src/settings/settings.test.ts
+++ b/packages/gateway/src/settings/settings.test.ts
@@ -59,6 +59,12 @@
 	t.throws(() => parseSettings(`${validText}[overload]\ncores=-1\n`), {any: true, instanceOf: GatewaySettingsError, message: /\[overload\] cores/v});
 });
 
+test('the bandwidth is unknown unless the settings state it', t => {
+	t.is(parseSettings(validText).instance.link, undefined);
+	t.is(parseSettings(validText.replace('domain=x', 'domain=x\nlink=18')).instance.link, 18);
+	t.throws(() => parseSettings(validText.replace('domain=x', 'domain=x\nlink=fast')), {any: true, instanceOf: GatewaySettingsError, message: /\[instance\] link/v});
+});
+
 test('the error names a file that cannot be read', t => {
 	t.throws(() => loadSettings('/nowhere/settings.ini'), {any: true, instanceOf: GatewaySettingsError, message: /\/nowhere\/settings\.ini/v});
 });
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -52,6 +52,8 @@
 		'processor-share': z.coerce.number().positive().default(1),
 		/** Speed of that share relative to a standard core. */
 		'processor-speed': z.coerce.number().positive().default(1),
+		/** Bandwidth of its network link, in Mbit/s; unknown if it is absent. */
+		link: z.coerce.number().positive().optional(),
 	}),
 	listen: z.object({
 		callers: address,
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -176,6 +176,13 @@
 		registers: [this.registry],
 	});
 
+	readonly stewardSlots = new Gauge({
+		name: 'bluebellyard_steward_slots',
+		help: 'Slots of the targets to which this instance sends work as steward, while the configuration has routes with large responses, by responses: large or other.',
+		labelNames: ['responses'],
+		registers: [this.registry],
+	});
+
 	readonly queued = new Gauge({
 		name: 'bluebellyard_queued',
 		help: 'Requests that wait for a slot at this instance.',
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -29,6 +29,8 @@
 	readonly addr: string;
 	/** Processor time available to it, in cores. */
 	readonly cores: number;
+	/** Bandwidth of its network link, in Mbit/s; absent if unknown, and from instances of an earlier version. */
+	readonly linkMbps?: number;
 };
 
 type ConfigHeader = {
@@ -66,7 +68,7 @@
 	/** Sequence number at which each cached table was built, by key part. */
 	private readonly builtAtSeq = new Map<string, number>();
 	private hostRoutes = new HostRoutes([]);
-	private isLarge = false;
+	private servicesOfLarge: ReadonlySet<string> = new Set<string>();
 	private servicesByName = new Map<string, Service>();
 	private targetsById = new Map<string, TargetInfo>();
 	private evacuatedDomains = new Set<string>();
@@ -106,8 +108,13 @@
 
 	/** Whether a route of the active configuration has large answers. */
 	get hasLargeAnswers(): boolean {
+		return this.largeServices.size > 0;
+	}
+
+	/** Names of the services to which the active configuration has a route with large answers. */
+	get largeServices(): ReadonlySet<string> {
 		this.rebuildRoutes();
-		return this.isLarge;
+		return this.servicesOfLarge;
 	}
 
 	/** Teams of the active configuration. */
@@ -356,7 +363,7 @@
 		this.rebuildIfChanged('route', () => {
 			const routes = [...this.store.withPrefix<HostRoute>('route/')].map(([, route]) => route);
 			this.hostRoutes = new HostRoutes(routes);
-			this.isLarge = routes.some(route => route.hasLargeAnswers === true);
+			this.servicesOfLarge = new Set(routes.filter(route => route.hasLargeAnswers === true).flatMap(({services}) => services.map(({service}) => service)));
 		});
 	}
 
