The leader logs when a configuration is in force at all instances

An operator could not see how long a configuration takes to reach all instances. The leader logs its version and the time, or after 3 s the instances that answer and have not confirmed it. Gauge bluebellyard_config_pending_instances, counter bluebellyard_whole_views_total.

--- a/packages/gateway/src/cluster/follower-sync.test.ts
+++ b/packages/gateway/src/cluster/follower-sync.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {ManualClock} from '@bluebellyard/core';
+import {createConfig} from '../mocks/index.js';
 import type {Message} from '../peers/index.js';
 import {Telemetry} from '../telemetry/index.js';
 import {View, type NodeInfo} from '../view/index.js';
@@ -144,3 +145,67 @@
 	t.deepEqual(hasContactField, [true, true, false]);
 	t.deepEqual(sentTimes, [10_000, 11_000, 12_000]);
 });
+
+// A configuration came late when it waited for the pace of the pings, for a ping on its way to a busy instance, or for a second after its timeout.
+test('a configuration is sent at once, beside a ping without an answer and again after one that failed', async t => {
+	const view = new View();
+	const clock = new ManualClock(10_000);
+	view.store.set('node/follower', node('follower'));
+	const pings: Array<{readonly at: number; readonly bases: Ping['bases']; readonly fail: () => void}> = [];
+	const state = {leader: 'former', term: 1, seq: 7};
+	const sync = new FollowerSync({
+		self: node('leader'),
+		leadership: () => ({era: 0, term: 2}),
+		view,
+		net: {
+			exchange: async (_addr: string, _op: string, {value}: Message): Promise<Message> => new Promise((_resolve, reject) => {
+				pings.push({
+					at: clock.now(), bases: (value as Ping).bases, fail() {
+						reject(new Error('timeout'));
+					},
+				});
+			}),
+		},
+		clock,
+		telemetry: new Telemetry(clock),
+		baseState: createBase(state, new View()),
+		targetsReadAt: () => 0,
+		formerSendEnds: () => new Map(),
+		contactStatement: () => undefined,
+		isLeaving: () => false,
+		onPong() {
+			// Nothing is answered.
+		},
+	});
+	const send = async (afterMs: number) => {
+		clock.advance(afterMs);
+		sync.sendDue(clock.now(), 0);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	};
+
+	await send(0);
+	const {lastSeq} = view.store;
+	view.setConfig(createConfig(1));
+	await send(60);
+	view.setConfig(createConfig(2));
+	await send(10);
+	t.deepEqual(pings.map(({at}) => at), [10_000, 10_060]);
+	// The second one counts on the first one.
+	t.deepEqual(pings[1].bases, [{
+		leader: 'leader', term: 2, from: lastSeq, to: view.store.lastSeq - 1,
+	}]);
+	pings[0].fail();
+	await send(0);
+	await send(20);
+	t.deepEqual(pings.map(({at}) => at), [10_000, 10_060, 10_090]);
+	for (const {fail} of pings) {
+		fail();
+	}
+
+	await send(0);
+	await send(100);
+	await send(0);
+	t.is(pings.at(-1)?.at, 10_190);
+});
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -6,6 +6,7 @@
 import {noBytes, type PeerNet} from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {configPart, type NodeInfo, type View} from '../view/index.js';
+import {ConfigProgress} from './config-progress.js';
 import type {SendEnds} from './former-leaders.js';
 import type {ContactStatement} from './leader-contacts.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
@@ -35,10 +36,7 @@
  */
 const minPingIntervalPerNodeMs = 2.5;
 
-/** Time after a change of the configuration, or the start of a term, in which instances that may lack the configuration are pinged more often, in milliseconds: the longest time within which one must be in force. */
-const configDelayMs = 3000;
-
-/** Interval between two pings to such an instance, also after one without an answer, in milliseconds. */
+/** Interval between two pings to an instance that may lack the configuration, also after one without an answer, in milliseconds. */
 const configRetryMs = 100;
 
 /** Most pings without an answer to one instance: one, and one with a new configuration. */
@@ -94,12 +92,11 @@
 	private readonly packedDeltas = new Map<number, Buffer | Promise<Buffer>>();
 	/** Sequence number of the store up to which `packedDeltas` reach. */
 	private packedSeq = -1;
-	/** Sequence number of the configuration, and when it was first to be sent. */
-	private configSeq = -1;
-	private configChangedAt = Number.NEGATIVE_INFINITY;
+	private readonly config: ConfigProgress;
 
 	constructor(options: FollowerSyncOptions) {
 		this.options = options;
+		this.config = new ConfigProgress(options.telemetry);
 	}
 
 	/** Adds an instance that announced itself. Returns false if this incarnation is known already. */
@@ -134,11 +131,12 @@
 		const {view, self} = this.options;
 		const nodes = view.nodes();
 		const configSeq = view.store.lastSeqOfPart(configPart);
-		if (configSeq !== this.configSeq) {
-			this.configSeq = configSeq;
-			this.configChangedAt = now;
-		}
-
+		this.config.update({
+			seq: configSeq,
+			version: view.configVersion,
+			names: () => nodes.map(({name}) => name).filter(name => name !== self.name),
+			isAnswering: name => now - (this.followers.get(name)?.repliedAt ?? now) < lostAfterMs,
+		}, now);
 		const minIntervalMs = nodes.length * minPingIntervalPerNodeMs;
 		for (const node of nodes) {
 			if (node.name === self.name) {
@@ -149,7 +147,7 @@
 			const isBehind = !isSameState(follower.viewState, this.stateAt(view.store.lastSeq));
 			const isLost = now - follower.repliedAt > lostAfterMs;
 			const isFrequentPingDue = storeAgeMs > frequentPingStoreAgeMs && now - follower.sentAt > frequentPingStoreAgeMs;
-			const isThrottled = now - follower.sentAt < (this.mayLackConfig(follower) ? Math.min(minIntervalMs, configRetryMs) : minIntervalMs);
+			const isThrottled = now - follower.sentAt < (this.config.mayLack(node.name, now) ? Math.min(minIntervalMs, configRetryMs) : minIntervalMs);
 			// A configuration does not wait for the answer to an earlier ping, as that may take until its timeout.
 			const isConfigDue = follower.sentSeq < configSeq && follower.inFlight < maxInFlight;
 			const isDue = now >= follower.nextAt || (!isLost && !isThrottled && (isBehind || isFrequentPingDue));
@@ -159,6 +157,11 @@
 		}
 	}
 
+	/** Ends the replication, as this instance no longer leads. */
+	stop(): void {
+		this.config.stop();
+	}
+
 	private getFollower(node: NodeInfo, now: number): Follower {
 		const known = this.followers.get(node.name);
 		if (known !== undefined) {
@@ -182,6 +185,8 @@
 		const base = since === undefined ? undefined : assumed;
 		const seq = view.store.lastSeq;
 		const startedAt = clock.now();
+		const isWhole = since === undefined && follower.isFullSyncNeeded;
+		telemetry.metrics.wholeViews.inc(isWhole ? 1 : 0);
 		const packed = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
 		follower.inFlight += 1;
 		follower.sentAt = startedAt;
@@ -214,18 +219,12 @@
 				telemetry.info('leader', 'An instance did not answer a ping.', {instance: node.name, err});
 			}
 
-			follower.nextAt = clock.now() + (this.mayLackConfig(follower) ? configRetryMs : lostPingIntervalMs);
+			follower.nextAt = clock.now() + (this.config.mayLack(node.name, clock.now()) ? configRetryMs : lostPingIntervalMs);
 		} finally {
 			follower.inFlight -= 1;
 		}
 	}
 
-	/** Returns whether an instance may lack a configuration that must soon be in force everywhere. */
-	private mayLackConfig({viewState}: Follower): boolean {
-		const isKnown = viewState !== undefined && viewState.seq >= this.configSeq && isSameState(viewState, this.stateAt(viewState.seq));
-		return !isKnown && this.options.clock.now() - this.configChangedAt < configDelayMs;
-	}
-
 	/** Returns the sequence number of a state in the store of this instance; undefined if changes cannot be based on it. */
 	private findBaseSeq(state: ViewState | undefined): number | undefined {
 		const {baseState} = this.options;
@@ -287,5 +286,8 @@
 		follower.isFullSyncNeeded = this.findBaseSeq(pong.viewState) === undefined;
 		follower.nextAt = now + (follower.isFullSyncNeeded ? 0 : pingIntervalMs);
 		follower.isLeaving = pong.report.isLeaving;
+		if (pong.viewState !== undefined && isSameState(pong.viewState, this.stateAt(pong.viewState.seq))) {
+			this.config.confirm(node.name, pong.viewState.seq, now);
+		}
 	}
 }
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -204,6 +204,7 @@
 	stop(): void {
 		this.isStopped = true;
 		this.suspects.stop();
+		this.followers.stop();
 		this.confirmation.stop();
 	}
 
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -200,6 +200,18 @@
 		registers: [this.registry],
 	});
 
+	readonly configPending = new Gauge({
+		name: 'bluebellyard_config_pending_instances',
+		help: 'Instances that have not confirmed the newest configuration to this instance as leader.',
+		registers: [this.registry],
+	});
+
+	readonly wholeViews = new Counter({
+		name: 'bluebellyard_whole_views_total',
+		help: 'Whole views that this instance sent as leader, to instances whose state differs too much for changes.',
+		registers: [this.registry],
+	});
+
 	readonly cutOffInstances = new Gauge({
 		name: 'bluebellyard_cut_off_instances',
 		help: '1 for each instance that is cut off from all targets, as this instance knows it.',
