A follower that keeps a newer configuration needs no whole view later

Cause: a follower that has a newer configuration than its leader dropped the rows of the leader's one, so that the next configuration, whose changes are based on them, needed the whole view. An instance that kept its configuration and became leader sent the whole view to all. Both are usual when the leader stops while configurations are published, and after the election of an instance that has just started.

Change: such a follower remembers the rows of the leader's configuration (LeaderConfig), and replaces its own one as a whole once the leader's is as new. An instance that becomes leader tells the rows in which the two differ. The tests of view.ts expect the same as before without the whole view in between.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -224,7 +224,7 @@
 	}
 
 	private handlePing(ping: Ping, changes: Buffer): Pong {
-		const {clock, view, self, report, telemetry} = this.options;
+		const {clock, self, report, telemetry} = this.options;
 		const {era, term} = ping;
 		const order = compareLeaderships(ping, this.leadership);
 		if (order >= 0) {
@@ -242,9 +242,7 @@
 				this.nextElectionAt = clock.now() + (this.drawElectionDelayMs() / 2);
 			}
 
-			if (!this.replica.receive(ping, unpackDelta(changes))) {
-				telemetry.info('follower', 'Changes of the configuration are based on another one than the one kept here; asking for the whole view.', {version: view.configVersion, term});
-			}
+			this.replica.receive(ping, unpackDelta(changes));
 		}
 
 		return {
--- a/packages/gateway/src/cluster/view-replica.ts
+++ b/packages/gateway/src/cluster/view-replica.ts
@@ -21,7 +21,7 @@
 	readonly state: ViewState;
 	/** Monotonic time at which the view reached it, in milliseconds. */
 	readonly at: number;
-	/** Values before the change to this state, by key; undefined for rows that did not exist. */
+	/** Values of the leader's rows before the change to this state, by key; undefined for rows that did not exist. */
 	readonly former: ReadonlyMap<string, unknown>;
 };
 
@@ -65,64 +65,51 @@
 		this.steps = [{state, at: this.clock.now(), former: new Map()}];
 	}
 
-	/**
-	 * Applies the changes of a ping if they can be based on a state that this instance has or had. Returns whether the view
-	 * is the leader's afterwards, or as it was; if not, it needs the whole content.
-	 */
-	receive(ping: Pick<Ping, 'leader' | 'term' | 'seq' | 'base' | 'bases'>, delta: Delta | undefined): boolean {
+	/** Applies the changes of a ping if they can be based on a state that this instance has or had; otherwise the view and its state stay as they are. */
+	receive(ping: Pick<Ping, 'leader' | 'term' | 'seq' | 'base' | 'bases'>, delta: Delta | undefined): void {
 		const state = {leader: ping.leader.incarnation, term: ping.term, seq: ping.seq};
 		if (delta?.isFull === true) {
 			this.reset(state);
-			return this.view.apply(delta);
+			this.view.apply(delta);
+			return;
 		}
 
 		const base = this.findBase(ping);
 		if (base === undefined) {
-			return true;
+			return;
 		}
 
 		const changes = this.withoutChangesAfter(base, delta ?? {
 			isFull: false, seq: ping.seq, set: [], gone: [],
 		});
-		if (changes.set.length === 0 && changes.gone.length === 0) {
-			this.add({state, at: this.clock.now(), former: new Map()});
-			return true;
-		}
-
-		const hadConfig = this.view.configVersion !== undefined;
-		const former = new Map([...changes.set.map(([key]) => key), ...changes.gone].map(key => [key, this.view.store.get(key)]));
-		if (!this.view.apply(changes)) {
-			this.clear();
-			return false;
-		}
-
-		if (!hadConfig) {
-			// Returning to an earlier state must not remove the only configuration.
-			this.reset(state);
-			return true;
+		const keys = [...changes.set.map(([key]) => key), ...changes.gone];
+		const former = new Map(keys.map(key => [key, this.view.leaderRow(key)]));
+		if (keys.length > 0) {
+			this.view.apply(changes);
 		}
 
 		this.add({state, at: this.clock.now(), former});
-		return true;
 	}
 
 	/** Returns the states on which the next term of this instance is based; undefined if the others need the whole view. */
 	createBase(): BaseState | undefined {
-		const {state, view: {store, keepsOwnConfig}} = this;
-		if (state === undefined || keepsOwnConfig) {
+		const {state, view} = this;
+		const configKeys = view.adoptOwnConfig();
+		if (state === undefined) {
 			return undefined;
 		}
 
 		const steps = this.steps.map((step, i) => {
 			if (i > 0) {
 				// Rows that changed and changed back count, too: other instances may have a state in between.
-				store.touch(step.former.keys());
+				view.store.touch(step.former.keys());
 			}
 
-			return {state: step.state, seq: store.lastSeq};
+			return {state: step.state, seq: view.store.lastSeq};
 		});
+		view.store.touch(configKeys);
 		const assumedAt = this.clock.now() - assumedDelayMs;
-		const assumed = this.steps.findLastIndex((_, i) => i === 0 || this.steps[i].at <= assumedAt);
+		const assumed = this.steps.findLastIndex((step, i) => i === 0 || step.at <= assumedAt);
 		return {assumed: steps[assumed].state, steps};
 	}
 
@@ -169,9 +156,7 @@
 			return;
 		}
 
-		// The rows of a configuration that is kept are not those of the states.
-		const keepsFormer = step.former.size <= maxStepRows && !this.view.keepsOwnConfig;
-		const steps = keepsFormer ? [...this.steps, step] : [step];
+		const steps = step.former.size <= maxStepRows ? [...this.steps, step] : [step];
 		const oldestAt = step.at - maxStepAgeMs;
 		this.steps = steps.slice(-maxSteps).filter((_, i, kept) => i === kept.length - 1 || kept[i + 1].at >= oldestAt);
 	}
--- a/packages/gateway/src/view/view.test.ts
+++ b/packages/gateway/src/view/view.test.ts
@@ -96,24 +96,17 @@
 	t.is(view.routes.match('a.example', '/a/'), undefined);
 });
 
-/** Replicates a leader's view to a follower as pings do: the changes, or everything if they can't be applied. */
-function replicate(leader: View, follower: View, sinceSeq: number): void {
-	if (!follower.apply(leader.store.deltaSince(sinceSeq))) {
-		follower.apply(leader.store.deltaSince(-1));
-	}
-}
-
 // The leader started again and had not read the configuration at its first ping.
 test('a configuration that a new leader reads later replaces the one of a follower as a whole', t => {
 	const leader = new View();
 	leader.store.set('target/i@1', target);
 	const follower = new View();
 	follower.setConfig(config(4, ['kept', 'dropped']));
-	replicate(leader, follower, -1);
+	follower.apply(leader.store.deltaSince(-1));
 	t.is(follower.routes.match('a.example', '/dropped/')?.name, 'dropped');
 	const {lastSeq} = leader.store;
 	leader.setConfig(config(10, ['kept']));
-	replicate(leader, follower, lastSeq);
+	follower.apply(leader.store.deltaSince(lastSeq));
 	t.is(follower.configVersion, 10);
 	t.is(follower.routes.match('a.example', '/dropped/'), undefined);
 	t.is(follower.routes.match('a.example', '/kept/')?.name, 'kept');
@@ -125,12 +118,12 @@
 	leader.setConfig(config(4, ['a', 'b']));
 	const follower = new View();
 	follower.setConfig(config(5, ['c']));
-	replicate(leader, follower, -1);
+	follower.apply(leader.store.deltaSince(-1));
 	t.is(follower.configVersion, 5);
 	t.true(follower.keepsOwnConfig);
 	const {lastSeq} = leader.store;
 	leader.setConfig(config(6, ['b', 'd']));
-	replicate(leader, follower, lastSeq);
+	follower.apply(leader.store.deltaSince(lastSeq));
 	t.false(follower.keepsOwnConfig);
 	t.deepEqual(['a', 'b', 'c', 'd'].filter(name => follower.routes.match('a.example', `/${name}/`) !== undefined), ['b', 'd']);
 });
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -8,7 +8,8 @@
 } from '@bluebellyard/core';
 import type {GatewayConfig} from '../ports/index.js';
 import {DeltaStore, type Delta} from './delta-store.js';
-import {isTeamRow, TeamTable, teamRows} from './team-table.js';
+import {isConfigRow, LeaderConfig} from './leader-config.js';
+import {TeamTable, teamRows} from './team-table.js';
 
 /** A key range by which requests of callers are routed. */
 export type OwnedRange = {
@@ -41,9 +42,6 @@
 	headerBytes: 16_384, bodyBytes: 67_108_864, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
 
-/** Part of the view with the version of the active configuration; changes last and with each configuration. */
-export const configPart = 'config';
-
 /** Part of the view with the limits that targets name, by target id, in requests per second. */
 export const limitPart = 'limit';
 
@@ -84,7 +82,8 @@
 	private nodesByAddr = new Map<string, NodeInfo>();
 	private rangesByService = new Map<string, Array<{from: number} & OwnedRange>>();
 	private readonly listeners = new Set<() => void>();
-	private keepsConfig = false;
+	/** Configuration of the leader while this instance keeps a newer one. */
+	private leaderConfig: LeaderConfig | undefined;
 
 	/** Version of the active configuration; undefined before the first one. */
 	get configVersion(): number | undefined {
@@ -93,7 +92,7 @@
 
 	/** Whether the configuration is one that this instance kept and not the leader's. */
 	get keepsOwnConfig(): boolean {
-		return this.keepsConfig;
+		return this.leaderConfig !== undefined;
 	}
 
 	/** Limits on callers. */
@@ -285,7 +284,7 @@
 		}
 
 		this.store.set('config', {version: config.version, limits: config.limits} satisfies ConfigHeader);
-		this.keepsConfig = false;
+		this.leaderConfig = undefined;
 		return true;
 	}
 
@@ -307,25 +306,34 @@
 		}
 	}
 
-	/**
-	 * Applies changes from the leader. An older configuration never replaces a newer one. Returns whether the view is what
-	 * the leader has, apart from a configuration that is kept; if not, changes can't be based on it and it needs the whole content.
-	 */
-	apply(delta: Delta): boolean {
+	/** Applies changes from the leader. An older configuration never replaces a newer one, and each one takes effect as a whole. */
+	apply(delta: Delta): void {
+		const {configVersion} = this;
 		const header = delta.set.find(([key]) => key === 'config')?.[1] as ConfigHeader | undefined;
-		const isOlder = this.configVersion !== undefined && (header === undefined ? delta.isFull : header.version < this.configVersion);
-		// Changes of a configuration can't be applied to another one than they are based on.
-		const isUnrelated = !isOlder && !delta.isFull && header !== undefined && this.keepsConfig;
-		if (isOlder || isUnrelated) {
-			this.store.apply(this.withOwnConfig(delta));
-			this.keepsConfig = true;
-		} else {
+		const isOlder = configVersion !== undefined && (header === undefined ? delta.isFull || delta.gone.includes('config') : header.version < configVersion);
+		if (this.leaderConfig === undefined && !isOlder) {
 			this.store.apply(delta);
-			this.keepsConfig &&= header === undefined;
+		} else {
+			const own = this.ownConfigRows();
+			const leaderConfig = (this.leaderConfig ?? new LeaderConfig(own)).after(delta);
+			const keepsOwn = configVersion !== undefined && leaderConfig.version < configVersion;
+			this.leaderConfig = keepsOwn ? leaderConfig : undefined;
+			this.store.apply((keepsOwn ? new LeaderConfig(own) : leaderConfig).replace(own, delta));
 		}
 
 		this.notifyListeners();
-		return !isUnrelated;
+	}
+
+	/** Returns the value of a row in the leader's view, in which the configuration may be another one. */
+	leaderRow(key: string): unknown {
+		return this.leaderConfig !== undefined && isConfigRow(key) ? this.leaderConfig.rows.get(key) : this.store.get(key);
+	}
+
+	/** Makes the configuration of this instance that of the leader, as it leads now. Returns the keys in which the two may differ. */
+	adoptOwnConfig(): string[] {
+		const keys = this.leaderConfig === undefined ? [] : [...this.leaderConfig.rows.keys(), ...this.ownConfigRows().keys()];
+		this.leaderConfig = undefined;
+		return keys;
 	}
 
 	/** Notifies the listeners of a change. */
@@ -335,15 +343,8 @@
 		}
 	}
 
-	/** Returns changes that leave the configuration as it is. */
-	private withOwnConfig(delta: Delta): Delta {
-		const isConfigKey = (key: string) => key === 'config' || key.startsWith('route/') || key.startsWith('service/') || isTeamRow(key);
-		const ownConfig = delta.isFull ? this.store.deltaSince(-1).set.filter(([key]) => isConfigKey(key)) : [];
-		return {
-			...delta,
-			set: [...delta.set.filter(([key]) => !isConfigKey(key)), ...ownConfig],
-			gone: delta.gone.filter(key => !isConfigKey(key)),
-		};
+	private ownConfigRows(): ReadonlyMap<string, unknown> {
+		return new Map([...this.store.withPrefix<unknown>('')].filter(([key]) => isConfigRow(key)));
 	}
 
 	/** Calls `rebuild` if a row under the part changed since the table was last built. */
