Ownership: no move for load while grants of a lost leader may arrive

Cause: a leader that follows a lost one balanced load 1 s after its start. A release does not count while a grant of the lost leader may arrive, up to 12.5 s, so that the keys that it moved had no owner for that time, although theirs was running. Seen in "callers are served while the leader ends during a partition": keys 42782-44370 moved 1.7 s after the change of the leader and were still refused 5.4 s later.

Change: a range whose owner may keep it stays until no grant of a former leader arrives any more. Ranges without a usable owner move as before.

--- a/packages/gateway/src/cluster/move-adjuster.ts
+++ b/packages/gateway/src/cluster/move-adjuster.ts
@@ -18,6 +18,8 @@
 	readonly now: number;
 	/** Monotonic time at which all grants of former leaders have certainly expired. */
 	readonly inheritedLeaseEnd: number;
+	/** Monotonic time from which no grant of a former leader arrives at a target. */
+	readonly inheritedArrivalEnd: number;
 	readonly ranges: readonly RangeOwnership[];
 	/** Targets that may own keys. */
 	readonly usableIds: ReadonlySet<string>;
@@ -41,6 +43,8 @@
 	 * Returns the moves to make. A range that waits for a former owner which may own keys again goes back to it. One whose
 	 * owner has not answered a grant first gets a new fencing token, and moves once its owner has accepted that. In both
 	 * cases the owner rejects the unanswered grant from then on. A range on its way to an owner that may have it stays there.
+	 * A range whose owner may keep it stays while grants of a lost leader may arrive: a release does not count until then,
+	 * so that the range would be closed for up to 12.5 s.
 	 */
 	adjust(moves: readonly KeyMove[], state: MoveState): KeyMove[] {
 		const returns = this.findReturns(state);
@@ -63,7 +67,7 @@
 		});
 	}
 
-	private renewBeforeMove(move: KeyMove, {ranges, usableIds, findGrant, now, inheritedLeaseEnd}: MoveState): KeyMove[] {
+	private renewBeforeMove(move: KeyMove, {ranges, usableIds, findGrant, now, inheritedLeaseEnd, inheritedArrivalEnd}: MoveState): KeyMove[] {
 		const isOnItsWay = ranges.some(range => range.formers.length > 0 && usableIds.has(range.owner) && overlaps(range, move));
 		if (isOnItsWay) {
 			// Each further move would add an owner that has to release the range before it is open again.
@@ -76,6 +80,10 @@
 			return parts.map(range => ({from: Math.max(range.from, move.from), to: Math.min(range.to, move.to), owner: range.owner}));
 		}
 
+		if (now < inheritedArrivalEnd && parts.length > 0) {
+			return [];
+		}
+
 		// The owner has not accepted the present token yet, so that it does not reject earlier grants.
 		const isUnfenced = parts.some(range => mayCount(findGrant(range)?.formerUnansweredSentAt) || (now < inheritedLeaseEnd && findGrant(range)?.isFenced !== true));
 		return isUnfenced ? [] : [move];
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -198,6 +198,7 @@
 		const moves = this.adjuster.adjust(planKeyMoves(this.map, owners, rates(), recentLoad?.()), {
 			now,
 			inheritedLeaseEnd: this.options.inheritedLeaseEnd(),
+			inheritedArrivalEnd: this.options.inheritedArrivalEnd(),
 			ranges: this.map.ranges,
 			usableIds,
 			findGrant: range => this.grants.get(grantKey(range)),
