Retry budget: prefers requests that would otherwise fail for good

Cause: while targets reject a large part of the requests at random, the retry budget of a service is exhausted, and was spent on whichever request failed first, also where the caller could retry on its own.

Change: SelectiveRetryBudget grants a retry, while the budget is scarce, if it is worth more than what requests of higher ranks are expected to lose by it. It is scarce from the first retry denied for lack of a token. RequestAgeEstimator.isRetry recognizes callers that come back after the 100 ms that a rejected caller is told; the existing age of such a request is 0. KeyedService plays random rejections and the retries of several instances.

--- a/packages/core/src/admission/request-age-estimator.test.ts
+++ b/packages/core/src/admission/request-age-estimator.test.ts
@@ -20,6 +20,20 @@
 	t.is(ages.estimate('other', 400), 0);
 });
 
+// A caller that is told 100 ms comes back with over 85% of a timeout of 1200 ms left, so that its retry had age 0.
+test('a caller that comes back after a short delay is recognized', t => {
+	const ages = new RequestAgeEstimator();
+	t.false(ages.isRetry('r', 1200));
+	for (let n = 0; n < 64; n += 1) {
+		ages.estimate('r', 1200);
+	}
+
+	t.is(ages.estimate('r', 1095), 0);
+	t.true(ages.isRetry('r', 1095));
+	t.false(ages.isRetry('r', 1200));
+	t.false(ages.isRetry('r', 1160));
+});
+
 test('one caller with a very long timeout does not make the others count as retries', t => {
 	const ages = new RequestAgeEstimator();
 	for (let n = 0; n < 127; n += 1) {
--- a/packages/core/src/admission/request-age-estimator.ts
+++ b/packages/core/src/admission/request-age-estimator.ts
@@ -10,6 +10,9 @@
 /** Share of the typical wait below which a request counts as a retry; first attempts of callers with short timeouts lie above it. */
 const minFirstAttemptShare = 0.85;
 
+/** Least time between a rejection and the retry of its caller, in milliseconds: the shortest `Retry-After` that callers are told. */
+const minReturnMs = 50;
+
 type RouteWaits = {
 	readonly waits: number[];
 	next: number;
@@ -39,4 +42,13 @@
 		const isRepeat = waitMs < row.typical * minFirstAttemptShare;
 		return isRepeat ? row.typical - waitMs : 0;
 	}
+
+	/**
+	 * Returns whether the caller of a request that will wait `waitMs` more has probably sent it before. Recognizes callers
+	 * that came back early and to which `estimate` gives age 0; takes more requests for retries where timeouts differ.
+	 */
+	isRetry(route: string, waitMs: number): boolean {
+		const typical = this.routes.get(route)?.typical ?? 0;
+		return waitMs <= Math.max(typical * minFirstAttemptShare, typical - minReturnMs);
+	}
 }
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,5 +1,6 @@
 export * from './busy-process.js';
 export * from './keyed-service.js';
+export * from './played-retries.js';
 export * from './domain-load.js';
 export * from './team-fleet.js';
 export * from './team-fleet-cfg.js';
--- a/packages/core/src/mocks/keyed-service.ts
+++ b/packages/core/src/mocks/keyed-service.ts
@@ -9,6 +9,7 @@
 	KeyLoad, keyCount, OwnershipMap, planKeyMoves, recentHalfLifeMs, type EligibleOwner, type KeyMove, type KeyRates,
 } from '../keyspace/index.js';
 import {drawLogNormal, drawPoisson, seededRandom} from '../random/index.js';
+import {PlayedRetries, type PlayedRejections, type PlayedRequest} from './played-retries.js';
 
 /** A kind of request. Times are milliseconds. */
 export type PlayedRoute = {
@@ -52,6 +53,8 @@
 	readonly reservations?: boolean;
 	/** Whether any target may serve any request, as the bound for all placements. */
 	readonly isPooled?: boolean;
+	/** Random rejections by targets. */
+	readonly rejections?: PlayedRejections;
 };
 
 /** What callers got, as shares of all callers, and what it cost. */
@@ -80,6 +83,8 @@
 	readonly firstAt: number;
 	readonly workMs: number;
 	attempts: number;
+	/** The present request, where targets reject requests at random. */
+	request?: PlayedRequest;
 };
 
 type Server = {
@@ -93,6 +98,8 @@
 	busyMs: number;
 };
 
+type Run = {readonly server: Server; readonly start: RequestStart; readonly startedAt: number; readonly endsAt: number; readonly isRejected: boolean};
+
 type Closure = {readonly move: KeyMove; readonly until: number};
 
 const tickMs = 5;
@@ -105,9 +112,16 @@
 /** Time in which a moved range is closed. */
 const handoverMs = 150;
 const distinctKeys = 60_000;
+/** Time until a target rejects a request. */
+const rejectMs = 5;
+/** Delay before the gateway sends a rejected request again, times the number of sends, and the one that a rejected caller is told. */
+const resendMs = 60;
+const rejectedRetryMs = 100;
 
 /** Plays one load. */
 export class KeyedService {
+	/** Decisions about rejected requests, and what callers got meanwhile; undefined if targets reject none. */
+	readonly retries: PlayedRetries | undefined;
 	private readonly random: () => number;
 	private readonly servers: Server[];
 	private readonly estimator = new WorkEstimator();
@@ -115,8 +129,8 @@
 	private readonly recentLoad = new KeyLoad(recentHalfLifeMs);
 	private map: OwnershipMap;
 	private readonly callers = new Map<string, Caller>();
-	private readonly running: Array<{readonly server: Server; readonly start: RequestStart; readonly startedAt: number; readonly endsAt: number}> = [];
-	private returns: Array<{readonly at: number; readonly caller: Caller}> = [];
+	private readonly running: Run[] = [];
+	private returns: Array<{readonly at: number; readonly caller: Caller; readonly isResend?: boolean}> = [];
 	private closures: Closure[] = [];
 	private reported: Array<readonly [key: number, workMs: number]> = [];
 	private nextId = 1;
@@ -127,6 +141,7 @@
 
 	constructor(private readonly cfg: KeyedServiceCfg) {
 		this.random = seededRandom(cfg.seed);
+		this.retries = cfg.rejections === undefined ? undefined : new PlayedRetries(cfg.rejections);
 		const shared = new AdmissionQueue();
 		this.servers = cfg.speeds.map((speed, i) => ({
 			id: `t${i}`, speed, queue: cfg.isPooled === true ? shared : new AdmissionQueue(), slowWindows: this.drawSlowWindows(), arrivals: 0, starts: 0, busyMs: 0,
@@ -155,7 +170,11 @@
 
 			const due = this.returns.filter(({at}) => at <= now);
 			this.returns = this.returns.filter(({at}) => at > now);
-			for (const {caller} of due) {
+			for (const {caller, isResend} of due) {
+				if (isResend !== true) {
+					this.receive(caller, now);
+				}
+
 				this.offer(caller, now);
 			}
 
@@ -219,14 +238,21 @@
 			route, key: this.drawKey(now), firstAt: now, workMs, attempts: 0,
 		};
 		this.counts.callers += 1;
+		this.retries?.recordCaller(route.priority, now);
+		this.receive(caller, now);
 		this.offer(caller, now);
 	}
 
+	private receive(caller: Caller, now: number): void {
+		const {route, firstAt} = caller;
+		caller.request = this.retries?.receive(route.name, firstAt + route.timeoutMs - now, this.random, now);
+	}
+
 	private offer(caller: Caller, now: number): void {
 		const {route, key, firstAt} = caller;
 		const closure = this.closures.find(({move, until}) => until > now && key >= move.from && key <= move.to);
 		if (closure !== undefined) {
-			this.returns.push({at: closure.until, caller});
+			this.returns.push({at: closure.until, caller, isResend: true});
 			return;
 		}
 
@@ -252,41 +278,69 @@
 		for (const start of starts) {
 			const server = this.cfg.isPooled === true ? this.servers.find(({id}) => id === start.limiter.id)! : queueServer;
 			const {workMs} = this.callers.get(start.request.id)!;
-			const endsAt = this.findEnd(server, now, workMs / server.speed);
+			const isRejected = this.retries?.rejects(this.random, now) === true;
+			const endsAt = isRejected ? now + rejectMs : this.findEnd(server, now, workMs / server.speed);
 			server.starts += 1;
 			server.busyMs += endsAt - now;
 			this.running.push({
-				server, start, startedAt: now, endsAt,
+				server, start, startedAt: now, endsAt, isRejected,
 			});
 		}
 
 		for (const {request: {id}, retryAfterMs} of refusals) {
-			const caller = this.callers.get(id)!;
-			caller.attempts += 1;
-			const leftMs = caller.firstAt + caller.route.timeoutMs - now;
-			if (caller.attempts > 1) {
-				this.counts.refusedAgain += 1;
-			}
+			this.reject(this.callers.get(id)!, retryAfterMs, now);
+		}
+	}
 
-			if (caller.attempts <= this.cfg.retries && leftMs > 0) {
-				this.counts.cameBack += 1;
-				this.returns.push({at: now + Math.min(retryAfterMs, leftMs / 3), caller});
-			} else {
-				this.counts.unserved += 1;
-			}
+	private reject(caller: Caller, retryAfterMs: number, now: number): void {
+		caller.attempts += 1;
+		const leftMs = caller.firstAt + caller.route.timeoutMs - now;
+		if (caller.attempts > 1) {
+			this.counts.refusedAgain += 1;
+		}
+
+		if (caller.attempts <= this.cfg.retries && leftMs > 0) {
+			this.counts.cameBack += 1;
+			this.returns.push({at: now + Math.min(retryAfterMs, leftMs / 3), caller});
+		} else {
+			this.counts.unserved += 1;
 		}
 	}
 
+	/** Sends a request again that its target rejected, or rejects its caller. */
+	private resendOrReject({server, start: {request: {id, workMs}, limiter}}: Run, now: number): void {
+		const caller = this.callers.get(id)!;
+		const {route, firstAt} = caller;
+		const request = caller.request!;
+		request.sends += 1;
+		if (this.retries!.mayRetry(request, {
+			priority: route.priority, deadline: firstAt + route.timeoutMs, expectedMs: workMs, retryAfterMs: rejectedRetryMs,
+		}, now)) {
+			this.returns.push({at: now + (resendMs * request.sends), caller, isResend: true});
+		} else {
+			this.reject(caller, rejectedRetryMs, now);
+		}
+
+		this.apply(server, server.queue.finish(limiter, AttemptOutcome.Full, 1, now), now);
+	}
+
 	private endRequests(now: number): void {
 		for (const run of this.running.filter(({endsAt}) => endsAt <= now)) {
 			this.running.splice(this.running.indexOf(run), 1);
+			if (run.isRejected) {
+				this.resendOrReject(run, now);
+				continue;
+			}
+
 			const {server, start: {request: {id, workMs}, limiter}, startedAt, endsAt} = run;
 			const {route, firstAt} = this.callers.get(id)!;
 			const tookMs = endsAt - startedAt;
 			limiter.slowness.setReportedSlowdown(this.slowdown(server, now));
 			const isAnswered = endsAt <= firstAt + route.timeoutMs;
 			if (isAnswered) {
-				this.counts[endsAt <= firstAt + route.objectiveMs ? 'inTime' : 'late'] += 1;
+				const isInTime = endsAt <= firstAt + route.objectiveMs;
+				this.counts[isInTime ? 'inTime' : 'late'] += 1;
+				this.retries?.recordAnswer(route.priority, firstAt, isInTime);
 				this.estimator.record(route.name, route.objectiveMs, tookMs / limiter.slowness.factor);
 			} else {
 				this.counts.unserved += 1;
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -8,5 +8,6 @@
 export * from './slow-start-limiter.js';
 export * from './request-id-table.js';
 export * from './retry-budget.js';
+export * from './selective-retry-budget.js';
 export * from './straggler-detector.js';
 export * from './target-admission.js';
--- a/packages/core/src/policy/retry-budget.ts
+++ b/packages/core/src/policy/retry-budget.ts
@@ -41,6 +41,12 @@
 		return true;
 	}
 
+	/** Returns the number of retries that are left, with fractions. */
+	available(now: number): number {
+		this.refill(now);
+		return this.tokens;
+	}
+
 	private refill(now: number): void {
 		const elapsed = Math.max(0, now - (this.refilledAt ?? now));
 		this.refilledAt = Math.max(now, this.refilledAt ?? now);
