Dispatcher: retries for the requests that benefit most

Change: RetryDecider holds the retry budgets and the decision, moved out of the dispatcher. A request gets a retry first if its caller has retried already or has less time left than the delay that it would be told and the expected run time. Why a request got no retry is counted (bluebellyard_retries_denied_total) and logged (noRetry); a budget that becomes scarce or sufficient is logged and shown (bluebellyard_retry_budget_scarce).

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -3,7 +3,7 @@
  * instance or on the steward's, and decides whether a failed request is retried.
  */
 import {
-	ErrorKind, RetryBudget, type BalancingMode, type Clock, type DomainCandidate, type RetryBudgetCfg,
+	ErrorKind, type BalancingMode, type Clock, type DomainCandidate,
 } from '@bluebellyard/core';
 import type {DispatchQueues} from '../queue/index.js';
 import {PeerOp} from '../cluster/index.js';
@@ -23,14 +23,12 @@
 import {fingerprintOf} from './order-fingerprint.js';
 import {QueueRouter} from './queue-router.js';
 import {RecentRefusals} from './recent-refusals.js';
+import {maxAttempts, RetryDecider, type RetryDeciderOptions} from './retry-decider.js';
 import {SelectorSwitch} from './selector-switch.js';
 import {TrialRunner, type TrialRunnerOptions} from './trial-runner.js';
 import {decodeOrder, encodeOrder, type WireOrder} from './wire-order.js';
 import {decodeResult, encodeResult} from './wire-result.js';
 
-/** Largest number of times that one request is passed to a dispatch queue, for whatever reason. */
-const maxAttempts = 5;
-
 /** Delay before a request is retried at the same target, in milliseconds; multiplied by the number of attempts. */
 const sameTargetDelayMs = 60;
 
@@ -40,20 +38,6 @@
 /** Time after the deadline at which a forwarded request is aborted, in milliseconds. */
 const forwardSlackMs = 120;
 
-/** Failures after which a retry may succeed. */
-const retryableErrors = new Set([
-	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable, ErrorKind.NotSteward,
-]);
-
-/** Returns whether a result must or can't be improved by a retry. What may have crashed its target is not taken to the next one. */
-function isFinal({isOnce}: Order, result: OrderResult): boolean {
-	if (result.kind === 'answer') {
-		return isOnce || result.answer.status < 500;
-	}
-
-	return !retryableErrors.has(result.error) || result.isTargetGone || (isOnce && !result.isNotRun);
-}
-
 function describe(range: ({from: number} & OwnedRange) | undefined): string {
 	return range === undefined ? 'no owners known' : `keys ${range.from}-${range.to}, owner ${range.owner || 'none'}, open ${range.isOpen}`;
 }
@@ -66,8 +50,6 @@
 	readonly net: Pick<PeerNet, 'exchange' | 'isUnreachable'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
-	/** Returns the retry budget of this instance for the number of instances that share the total. */
-	readonly retryBudget: (instances: number) => RetryBudgetCfg;
 	/** Returns a random number from 0 to 1. */
 	readonly random: () => number;
 	readonly guard: CrashGuard;
@@ -77,15 +59,15 @@
 	readonly isReserving: () => boolean;
 	/** Returns whether another instance should run the orders of this one, since this one is cut off from the targets. */
 	readonly isReleased: () => boolean;
-} & Pick<TrialRunnerOptions, 'requestTrial' | 'reportEnd'>;
+} & Pick<TrialRunnerOptions, 'requestTrial' | 'reportEnd'> & Pick<RetryDeciderOptions, 'retryBudget'>;
 
 /** Routes orders to dispatch queues. */
 export class Dispatcher {
 	private readonly selectors: SelectorSwitch;
 	private readonly closedRanges = new ClosedRanges();
 	private readonly refusals = new RecentRefusals();
-	private readonly budgets = new Map<string, RetryBudget>();
 	private readonly waiters = new Set<() => void>();
+	private readonly retries: RetryDecider;
 	private readonly trials: TrialRunner;
 	private readonly router: QueueRouter;
 
@@ -95,12 +77,13 @@
 		});
 		this.selectors = new SelectorSwitch({view: options.view, telemetry: options.telemetry, mode: options.balancing});
 		this.router = new QueueRouter(options);
+		this.retries = new RetryDecider(options);
 		this.trials = new TrialRunner({...options, waitForChange: async (ms, signal) => this.waitForChange(ms, signal)});
 	}
 
 	/** Runs an order. `maxTargets` is the number of targets that it may be sent to. Never rejects. */
 	async run(order: Order, maxTargets: number, signal: AbortSignal): Promise<OrderResult> {
-		this.getBudget(order.service).deposit(this.options.clock.now());
+		this.retries.recordRequest(order.service);
 		const tried: string[] = [];
 		let combined: OrderResult | undefined;
 		for (let attempts = 1; attempts <= maxAttempts; attempts += 1) {
@@ -108,9 +91,20 @@
 			// eslint-disable-next-line no-await-in-loop
 			const result = await this.attemptUnlessSuspect({...order, excluded: [...order.excluded, ...tried]}, signal);
 			combined = combineResults(combined, result);
-			// eslint-disable-next-line no-await-in-loop
-			if (!await this.prepareRetry(order, result, {attempts, tried, maxTargets}, signal)) {
-				return combined;
+			const isKeyed = order.key !== undefined && this.isSharded(order.service);
+			const decision = this.retries.decide(order, result, {
+				attempts, tried, maxTargets, isKeyed, isAborted: signal.aborted,
+			});
+			if (!decision.isRetried) {
+				return decision.reason === undefined ? combined : {...combined, noRetry: decision.reason};
+			}
+
+			if (isKeyed) {
+				// eslint-disable-next-line no-await-in-loop
+				await this.waitForChange(sameTargetDelayMs * attempts, signal);
+				if (signal.aborted) {
+					return combined;
+				}
 			}
 		}
 
@@ -126,48 +120,6 @@
 		return encodeResult(isSteward ? this.withLoad(result, wire.desk, order) : result);
 	}
 
-	/** Returns whether to retry. Charges the retry budget and, for a keyed service, waits before the retry. */
-	private async prepareRetry(
-		order: Order,
-		result: OrderResult,
-		{attempts, tried, maxTargets}: {attempts: number; tried: string[]; maxTargets: number},
-		signal: AbortSignal,
-	): Promise<boolean> {
-		const {clock, telemetry} = this.options;
-		const isKeyed = order.key !== undefined && this.isSharded(order.service);
-		if (isFinal(order, result) || signal.aborted || attempts >= maxAttempts) {
-			return false;
-		}
-
-		const now = clock.now();
-		const expectedMs = this.options.queues.estimateWorkMs(order.route, order.objectiveMs);
-		if (order.deadline - now < expectedMs) {
-			return false;
-		}
-
-		const {target} = result;
-		if (target !== undefined) {
-			if (!isKeyed && !tried.includes(target)) {
-				tried.push(target);
-			}
-
-			if (tried.length >= maxTargets || !this.getBudget(order.service).tryWithdraw(now)) {
-				return false;
-			}
-		}
-
-		const reason = result.kind === 'failure' ? result.error : `status-${result.answer.status}`;
-		telemetry.metrics.retries.inc({reason});
-		telemetry.logRequest('Retrying request.', {
-			id: order.requestId, reason, target, offers: attempts, leftMs: Math.round(order.deadline - now),
-		});
-		if (isKeyed) {
-			await this.waitForChange(sameTargetDelayMs * attempts, signal);
-		}
-
-		return !signal.aborted;
-	}
-
 	/** Runs an order once; as a trial, if the leader permits it, when it is known or turns out that targets ended under the same request. */
 	private async attemptUnlessSuspect(order: Order, signal: AbortSignal): Promise<OrderResult> {
 		const {guard} = this.options;
@@ -378,15 +330,4 @@
 			wake();
 		}
 	}
-
-	private getBudget(service: string): RetryBudget {
-		const existing = this.budgets.get(service);
-		if (existing !== undefined) {
-			return existing;
-		}
-
-		const budget = new RetryBudget(this.options.retryBudget(this.options.view.nodes().length));
-		this.budgets.set(service, budget);
-		return budget;
-	}
 }
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ErrorKind, QueueLoad, RunMode} from '@bluebellyard/core';
 import type {Answer, HeaderList} from '../ports/index.js';
+import type {NoRetryReason} from './retry-decider.js';
 
 /** A caller's request that is to be sent to a target. Times are monotonic milliseconds of this process. */
 export type Order = {
@@ -30,6 +31,8 @@
 	readonly skipsRateLimited: boolean;
 	/** Whether this is a run that the leader permitted, of a request under which targets ended before. */
 	readonly mode: RunMode;
+	/** Whether the caller has probably sent the request before, also if it came back too early for `hasReturned`. Known only where the request arrived. */
+	readonly isRetry?: boolean;
 };
 
 /** Returns whether the caller of an order was probably rejected before, by the time that it has left. */
@@ -45,6 +48,8 @@
 	readonly waitMs: number;
 	/** Load of the dispatch queue after the request; undefined if its steward did not tell it. */
 	readonly load?: QueueLoad;
+	/** Why the gateway did not retry the request, although a retry might have succeeded; undefined otherwise. */
+	readonly noRetry?: NoRetryReason;
 };
 
 /** Failure of a request without an answer of a target. */
@@ -67,6 +72,8 @@
 	readonly reason: string;
 	/** Load of the dispatch queue after the request; undefined if its steward did not tell it. */
 	readonly load?: QueueLoad;
+	/** Why the gateway did not retry the request, although a retry might have succeeded; undefined otherwise. */
+	readonly noRetry?: NoRetryReason;
 };
 
 /** Result of an order. */
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -238,6 +238,7 @@
 			excluded: [],
 			skipsRateLimited: false,
 			mode: RunMode.Usual,
+			isRetry: headers.callerTimeoutMs !== undefined && this.ages.isRetry(route.name, headers.callerTimeoutMs),
 		};
 	}
 
@@ -285,6 +286,7 @@
 		const fields = {
 			id: headers.requestId, route: route?.name, key: headers.key, tookMs: Math.round(tookMs), waitMs: Math.round(result.waitMs), target: result.target, version: this.options.view.configVersion,
 			...(team !== undefined && {team: team.name}),
+			...(result.noRetry !== undefined && {noRetry: result.noRetry}),
 		};
 		telemetry.metrics.latency.observe({route: route?.name ?? 'none'}, tookMs / 1000);
 		if (result.kind === 'answer') {
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -27,6 +27,20 @@
 		registers: [this.registry],
 	});
 
+	readonly retriesDenied = new Counter({
+		name: 'bluebellyard_retries_denied_total',
+		help: 'Failed requests that were not sent once more although a retry might have succeeded, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly retryBudgetScarce = new Gauge({
+		name: 'bluebellyard_retry_budget_scarce',
+		help: '1 while the retry budget of a service is too small for all requests that may be retried, so that it goes to selected ones.',
+		labelNames: ['service'],
+		registers: [this.registry],
+	});
+
 	readonly returns = new Counter({
 		name: 'bluebellyard_returns_total',
 		help: 'Requests of callers that had been refused before, by result: answered, refused or failed.',
