Retry budget: a caller that retries may get a last chance from the budget

Cause: the value of a retry for a caller that can retry itself was the probability that its own retry fails. It fails for good only if the last chance that it may then get from the budget fails as well.

Change: the value also counts the recent share of granted last chances.

--- a/packages/core/src/policy/selective-retry-budget.ts
+++ b/packages/core/src/policy/selective-retry-budget.ts
@@ -41,7 +41,11 @@
 };
 
 /** Requests of the same priority and the same need of a retry. */
-type Rank = RetryCandidate & {readonly rate: EventRate};
+type Rank = RetryCandidate & {
+	/** Rate of requests that may be retried, and of those that are. */
+	readonly asked: EventRate;
+	readonly granted: EventRate;
+};
 
 /**
  * Retry budget that prefers requests which would otherwise fail for good, and among these the more urgent priorities.
@@ -55,7 +59,6 @@
 export class SelectiveRetryBudget {
 	private readonly budget: RetryBudget;
 	private readonly requests = new EventRate(rateHalfLifeMs);
-	private readonly retries = new EventRate(rateHalfLifeMs);
 	private readonly ranks = new Map<string, Rank>();
 	private isShort = false;
 
@@ -78,7 +81,7 @@
 	/** Decides whether a request is retried and, if so, withdraws the retry. */
 	decide(candidate: RetryCandidate, now: number): RetryDecision {
 		const rank = this.rankOf(candidate);
-		rank.rate.record(now);
+		rank.asked.record(now);
 		if (this.budget.available(now) < 1) {
 			this.isShort = true;
 			return RetryDecision.Exhausted;
@@ -90,7 +93,7 @@
 		}
 
 		this.budget.tryWithdraw(now);
-		this.retries.record(now);
+		rank.granted.record(now);
 		return RetryDecision.Granted;
 	}
 
@@ -111,7 +114,7 @@
 		let higherValue = 0;
 		for (const other of this.ranks.values()) {
 			if (precedes(other, rank)) {
-				const perSecond = other.rate.perSecond(now);
+				const perSecond = other.asked.perSecond(now);
 				higherPerSecond += perSecond;
 				higherValue += perSecond * this.valueOf(other, now);
 			}
@@ -128,17 +131,20 @@
 	/** Returns the value of a retry: the probability that the caller fails for good without it; of those that certainly do, weighted by the priority. */
 	private valueOf({isLastChance, priority}: Rank, now: number): number {
 		if (!isLastChance) {
-			return this.failureShare(now);
+			return this.ownRetryFailureShare(now);
 		}
 
 		const moreUrgent = new Set([...this.ranks.values()].filter(other => other.priority < priority).map(other => other.priority)).size;
 		return lessUrgentValue ** moreUrgent;
 	}
 
-	/** Returns the recent share of failures among all attempts. */
-	private failureShare(now: number): number {
-		const attempts = this.requests.perSecond(now) + this.retries.perSecond(now);
-		return Math.min(1, this.candidatesPerSecond(now) / Math.max(Number.MIN_VALUE, attempts));
+	/** Returns the probability that the retry of a caller fails, and so does the last chance that it then may get from the budget, by the recent shares. */
+	private ownRetryFailureShare(now: number): number {
+		const lastChances = [...this.ranks.values()].filter(({isLastChance}) => isLastChance);
+		const attempts = this.requests.perSecond(now) + sumRates(this.ranks.values(), 'granted', now);
+		const failureShare = toShare(this.candidatesPerSecond(now), attempts);
+		const grantedShare = toShare(sumRates(lastChances, 'granted', now), sumRates(lastChances, 'asked', now));
+		return failureShare * (1 - (grantedShare * (1 - failureShare)));
 	}
 
 	private incomePerSecond(now: number): number {
@@ -146,24 +152,33 @@
 	}
 
 	private candidatesPerSecond(now: number): number {
-		let sum = 0;
-		for (const {rate} of this.ranks.values()) {
-			sum += rate.perSecond(now);
-		}
-
-		return sum;
+		return sumRates(this.ranks.values(), 'asked', now);
 	}
 
 	private rankOf({isLastChance, priority}: RetryCandidate): Rank {
 		const key = `${isLastChance ? 'last' : 'first'} ${priority}`;
 		const rank = this.ranks.get(key) ?? {
-			isLastChance, priority, rate: new EventRate(rateHalfLifeMs),
+			isLastChance, priority, asked: new EventRate(rateHalfLifeMs), granted: new EventRate(rateHalfLifeMs),
 		};
 		this.ranks.set(key, rank);
 		return rank;
 	}
 }
 
+function sumRates(ranks: Iterable<Rank>, kind: 'asked' | 'granted', now: number): number {
+	let sum = 0;
+	for (const rank of ranks) {
+		sum += rank[kind].perSecond(now);
+	}
+
+	return sum;
+}
+
+/** Returns a quotient of rates, at most 1. */
+function toShare(part: number, whole: number): number {
+	return Math.min(1, part / Math.max(Number.MIN_VALUE, whole));
+}
+
 /** Returns whether a candidate gets a retry before another. Those whose callers can retry are equal, so that without any other the budget is spent as they come. */
 function precedes(a: RetryCandidate, b: RetryCandidate): boolean {
 	return a.isLastChance && (!b.isLastChance || a.priority < b.priority);
