Large responses: the receiving instance sends the request with a permit

Cause: a response crossed the link of the steward twice, on the way from the target and on the way to the instance that received the request, and was buffered whole at both.

Change: for an idempotent request of a route with large responses, the dispatch queue of the steward admits the order as before and then sends it through the instance that forwarded it: the order is answered with a permit, and the slot is held until that instance reports the end (work-end), the link to it is lost or the deadline has passed. A permit that arrives late or whose target is not reached is given back, and the order goes through the steward. Setting [responses] direct, on by default.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -173,7 +173,8 @@
 				return true;
 			}
 
-			case PeerOp.Request: {
+			case PeerOp.Request:
+			case PeerOp.RequestEnd: {
 				return undefined;
 			}
 
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -42,6 +42,8 @@
 	TeamUse = 'team-use',
 	/** A request for a dispatch queue of this instance. */
 	Request = 'work',
+	/** The end of a request that this instance permitted the sender to send to the target itself. */
+	RequestEnd = 'work-end',
 }
 
 /** Identifies a state of the view: the state at one leader after one of its changes. */
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -6,9 +6,8 @@
 	ErrorKind, RetryBudget, type BalancingMode, type Clock, type DomainCandidate, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import type {DispatchQueues} from '../queue/index.js';
-import {PeerOp} from '../cluster/index.js';
 import {
-	isUnsent, type Message, type PeerNet,
+	isUnsent, type LinkState, type Message, type PeerNet,
 } from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
@@ -17,16 +16,20 @@
 import {ClosedRanges} from './closed-ranges.js';
 import {combineResults} from './combine-results.js';
 import type {CrashGuard} from './crash-guard.js';
+import {DirectPermits} from './direct-permits.js';
 import {
 	failure, hasReturned, type Order, type OrderResult,
 } from './order.js';
 import {fingerprintOf} from './order-fingerprint.js';
+import {OrderForwarder, type DirectPath} from './order-forwarder.js';
 import {QueueRouter} from './queue-router.js';
 import {RecentRefusals} from './recent-refusals.js';
 import {SelectorSwitch} from './selector-switch.js';
 import {TrialRunner, type TrialRunnerOptions} from './trial-runner.js';
-import {decodeOrder, encodeOrder, type WireOrder} from './wire-order.js';
-import {decodeResult, encodeResult} from './wire-result.js';
+import {decodeOrder, type WireOrder} from './wire-order.js';
+import {
+	decodeEnd, encodeEndReply, encodeReply, type DirectPermit,
+} from './wire-permit.js';
 
 /** Largest number of times that one request is passed to a dispatch queue, for whatever reason. */
 const maxAttempts = 5;
@@ -37,9 +40,6 @@
 /** Largest number of times that one attempt is passed on because an instance gave it back. */
 const maxReturns = 3;
 
-/** Time after the deadline at which a forwarded request is aborted, in milliseconds. */
-const forwardSlackMs = 120;
-
 /** Failures after which a retry may succeed. */
 const retryableErrors = new Set([
 	ErrorKind.TargetShed, ErrorKind.TargetFenced, ErrorKind.ConnectFailed, ErrorKind.ConnectionLost, ErrorKind.NoTarget, ErrorKind.StewardUnreachable, ErrorKind.NotSteward,
@@ -77,6 +77,8 @@
 	readonly isReserving: () => boolean;
 	/** Returns whether another instance should run the orders of this one, since this one is cut off from the targets. */
 	readonly isReleased: () => boolean;
+	/** What it takes to send requests with large responses to targets of other stewards; undefined if all go through the steward. */
+	readonly direct?: DirectPath;
 } & Pick<TrialRunnerOptions, 'requestTrial' | 'reportEnd'>;
 
 /** Routes orders to dispatch queues. */
@@ -88,6 +90,8 @@
 	private readonly waiters = new Set<() => void>();
 	private readonly trials: TrialRunner;
 	private readonly router: QueueRouter;
+	private readonly forwarder: OrderForwarder;
+	private readonly permits: DirectPermits;
 
 	constructor(private readonly options: DispatcherOptions) {
 		options.view.onChange(() => {
@@ -95,6 +99,8 @@
 		});
 		this.selectors = new SelectorSwitch({view: options.view, telemetry: options.telemetry, mode: options.balancing});
 		this.router = new QueueRouter(options);
+		this.forwarder = new OrderForwarder(options);
+		this.permits = new DirectPermits(options);
 		this.trials = new TrialRunner({...options, waitForChange: async (ms, signal) => this.waitForChange(ms, signal)});
 	}
 
@@ -117,13 +123,22 @@
 		return combined!;
 	}
 
-	/** Runs an order that another instance forwarded to a dispatch queue of this one. */
-	async runForPeer({value, bytes}: Message, signal: AbortSignal): Promise<Message> {
+	/** Runs an order that another instance forwarded to a dispatch queue of this one, or permits that instance to send it. */
+	async runForPeer({value, bytes}: Message, signal: AbortSignal, link?: LinkState): Promise<Message> {
 		const wire = value as WireOrder;
-		const isSteward = this.options.view.findSteward(wire.desk) === this.options.self.name;
+		const {dx: token, desk: queueId} = wire;
+		const isSteward = this.options.view.findSteward(queueId) === this.options.self.name;
 		const order = decodeOrder(wire, bytes, {now: this.options.clock.now(), skipsRateLimited: !isSteward});
-		const result = await this.options.queues.run(wire.desk, order, signal);
-		return encodeResult(isSteward ? this.withLoad(result, wire.desk, order) : result);
+		const result = await this.permits.run({
+			queueId, order, token: isSteward ? token : undefined, signal, link,
+		});
+		return encodeReply(isSteward ? this.withLoad(result, queueId, order) : result);
+	}
+
+	/** Records the end of an order that another instance sent with a permit of this one. */
+	async endForPeer(message: Message): Promise<Message> {
+		const {token, result} = decodeEnd(message);
+		return encodeEndReply(await this.permits.end(token, result));
 	}
 
 	/** Returns whether to retry. Charges the retry budget and, for a keyed service, waits before the retry. */
@@ -281,7 +296,7 @@
 	}
 
 	/** Adds the load of a dispatch queue of which this instance is the steward to a result, where it is used. */
-	private withLoad(result: OrderResult, queueId: string, {service}: Order): OrderResult {
+	private withLoad<T extends OrderResult | DirectPermit>(result: T, queueId: string, {service}: Order): T {
 		if (!this.selectors.isBalanced || this.isSharded(service)) {
 			return result;
 		}
@@ -325,7 +340,7 @@
 		}
 
 		try {
-			const result = await this.forward(node.addr, queueId, order, signal);
+			const result = await this.forwarder.forward(order, {addr: node.addr, queueId, signal});
 			if (result.kind === 'failure' && result.error === ErrorKind.DeadlineTooClose && result.isReserved !== true) {
 				this.refusals.record(queueId, order, left, {now: clock.now(), retryAfterMs: result.retryAfterMs});
 			}
@@ -349,14 +364,6 @@
 		}
 	}
 
-	private async forward(addr: string, queueId: string, order: Order, signal: AbortSignal): Promise<OrderResult> {
-		const now = this.options.clock.now();
-		const wire = encodeOrder(order, queueId, now);
-		const timeoutMs = Math.max(1, Math.ceil(order.deadline - now + forwardSlackMs));
-		const reply = await this.options.net.exchange(addr, PeerOp.Request, {value: wire, bytes: order.body}, {signal, timeoutMs});
-		return decodeResult(reply);
-	}
-
 	/** Waits for a change of the view, the given time or an abort, whichever is first. */
 	private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
 		return new Promise(resolve => {
--- a/packages/gateway/src/dispatch/order.ts
+++ b/packages/gateway/src/dispatch/order.ts
@@ -1,6 +1,9 @@
 import type {Buffer} from 'node:buffer';
-import type {ErrorKind, QueueLoad, RunMode} from '@bluebellyard/core';
+import type {
+	ErrorKind, QueueLoad, RunMode, TargetInfo,
+} from '@bluebellyard/core';
 import type {Answer, HeaderList} from '../ports/index.js';
+import type {TargetRequest, TargetResult} from '../queue/target-client.js';
 
 /** A caller's request that is to be sent to a target. Times are monotonic milliseconds of this process. */
 export type Order = {
@@ -30,6 +33,13 @@
 	readonly skipsRateLimited: boolean;
 	/** Whether this is a run that the leader permitted, of a request under which targets ended before. */
 	readonly mode: RunMode;
+	/** Sends the order in place of the client of the dispatch queue: the instance that forwarded it does. Undefined if this instance sends it. */
+	readonly sender?: OrderSender;
+};
+
+/** Sends an order to the target that the dispatch queue has selected. Never rejects. */
+export type OrderSender = {
+	readonly send: (req: TargetRequest, target: TargetInfo) => Promise<TargetResult>;
 };
 
 /** Returns whether the caller of an order was probably rejected before, by the time that it has left. */
@@ -37,6 +47,13 @@
 	return objectiveAt - arrivedAt < objectiveMs;
 }
 
+/** Returns what a target receives of an order. */
+export function toTargetRequest({requestId, method, path, headers, body, team, isOnce}: Order): Pick<TargetRequest, 'requestId' | 'method' | 'path' | 'headers' | 'body' | 'team' | 'isOnce'> {
+	return {
+		requestId, method, path, headers, body, team, isOnce,
+	};
+}
+
 /** Complete answer of a target. */
 export type AnsweredResult = {
 	readonly kind: 'answer';
--- a/packages/gateway/src/dispatch/wire-order.ts
+++ b/packages/gateway/src/dispatch/wire-order.ts
@@ -36,6 +36,8 @@
 	readonly rm?: RunMode;
 	/** Name of the caller's team; absent without one. */
 	readonly tm?: string;
+	/** Token by which the sender reports the end of the order if it may send it directly; absent if it can't, and from instances of an earlier version. */
+	readonly dx?: string;
 };
 
 /** Encodes an order for the dispatch queue of another instance. */
--- a/packages/gateway/src/dispatch/wire-result.ts
+++ b/packages/gateway/src/dispatch/wire-result.ts
@@ -10,7 +10,7 @@
 
 /** Encodes a result, with the load of the dispatch queue if it is told. */
 export function encodeResult({load, ...result}: OrderResult): Message {
-	const told = load === undefined ? {} : {q: [Math.round(load.capacity * 100) / 100, Math.round(load.aheadMs)] as const};
+	const told = encodeLoad(load);
 	return result.kind === 'answer'
 		? {value: {...result, ...told, answer: {...result.answer, body: noBytes}} satisfies WireResult, bytes: result.answer.body}
 		: {value: {...result, ...told} satisfies WireResult, bytes: noBytes};
@@ -24,7 +24,13 @@
 	return known.kind === 'answer' ? {...known, answer: {...known.answer, body: bytes}} : known;
 }
 
-function decodeLoad(q: unknown): QueueLoad | undefined {
+/** Returns the field of a message that tells the load of a dispatch queue; none if it is not told. */
+export function encodeLoad(load: QueueLoad | undefined): Pick<WireResult, 'q'> {
+	return load === undefined ? {} : {q: [Math.round(load.capacity * 100) / 100, Math.round(load.aheadMs)]};
+}
+
+/** Returns the load that a message tells; undefined if it tells none. */
+export function decodeLoad(q: unknown): QueueLoad | undefined {
 	const isLoad = Array.isArray(q) && q.length === 2 && q.every(number => typeof number === 'number' && number >= 0);
 	return isLoad ? {capacity: q[0] as number, aheadMs: q[1] as number} : undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,11 +18,13 @@
 	Coordinator, PeerOp, type Report,
 } from './cluster/index.js';
 import {sleep} from './net/index.js';
-import {noBytes, PeerNet} from './peers/index.js';
+import {
+	noBytes, PeerNet, type LinkState, type Message,
+} from './peers/index.js';
 import type {
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
-import {ContactBoundMode, type GatewaySettings} from './settings/index.js';
+import {ContactBoundMode, DirectMode, type GatewaySettings} from './settings/index.js';
 import {TeamAdmission, TeamRates} from './teams/index.js';
 import {type Telemetry} from './telemetry/index.js';
 import {stewardSlots, View, type NodeInfo} from './view/index.js';
@@ -112,10 +114,7 @@
 		};
 		const {self} = this;
 		const random = () => Math.random();
-		const requestOp: string = PeerOp.Request;
-		this.net = new PeerNet(async (op, message, signal) => op === requestOp
-			? this.dispatcher.runForPeer(message, signal)
-			: {value: this.coordinator.handle(op as PeerOp, message), bytes: noBytes}, clock, addr => this.isFar(addr));
+		this.net = new PeerNet(async (op, message, signal, link) => this.handleCall(op as PeerOp, message, signal, link), clock, addr => this.isFar(addr));
 		this.client = new TargetClient(ports.wire, clock, cfg.targets['local-address']);
 		this.coordinator = new Coordinator({
 			...ports,
@@ -204,6 +203,11 @@
 			balancing: cfg.balancing.mode,
 			isReserving: () => cfg.admission.reservations === ReservationMode.On,
 			isReleased: () => this.paths.isReleased,
+			...(cfg.responses.direct === DirectMode.Auto && {
+				direct: {
+					client: this.client, paths: this.paths, estimateWorkMs: (route: string, objectiveMs: number) => this.queues.estimateWorkMs(route, objectiveMs), tokenPrefix: self.incarnation,
+				},
+			}),
 			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
 			reportEnd: (print, outcome) => {
 				this.coordinator.leaderChannel.report(PeerOp.TrialEnd, {print, outcome});
@@ -309,6 +313,16 @@
 		return node !== undefined && node.domain !== this.self.domain;
 	}
 
+	private async handleCall(op: PeerOp, message: Message, signal: AbortSignal, link: LinkState): Promise<Message> {
+		if (op === PeerOp.Request) {
+			return this.dispatcher.runForPeer(message, signal, link);
+		}
+
+		return op === PeerOp.RequestEnd
+			? this.dispatcher.endForPeer(message)
+			: {value: this.coordinator.handle(op, message), bytes: noBytes};
+	}
+
 	private recordKey(service: string, key: number, route: HostRoute): void {
 		const entries = this.requestedKeys.get(service) ?? [];
 		this.requestedKeys.set(service, entries);
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -44,8 +44,14 @@
 	}
 }
 
-/** Handles a call of another instance. `signal` aborts when the caller cancels the call or the link closes. */
-export type CallHandler = (op: string, message: Message, signal: AbortSignal) => Promise<Message>;
+/** Tells when a link is lost, also after a call that came over it has been answered. */
+export type LinkState = {
+	/** Calls a function once when the link is lost; at once if it is lost already. Returns a function that withdraws it. */
+	readonly whenDown: (listener: () => void) => () => void;
+};
+
+/** Handles a call of another instance. `signal` aborts when the caller cancels the call or the link closes before it is answered. */
+export type CallHandler = (op: string, message: Message, signal: AbortSignal, link: LinkState) => Promise<Message>;
 
 /** Conditions that cancel a call. The timeout is a plain timer, since `AbortSignal.timeout` costs more than the rest of a call. */
 export type CallOptions = {
@@ -61,11 +67,12 @@
 };
 
 /** One connection between two instances, which carries calls in both directions. */
-export class PeerLink {
+export class PeerLink implements LinkState {
 	private readonly reader = new FrameReader();
 	private readonly writer = new FrameWriter();
 	private readonly openCalls = new Map<number, OpenCall>();
 	private readonly runningCalls = new Map<number, AbortController>();
+	private readonly downListeners = new Set<() => void>();
 	private nextNumber = 1;
 	private receivedAt: number;
 	/** When received data was last checked for. */
@@ -141,6 +148,18 @@
 		});
 	}
 
+	whenDown(listener: () => void): () => void {
+		if (this.isDown) {
+			listener();
+			return () => undefined;
+		}
+
+		this.downListeners.add(listener);
+		return () => {
+			this.downListeners.delete(listener);
+		};
+	}
+
 	/** Closes the connection immediately. Open calls are rejected. */
 	close(): void {
 		this.shutDown('closed');
@@ -203,7 +222,7 @@
 				return;
 			}
 
-			const {value, bytes} = await this.handler(op, message, abort.signal);
+			const {value, bytes} = await this.handler(op, message, abort.signal, this);
 			this.writer.isCompressed = this.reader.isCompressed;
 			this.write({k: FrameKind.Reply, n: number, b: value}, bytes);
 		} finally {
@@ -263,6 +282,11 @@
 			abort.abort();
 		}
 
+		for (const listener of this.downListeners) {
+			listener();
+		}
+
+		this.downListeners.clear();
 		this.onDown();
 	}
 }
--- a/packages/gateway/src/peers/peers.test.ts
+++ b/packages/gateway/src/peers/peers.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 import {systemClock} from '@bluebellyard/core';
 import {FrameReader, FrameWriter, type Message} from './frames.js';
-import {LinkError} from './peer-link.js';
+import {LinkError, type LinkState} from './peer-link.js';
 import {PeerNet} from './peer-net.js';
 
 for (const isCompressed of [false, true]) {
@@ -108,6 +108,37 @@
 	close();
 });
 
+// A permit outlives the call that it answered.
+test('the loss of a link is told after its calls have been answered', async t => {
+	let losses = 0;
+	const link = new Promise<LinkState>(resolve => {
+		t.context = resolve;
+	});
+	const {net, addr, close} = await pair(async (_op, _body, _signal, state) => {
+		(t.context as (state: LinkState) => void)(state);
+		state.whenDown(() => {
+			losses += 1;
+		});
+		state.whenDown(() => {
+			losses += 100;
+		})();
+		return reply('done');
+	});
+	await net.call(addr, 'permit', 0);
+	t.is(losses, 0);
+	net.close();
+	const state = await link;
+	await new Promise<void>(resolve => {
+		state.whenDown(resolve);
+	});
+	t.is(losses, 1);
+	state.whenDown(() => {
+		losses += 1;
+	});
+	t.is(losses, 2);
+	close();
+});
+
 test('a call that is aborted as it arrives is not run', async t => {
 	let runs = 0;
 	const {net, addr, close} = await pair(async () => {
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -9,7 +9,7 @@
 } from '@bluebellyard/core';
 import type {CrashGuard} from '../dispatch/crash-guard.js';
 import {
-	failure, hasReturned, type Order, type OrderResult,
+	failure, hasReturned, toTargetRequest, type Order, type OrderResult,
 } from '../dispatch/order.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {CrashDetector} from './crash-detector.js';
@@ -67,7 +67,7 @@
 };
 
 /** Error kind for each outcome of an attempt at a target. */
-const errorByOutcome: Readonly<Record<Exclude<AttemptOutcome, AttemptOutcome.Answered>, ErrorKind>> = {
+export const errorByOutcome: Readonly<Record<Exclude<AttemptOutcome, AttemptOutcome.Answered>, ErrorKind>> = {
 	[AttemptOutcome.Full]: ErrorKind.TargetShed,
 	[AttemptOutcome.NotRun]: ErrorKind.TargetFenced,
 	[AttemptOutcome.Unreachable]: ErrorKind.ConnectFailed,
@@ -167,7 +167,6 @@
 		const request: QueuedRequest = {
 			id: String(this.nextId++),
 			priority: order.priority,
-			team: order.team,
 			objectiveAt: order.objectiveAt,
 			deadline: order.deadline,
 			workMs: estimator.estimate(order.route, order.objectiveMs),
@@ -283,33 +282,31 @@
 		this.options.tracker.recordSend(target.id, role);
 		this.options.crashes.recordSend(target, order);
 		const expectedMs = Math.max(1, request.workMs);
-		const watch = this.options.paths.watch({
-			target: target.id, expectedMs: expectedMs * limiter.slowness.factor, mayEnd: !order.isOnce && order.mode === RunMode.Usual,
-		});
-		const result = await client.send({
+		// The path of another instance that sends the order tells nothing of this one's.
+		const watch = order.sender === undefined
+			? this.options.paths.watch({
+				target: target.id, expectedMs: expectedMs * limiter.slowness.factor, mayEnd: !order.isOnce && order.mode === RunMode.Usual,
+			})
+			: undefined;
+		const result = await (order.sender ?? client).send({
 			addr: target.addr,
 			target: target.name,
-			requestId: order.requestId,
-			method: order.method,
-			path: order.path,
-			headers: order.headers,
-			body: order.body,
-			team: order.team,
+			...toTargetRequest(order),
 			timeLeftMs: Math.max(1, Math.floor(order.deadline - startedAt + answerSlackMs)),
-			isOnce: order.isOnce,
 			connections: target.slots + spareConnections,
 			signal,
 			observer: watch,
-		});
-		watch.end(result);
+		}, target);
+		watch?.end(result);
 		const isTargetGone = await this.options.crashes.recordResult(target, order, result);
 		const now = clock.now();
 		this.options.tracker.recordResult(target.id, {
 			result, name: target.name, sentAt: startedAt, role,
 		});
 		this.refreshLimits(now);
-		this.recordFeedback(order, limiter, result, now - startedAt);
-		const decision = this.admission.finish(limiter, result.outcome, (now - startedAt) / expectedMs, now);
+		const tookMs = result.tookMs ?? now - startedAt;
+		this.recordFeedback(order, limiter, result, tookMs);
+		const decision = this.admission.finish(limiter, result.outcome, tookMs / expectedMs, now);
 		this.settle(request.id, this.toOrderResult(order, limiter.id, result, {waitMs, isTargetGone}));
 		this.applyDecision(decision);
 	}
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -69,6 +69,8 @@
 	readonly meta: TargetHeaders | undefined;
 	readonly fault: ConnectionFault;
 	readonly reason: string;
+	/** Duration that another instance reported, which sent the request, in milliseconds; undefined if this one sent it. */
+	readonly tookMs?: number;
 };
 
 /** Faults of a connection that could not be opened, by error code; any other code is `ConnectionFault.Failed`. */
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -19,6 +19,12 @@
 	Off = 'off',
 }
 
+/** Whether instances may send requests of routes with large responses to targets themselves when the steward permits it. */
+export enum DirectMode {
+	Auto = 'auto',
+	Off = 'off',
+}
+
 /** Thrown for settings that can't be read or are invalid. */
 export class GatewaySettingsError extends VError {
 	constructor(message: string, cause?: Error) {
@@ -85,6 +91,10 @@
 		/** How a failure domain is selected for a request to a service that is not sharded. */
 		mode: z.enum(BalancingMode).default(BalancingMode.Auto),
 	}).default({mode: BalancingMode.Auto}),
+	responses: z.object({
+		/** Whether large responses go from the target to the receiving instance without their steward. */
+		direct: z.enum(DirectMode).default(DirectMode.Auto),
+	}).default({direct: DirectMode.Auto}),
 	admission: z.object({
 		/** Whether queues reserve capacity for callers that they reject. */
 		reservations: z.enum(ReservationMode).default(ReservationMode.Off),
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -183,6 +183,20 @@
 		registers: [this.registry],
 	});
 
+	readonly directRequests = new Counter({
+		name: 'bluebellyard_direct_requests_total',
+		help: 'Requests that a steward permitted this instance to send to the target itself, by result: answered, failed, late, or unreached and sent through the steward.',
+		labelNames: ['result'],
+		registers: [this.registry],
+	});
+
+	readonly directPermits = new Counter({
+		name: 'bluebellyard_direct_permits_total',
+		help: 'Permits that this instance gave as steward, by what ended them: report, link or deadline.',
+		labelNames: ['end'],
+		registers: [this.registry],
+	});
+
 	readonly queued = new Gauge({
 		name: 'bluebellyard_queued',
 		help: 'Requests that wait for a slot at this instance.',
