Large responses: direct requests reuse a connection where targets allow it

An instance keeps one idle connection to a target of its domain for direct requests if the target bears one of each instance of the domain.

--- a/packages/gateway/src/dispatch/order-forwarder.ts
+++ b/packages/gateway/src/dispatch/order-forwarder.ts
@@ -14,7 +14,9 @@
 	failure, toTargetRequest, type Order, type OrderResult,
 } from './order.js';
 import {encodeOrder} from './wire-order.js';
-import {decodePermit, encodeEnd, type DirectPermit} from './wire-permit.js';
+import {
+	decodePermit, encodeEnd, type DirectPermit, type PermittedTarget,
+} from './wire-permit.js';
 import {decodeResult} from './wire-result.js';
 
 /** Time after the deadline at which a forwarded request is aborted, in milliseconds. */
@@ -36,6 +38,8 @@
 	readonly paths: Pick<PathChecker, 'watch' | 'isCutOff'>;
 	/** Returns the expected run time of a request, in milliseconds. */
 	readonly estimateWorkMs: (route: string, objectiveMs: number) => number;
+	/** Failure domain of this instance. */
+	readonly domain: string;
 	/** Prefix of the tokens of this process, unique among all instances. */
 	readonly tokenPrefix: string;
 };
@@ -145,15 +149,14 @@
 		return known === undefined || view.isUsable(known);
 	}
 
-	private async send(order: Order, {target}: DirectPermit, signal: CancelSignal, {client, paths, estimateWorkMs}: DirectPath): Promise<TargetResult> {
+	private async send(order: Order, {target}: DirectPermit, signal: CancelSignal, {client, paths, estimateWorkMs, domain}: DirectPath): Promise<TargetResult> {
 		const watch = paths.watch({target: target.id, expectedMs: Math.max(1, estimateWorkMs(order.route, order.objectiveMs)), mayEnd: true});
 		const result = await client.send({
 			addr: target.addr,
 			target: target.name,
 			...toTargetRequest(order),
 			timeLeftMs: Math.max(1, Math.floor(order.deadline - this.options.clock.now() + answerSlackMs)),
-			// Idle connections of many instances would exceed what a target accepts, and be closed before they are used again.
-			connections: 0,
+			connections: this.idleConnections(order, target, domain),
 			signal,
 			observer: watch,
 		});
@@ -161,6 +164,18 @@
 		return result;
 	}
 
+	/** Returns how many idle connections to a target this instance may keep: one, if all instances in the target's domain may keep one beside those of the steward and those in use. */
+	private idleConnections({service}: Order, target: PermittedTarget, domain: string): number {
+		const {view} = this.options;
+		if (view.targets.get(target.id)?.domain !== domain) {
+			return 0;
+		}
+
+		const instances = view.nodes().filter(node => node.domain === domain).length;
+		const maxConnections = view.allServices.get(service)?.maxConnections ?? 0;
+		return instances + (2 * (target.slots + 1)) <= maxConnections ? 1 : 0;
+	}
+
 	/** Reports a failure. Resolves to the steward's result, which tells whether the target is gone; undefined if it can't be learned. */
 	private async reportFailure(order: Order, to: ForwardTo & {token: string}, result: TargetResult, tookMs: number): Promise<OrderResult | undefined> {
 		const {clock} = this.options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -205,7 +205,11 @@
 			isReleased: () => this.paths.isReleased,
 			...(cfg.responses.direct === DirectMode.Auto && {
 				direct: {
-					client: this.client, paths: this.paths, estimateWorkMs: (route: string, objectiveMs: number) => this.queues.estimateWorkMs(route, objectiveMs), tokenPrefix: self.incarnation,
+					client: this.client,
+					paths: this.paths,
+					estimateWorkMs: (route: string, objectiveMs: number) => this.queues.estimateWorkMs(route, objectiveMs),
+					domain,
+					tokenPrefix: self.incarnation,
 				},
 			}),
 			requestTrial: async (print, maxMs) => this.coordinator.leaderChannel.requestTrial({print, maxMs}),
