The configuration goes ahead of whole views, which are paced

Cause: a leader without the state of the former one, as an instance that has just started, sent the whole view to all followers at once. With 195 and 300 instances and a link of 18 Mbit/s they took longer than the timeout of a ping and were sent again.

Change: a follower whose state is not known, or that waits for the whole view, gets the configuration by itself, as a whole, in the next ping; its state for later changes stays. At most 1 MB of whole views is on its way at a time.

--- a/packages/gateway/src/cluster/configuration-lag.test.ts
+++ b/packages/gateway/src/cluster/configuration-lag.test.ts
@@ -8,7 +8,7 @@
 import {FollowerFleet} from '../mocks/index.js';
 
 /** Runs a change of the leader in which the next one reads a new configuration 60 ms after its election. Returns times since that reading in milliseconds. */
-async function changeLeader(instances: number, targets: number) {
+async function changeLeader(instances: number, targets: number, isFresh = false) {
 	const fleet = new FollowerFleet({
 		seed: 1, instances, targets, linkMbps: 18, followerCores: 0.203, changesPerTick: 3,
 	});
@@ -17,11 +17,15 @@
 	fleet.stopLeading();
 	fleet.end(former);
 	await fleet.run(50);
+	if (isFresh) {
+		next.replica.clear();
+	}
+
 	fleet.lead(next);
 	await fleet.run(60);
 	const readAt = fleet.clock.now();
 	fleet.configure(2);
-	await fleet.run(4000);
+	await fleet.run(isFresh ? 5000 : 2000);
 	const lags = [...fleet.appliedAt.values()].map(at => at - readAt).toSorted((a, b) => a - b);
 	const {faults, wholeViews} = fleet;
 	return {
@@ -42,6 +46,18 @@
 	});
 }
 
+// Whole views to all at once took the link for so long that pings timed out, and the views were sent again.
+for (const instances of [100, 300]) {
+	test.serial(`a new leader with ${instances} instances that all need the whole view`, async t => {
+		const result = await changeLeader(instances, 999, true);
+		t.log(JSON.stringify(result));
+		t.is(result.reached, instances - 2);
+		t.deepEqual(result.faults, []);
+		t.is(result.wholeViews, instances - 2);
+		t.true(result.longest < 1000);
+	});
+}
+
 // A leader that is lost while it brings followers up to date leaves some of them with its states and others with those before.
 test('after any changes of the leader all instances have its view', async t => {
 	let wholeViews = 0;
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -42,6 +42,15 @@
 /** Most pings without an answer to one instance: one, and one with a new configuration. */
 const maxInFlight = 2;
 
+/** Most bytes of whole views on their way at a time, unless it is one view. Half of what a link of 18 Mbit/s carries within the timeout of a ping; more made pings time out and views be sent again. */
+const maxWholeBytes = 1024 * 1024;
+
+/** Size that a whole view is assumed to have before the first one is packed, in bytes; 45 kB with 300 instances and 999 targets. */
+const assumedWholeBytes = 64 * 1024;
+
+/** Largest configuration that is sent ahead of the whole view, in bytes; one with many keys of teams is about as large as the view. */
+const maxConfigBytes = 64 * 1024;
+
 /** Options of `FollowerSync`. */
 export type FollowerSyncOptions = {
 	readonly self: NodeInfo;
@@ -65,6 +74,25 @@
 	readonly onPong: (node: NodeInfo, pong: Pong, sentAt: number) => void;
 };
 
+/** What a ping tells of the view. */
+enum ChangeKind {
+	/** The changes since a state that the instance has. */
+	Since,
+	/** The whole view. */
+	Whole,
+	/** The configuration, as the state of the instance is not known or it waits for the whole view. */
+	Config,
+	/** Nothing, in the same cases. */
+	None,
+}
+
+type Changes = {
+	readonly kind: ChangeKind;
+	readonly since?: number;
+	readonly base?: ViewState | undefined;
+	readonly packed: Buffer | Promise<Buffer>;
+};
+
 type Follower = {
 	/** Number of pings without an answer so far. */
 	inFlight: number;
@@ -77,8 +105,10 @@
 	nextAt: number;
 	/** Time at which the last ping was sent. */
 	sentAt: number;
-	/** Sequence number of the view that the last ping brought it to. */
+	/** Sequence number of the view when the last ping was sent. */
 	sentSeq: number;
+	/** Sequence number that the pings on their way bring it to; undefined if it is not known that they do. */
+	pendingSeq: number | undefined;
 	isLeaving: boolean;
 	/** Stamp of the last answer; the next ping repeats it. */
 	stamp: number | undefined;
@@ -93,6 +123,10 @@
 	/** Sequence number of the store up to which `packedDeltas` reach. */
 	private packedSeq = -1;
 	private readonly config: ConfigProgress;
+	private wholeInFlight = 0;
+	private wholeBytes = assumedWholeBytes;
+	/** The packed configuration, and its sequence number. */
+	private packedConfig: {readonly seq: number; readonly bytes: Buffer | Promise<Buffer>} | undefined;
 
 	constructor(options: FollowerSyncOptions) {
 		this.options = options;
@@ -150,7 +184,8 @@
 			const isThrottled = now - follower.sentAt < (this.config.mayLack(node.name, now) ? Math.min(minIntervalMs, configRetryMs) : minIntervalMs);
 			// A configuration does not wait for the answer to an earlier ping, as that may take until its timeout.
 			const isConfigDue = follower.sentSeq < configSeq && follower.inFlight < maxInFlight;
-			const isDue = now >= follower.nextAt || (!isLost && !isThrottled && (isBehind || isFrequentPingDue));
+			const isWaiting = follower.isFullSyncNeeded && !this.hasRoomForWhole() && now - follower.sentAt < pingIntervalMs;
+			const isDue = (now >= follower.nextAt && !isWaiting) || (!isLost && !isThrottled && !isWaiting && (isBehind || isFrequentPingDue));
 			if (isConfigDue || (follower.inFlight === 0 && isDue)) {
 				void this.ping(node, follower, storeAgeMs);
 			}
@@ -171,46 +206,44 @@
 		// A new instance counts as live until it does not answer.
 		const follower: Follower = {
 			inFlight: 0, viewState: this.options.baseState?.assumed, isFullSyncNeeded: false, repliedAt: now, nextAt: now,
-			sentAt: Number.NEGATIVE_INFINITY, sentSeq: -1, isLeaving: false, stamp: undefined,
+			sentAt: Number.NEGATIVE_INFINITY, sentSeq: -1, pendingSeq: undefined, isLeaving: false, stamp: undefined,
 		};
 		this.followers.set(node.name, follower);
 		return follower;
 	}
 
 	private async ping(node: NodeInfo, follower: Follower, storeAgeMs: number): Promise<void> {
-		const {net, view, self, leadership, clock, telemetry, onPong, contactStatement} = this.options;
-		// Messages of a link keep their order, so that an earlier ping is applied before this one.
-		const assumed = follower.inFlight > 0 && follower.sentSeq >= 0 ? this.stateAt(follower.sentSeq) : follower.viewState;
-		const since = this.findBaseSeq(assumed);
-		const base = since === undefined ? undefined : assumed;
+		const {net, view, clock, telemetry, onPong} = this.options;
+		const {kind, since, base, packed} = this.selectChanges(node, follower);
+		const isWhole = kind === ChangeKind.Whole;
 		const seq = view.store.lastSeq;
 		const startedAt = clock.now();
-		const isWhole = since === undefined && follower.isFullSyncNeeded;
 		telemetry.metrics.wholeViews.inc(isWhole ? 1 : 0);
-		const packed = since === undefined && !follower.isFullSyncNeeded ? noBytes : this.packChangesSince(since ?? -1);
+		this.wholeInFlight += isWhole ? 1 : 0;
 		follower.inFlight += 1;
 		follower.sentAt = startedAt;
 		follower.sentSeq = seq;
+		follower.pendingSeq = kind === ChangeKind.Since || isWhole ? seq : undefined;
 		try {
-			const bytes = packed instanceof Promise ? await packed : packed;
+			const full = packed instanceof Promise ? await packed : packed;
+			const bytes = kind === ChangeKind.Config && full.length > maxConfigBytes ? noBytes : full;
+			this.wholeBytes = isWhole ? bytes.length : this.wholeBytes;
 			const now = clock.now();
-			// Ages in the message count from its sending, not from the time at which large changes began to be packed.
-			const statement = contactStatement();
 			const ping: Ping = {
-				...leadership(),
-				leader: self,
+				...this.describeLeader(follower, now),
 				storeAgeMs: Math.round(storeAgeMs + now - startedAt),
-				targetsAgeMs: Math.round(now - this.options.targetsReadAt()),
-				formerEndsMs: toFormerEnds(this.options.formerSendEnds(), now),
-				...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
 				base,
 				...(since !== undefined && bytes.length > 0 && {bases: this.listBases(since, seq)}),
+				...(kind === ChangeKind.Config && bytes.length > 0 && {isConfigOnly: true}),
 				seq,
 			};
 			const reply = await net.exchange(node.addr, PeerOp.Ping, {value: ping, bytes}, {timeoutMs: pingTimeoutMs});
 			const pong = reply.value as Pong;
 			if (compareLeaderships(pong, ping) === 0) {
 				this.handlePong(node, follower, pong);
+				if (ping.isConfigOnly === true) {
+					this.config.confirm(node.name, seq, clock.now());
+				}
 			}
 
 			onPong(node, pong, now);
@@ -222,6 +255,7 @@
 			follower.nextAt = clock.now() + (this.config.mayLack(node.name, clock.now()) ? configRetryMs : lostPingIntervalMs);
 		} finally {
 			follower.inFlight -= 1;
+			this.wholeInFlight -= isWhole ? 1 : 0;
 		}
 	}
 
@@ -274,6 +308,57 @@
 		return bytes;
 	}
 
+	/** Returns what a ping tells of this leader. Ages count from its sending, not from the time at which large changes began to be packed. */
+	private describeLeader(follower: Follower, now: number): Omit<Ping, 'storeAgeMs' | 'base' | 'seq'> {
+		const {self, leadership, contactStatement, targetsReadAt, formerSendEnds} = this.options;
+		const statement = contactStatement();
+		return {
+			...leadership(),
+			leader: self,
+			targetsAgeMs: Math.round(now - targetsReadAt()),
+			formerEndsMs: toFormerEnds(formerSendEnds(), now),
+			...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
+		};
+	}
+
+	/** Selects the changes of the next ping to an instance. */
+	private selectChanges(node: NodeInfo, follower: Follower): Changes {
+		// Messages of a link keep their order, so that an earlier ping is applied before this one.
+		const pendingSeq = follower.inFlight > 0 ? follower.pendingSeq : undefined;
+		const base = pendingSeq === undefined ? follower.viewState : this.stateAt(pendingSeq);
+		const since = this.findBaseSeq(base);
+		if (since !== undefined) {
+			return {
+				kind: ChangeKind.Since, since, base, packed: this.packChangesSince(since),
+			};
+		}
+
+		if (follower.isFullSyncNeeded && this.hasRoomForWhole()) {
+			return {kind: ChangeKind.Whole, packed: this.packChangesSince(-1)};
+		}
+
+		return this.config.mayLack(node.name, this.options.clock.now()) ? {kind: ChangeKind.Config, packed: this.packConfig()} : {kind: ChangeKind.None, packed: noBytes};
+	}
+
+	private hasRoomForWhole(): boolean {
+		return this.wholeInFlight === 0 || (this.wholeInFlight + 1) * this.wholeBytes <= maxWholeBytes;
+	}
+
+	/** Packs the configuration, for instances that wait for the whole view. */
+	private packConfig(): Buffer | Promise<Buffer> {
+		const {view} = this.options;
+		const seq = view.store.lastSeqOfPart(configPart);
+		if (this.packedConfig?.seq !== seq) {
+			this.packedConfig = {
+				seq, bytes: packDelta({
+					isFull: false, seq, set: [...view.configRows()], gone: [],
+				}),
+			};
+		}
+
+		return this.packedConfig.bytes;
+	}
+
 	private handlePong(node: NodeInfo, follower: Follower, pong: Pong): void {
 		const now = this.options.clock.now();
 		if (now - follower.repliedAt > lostAfterMs) {
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -77,6 +77,8 @@
 	readonly base: ViewState | undefined;
 	/** Further states to which the changes apply; absent without changes and from instances of an earlier version. */
 	readonly bases?: readonly StateRange[];
+	/** Whether the changes are the rows of the configuration and nothing else, which apply to any state; absent otherwise. */
+	readonly isConfigOnly?: boolean;
 	/** Sequence number of the view after the changes. */
 	readonly seq: number;
 };
--- a/packages/gateway/src/cluster/view-replica.ts
+++ b/packages/gateway/src/cluster/view-replica.ts
@@ -66,7 +66,7 @@
 	}
 
 	/** Applies the changes of a ping if they can be based on a state that this instance has or had; otherwise the view and its state stay as they are. */
-	receive(ping: Pick<Ping, 'leader' | 'term' | 'seq' | 'base' | 'bases'>, delta: Delta | undefined): void {
+	receive(ping: Pick<Ping, 'leader' | 'term' | 'seq' | 'base' | 'bases' | 'isConfigOnly'>, delta: Delta | undefined): void {
 		const state = {leader: ping.leader.incarnation, term: ping.term, seq: ping.seq};
 		if (delta?.isFull === true) {
 			this.reset(state);
@@ -74,6 +74,11 @@
 			return;
 		}
 
+		if (ping.isConfigOnly === true) {
+			this.view.applyConfig(new Map(delta?.set));
+			return;
+		}
+
 		const base = this.findBase(ping);
 		if (base === undefined) {
 			return;
--- a/packages/gateway/src/view/index.ts
+++ b/packages/gateway/src/view/index.ts
@@ -3,3 +3,4 @@
 export * from './queue-id.js';
 export * from './team-table.js';
 export * from './view.js';
+export * from './view-parts.js';
--- a/packages/gateway/src/view/leader-config.ts
+++ b/packages/gateway/src/view/leader-config.ts
@@ -1,8 +1,6 @@
 import type {Delta} from './delta-store.js';
 import {isTeamRow} from './team-table.js';
-
-/** Part of the view with the version and the limits of the active configuration; changes with each configuration. */
-export const configPart = 'config';
+import {configPart} from './view-parts.js';
 
 /** Returns whether a row is one of the configuration. */
 export function isConfigRow(key: string): boolean {
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -10,6 +10,9 @@
 import {DeltaStore, type Delta} from './delta-store.js';
 import {isConfigRow, LeaderConfig} from './leader-config.js';
 import {TeamTable, teamRows} from './team-table.js';
+import {
+	ceilingPart, cutPart, leavingPart, limitPart, suspectPart,
+} from './view-parts.js';
 
 /** A key range by which requests of callers are routed. */
 export type OwnedRange = {
@@ -42,21 +45,6 @@
 	headerBytes: 16_384, bodyBytes: 67_108_864, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
 
-/** Part of the view with the limits that targets name, by target id, in requests per second. */
-export const limitPart = 'limit';
-
-/** Part of the view with the targets that announced their leaving, by target id. */
-export const leavingPart = 'leaving';
-
-/** Part of the view with the requests under which targets ended, by fingerprint. */
-export const suspectPart = 'suspect';
-
-/** Part of the view with the ceilings of teams for each instance, by team, in requests per second. */
-export const ceilingPart = 'ceiling';
-
-/** Part of the view with the instances that are cut off from the targets, by name. */
-export const cutPart = 'cut';
-
 /** Largest number of announcements that an instance remembers on its own; far more than targets leave within the life of a process that hears no leader. */
 const maxAnnouncements = 4096;
 
@@ -314,7 +302,7 @@
 		if (this.leaderConfig === undefined && !isOlder) {
 			this.store.apply(delta);
 		} else {
-			const own = this.ownConfigRows();
+			const own = this.configRows();
 			const leaderConfig = (this.leaderConfig ?? new LeaderConfig(own)).after(delta);
 			const keepsOwn = configVersion !== undefined && leaderConfig.version < configVersion;
 			this.leaderConfig = keepsOwn ? leaderConfig : undefined;
@@ -324,6 +312,20 @@
 		this.notifyListeners();
 	}
 
+	/** Replaces the configuration by the rows of a newer one that the leader sends ahead of its view; the state of the view stays as it is. */
+	applyConfig(rows: ReadonlyMap<string, unknown>): void {
+		const {configVersion} = this;
+		const config = new LeaderConfig(rows);
+		if (configVersion === undefined || config.version > configVersion) {
+			const own = this.configRows();
+			this.leaderConfig ??= new LeaderConfig(own);
+			this.store.apply(config.replace(own, {
+				isFull: false, seq: 0, set: [], gone: [],
+			}));
+			this.notifyListeners();
+		}
+	}
+
 	/** Returns the value of a row in the leader's view, in which the configuration may be another one. */
 	leaderRow(key: string): unknown {
 		return this.leaderConfig !== undefined && isConfigRow(key) ? this.leaderConfig.rows.get(key) : this.store.get(key);
@@ -331,11 +333,16 @@
 
 	/** Makes the configuration of this instance that of the leader, as it leads now. Returns the keys in which the two may differ. */
 	adoptOwnConfig(): string[] {
-		const keys = this.leaderConfig === undefined ? [] : [...this.leaderConfig.rows.keys(), ...this.ownConfigRows().keys()];
+		const keys = this.leaderConfig === undefined ? [] : [...this.leaderConfig.rows.keys(), ...this.configRows().keys()];
 		this.leaderConfig = undefined;
 		return keys;
 	}
 
+	/** Returns the rows of the active configuration. */
+	configRows(): ReadonlyMap<string, unknown> {
+		return new Map([...this.store.withPrefix<unknown>('')].filter(([key]) => isConfigRow(key)));
+	}
+
 	/** Notifies the listeners of a change. */
 	notifyListeners(): void {
 		for (const listener of this.listeners) {
@@ -343,10 +350,6 @@
 		}
 	}
 
-	private ownConfigRows(): ReadonlyMap<string, unknown> {
-		return new Map([...this.store.withPrefix<unknown>('')].filter(([key]) => isConfigRow(key)));
-	}
-
 	/** Calls `rebuild` if a row under the part changed since the table was last built. */
 	private rebuildIfChanged(part: string, rebuild: () => void): void {
 		const seq = this.store.lastSeqOfPart(part);
