--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -299,7 +299,8 @@
 		const {configVersion} = this;
 		const header = delta.set.find(([key]) => key === 'config')?.[1] as ConfigHeader | undefined;
 		const isOlder = configVersion !== undefined && (header === undefined ? delta.isFull || delta.gone.includes('config') : header.version < configVersion);
-		if (this.leaderConfig === undefined && !isOlder) {
+		const hasConfigRows = delta.isFull || header !== undefined || delta.gone.some(key => isConfigRow(key)) || delta.set.some(([key]) => isConfigRow(key));
+		if (!hasConfigRows || (this.leaderConfig === undefined && !isOlder)) {
 			this.store.apply(delta);
 		} else {
 			const own = this.configRows();
