--- a/packages/gateway/src/view/index.ts
+++ b/packages/gateway/src/view/index.ts
@@ -4,3 +4,4 @@
 export * from './queue-weights.js';
 export * from './team-table.js';
 export * from './view.js';
+export * from './view-parts.js';
