Links: one timer checks all links for silence

Each link had an interval of 100 ms of its own while calls were open, so that an instance that calls many others was woken once for nearly every call. One interval now checks all links with open calls; the times of probes and of the end of a link are as before, within the same 100 ms.

--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -1,10 +1,10 @@
 import type {Socket} from 'node:net';
 import type {Buffer} from 'node:buffer';
-import type {Clock} from '@bluebellyard/core';
 import {Cancellation, waitForPendingReads, type CancelSignal} from '../net/index.js';
 import {
 	FrameReader, FrameWriter, noBytes, type Message,
 } from './frames.js';
+import {checkIntervalMs, type CheckedLink, type SilenceChecks} from './silence-checks.js';
 
 /** Kinds of frames on a link. */
 enum FrameKind {
@@ -31,9 +31,6 @@
 /** Time without received data after which the link is closed, in milliseconds; two lost packets are retransmitted within it. */
 const closeAfterMs = 900;
 
-/** Interval between checks for received data, in milliseconds. */
-const checkIntervalMs = 100;
-
 /** Thrown when a call gets no reply. */
 export class LinkError extends Error {
 	override readonly name = 'LinkError';
@@ -61,7 +58,7 @@
 };
 
 /** One connection between two instances, which carries calls in both directions. */
-export class PeerLink {
+export class PeerLink implements CheckedLink {
 	private readonly reader = new FrameReader();
 	private readonly writer = new FrameWriter();
 	private readonly openCalls = new Map<number, OpenCall>();
@@ -70,16 +67,17 @@
 	private receivedAt: number;
 	/** When received data was last checked for. */
 	private checkedAt = 0;
-	private silenceTimer: NodeJS.Timeout | undefined;
+	/** Whether received data is checked for. */
+	private isChecked = false;
 	private isDown = false;
 
 	constructor(
 		private readonly socket: Socket,
 		private readonly handler: CallHandler,
-		private readonly clock: Clock,
+		private readonly checks: SilenceChecks,
 		private readonly onDown: () => void,
 	) {
-		this.receivedAt = clock.now();
+		this.receivedAt = checks.clock.now();
 		socket.setNoDelay(true);
 		socket.on('data', (chunk: Buffer) => {
 			this.receive(chunk);
@@ -105,7 +103,7 @@
 
 		const number = this.nextNumber++;
 		if (this.openCalls.size === 0) {
-			this.receivedAt = this.clock.now();
+			this.receivedAt = this.checks.clock.now();
 		}
 
 		return new Promise((resolve, reject) => {
@@ -137,7 +135,7 @@
 			this.write({
 				k: FrameKind.Call, n: number, op, b: value,
 			}, bytes);
-			this.startSilenceTimer();
+			this.startChecks();
 		});
 	}
 
@@ -151,8 +149,30 @@
 		this.socket.end();
 	}
 
+	/** Probes the other side, or closes the connection, if nothing was received for too long while calls are open. Returns whether calls are open. */
+	checkSilence(): boolean {
+		if (this.openCalls.size === 0) {
+			this.isChecked = false;
+			return false;
+		}
+
+		const now = this.checks.clock.now();
+		// What arrived while the event loop was blocked is read after the timers have run, so that this time is no silence.
+		const blockedMs = Math.max(0, now - this.checkedAt - checkIntervalMs);
+		this.checkedAt = now;
+		this.receivedAt = Math.min(now, this.receivedAt + blockedMs);
+		const silentMs = now - this.receivedAt;
+		if (silentMs > closeAfterMs) {
+			this.shutDown('no data received');
+		} else if (silentMs > probeAfterMs) {
+			this.write({k: FrameKind.Probe});
+		}
+
+		return this.openCalls.size > 0;
+	}
+
 	private receive(chunk: Buffer): void {
-		this.receivedAt = this.clock.now();
+		this.receivedAt = this.checks.clock.now();
 		try {
 			for (const message of this.reader.push(chunk)) {
 				this.handleFrame(message.value as FrameHead, message.bytes);
@@ -217,32 +237,11 @@
 		}
 	}
 
-	private startSilenceTimer(): void {
-		if (this.silenceTimer === undefined) {
-			this.checkedAt = this.clock.now();
-			this.silenceTimer = setInterval(() => {
-				this.checkSilence();
-			}, checkIntervalMs);
-		}
-	}
-
-	private checkSilence(): void {
-		if (this.openCalls.size === 0) {
-			clearInterval(this.silenceTimer);
-			this.silenceTimer = undefined;
-			return;
-		}
-
-		const now = this.clock.now();
-		// What arrived while the event loop was blocked is read after the timers have run, so that this time is no silence.
-		const blockedMs = Math.max(0, now - this.checkedAt - checkIntervalMs);
-		this.checkedAt = now;
-		this.receivedAt = Math.min(now, this.receivedAt + blockedMs);
-		const silentMs = now - this.receivedAt;
-		if (silentMs > closeAfterMs) {
-			this.shutDown('no data received');
-		} else if (silentMs > probeAfterMs) {
-			this.write({k: FrameKind.Probe});
+	private startChecks(): void {
+		if (!this.isChecked) {
+			this.isChecked = true;
+			this.checkedAt = this.checks.clock.now();
+			this.checks.add(this);
 		}
 	}
 
@@ -252,7 +251,6 @@
 		}
 
 		this.isDown = true;
-		clearInterval(this.silenceTimer);
 		this.socket.destroy();
 		for (const call of this.openCalls.values()) {
 			call.reject(new LinkError(reason, true));
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -7,6 +7,7 @@
 import {
 	LinkError, PeerLink, type CallHandler, type CallOptions,
 } from './peer-link.js';
+import {SilenceChecks} from './silence-checks.js';
 
 /** Timeout for opening a connection to another instance, in milliseconds. A lost packet is retransmitted after about 200 ms in fast networks and 1 s in slow ones. */
 const connectTimeoutMs = 400;
@@ -24,9 +25,11 @@
 	private readonly outgoing = new Map<string, Outgoing>();
 	private readonly incoming = new Set<PeerLink>();
 	private readonly server: Server;
+	private readonly checks: SilenceChecks;
 
 	/** `isFar` returns whether an address is in another failure domain. */
 	constructor(private readonly handler: CallHandler, private readonly clock: Clock, private readonly isFar: (addr: string) => boolean = () => false) {
+		this.checks = new SilenceChecks(clock);
 		this.server = createServer(socket => {
 			this.accept(socket);
 		});
@@ -71,7 +74,7 @@
 	}
 
 	private accept(socket: Socket): void {
-		const link: PeerLink = new PeerLink(socket, this.handler, this.clock, () => {
+		const link: PeerLink = new PeerLink(socket, this.handler, this.checks, () => {
 			this.incoming.delete(link);
 		});
 		this.incoming.add(link);
@@ -117,7 +120,7 @@
 			socket.once('connect', () => {
 				clearTimeout(timer);
 				socket.removeAllListeners('error');
-				resolve(new PeerLink(socket, this.handler, this.clock, onDown));
+				resolve(new PeerLink(socket, this.handler, this.checks, onDown));
 			});
 		});
 	}
