--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -247,11 +247,12 @@
 	}
 
 	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
-		if (this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)))) {
-			res.setHeader('connection', 'close');
-		}
-
+		const isLast = this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)));
 		if (result.kind === 'failure') {
+			if (isLast) {
+				res.setHeader('connection', 'close');
+			}
+
 			if (result.error === ErrorKind.UnknownKey) {
 				for (const [name, value] of this.options.wire.toChallenge()) {
 					res.setHeader(name, value);
@@ -263,19 +264,23 @@
 		}
 
 		const {status, headers, body, isFramed} = result.answer;
+		const lines = isLast ? ['connection', 'close'] : [];
 		for (const [name, value] of this.options.wire.toCaller(headers)) {
-			res.appendHeader(name, value);
+			lines.push(name, value);
 		}
 
 		if (isFramed) {
-			res.setHeader('content-length', body.length);
+			lines.push('content-length', String(body.length));
 		} else {
 			// The target stated no length, so the answer may be truncated; a length added here would hide that.
-			res.setHeader('connection', 'close');
 			res.removeHeader('transfer-encoding');
+			if (!isLast) {
+				lines.push('connection', 'close');
+			}
 		}
 
-		res.writeHead(status);
+		// Headers that are set one by one before are copied and looked up several times.
+		res.writeHead(status, lines);
 		res.end(body);
 	}
 
