--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -9,6 +9,7 @@
 import type {GatewayConfig} from '../ports/index.js';
 import {DeltaStore, type Delta} from './delta-store.js';
 import {isConfigRow, LeaderConfig} from './leader-config.js';
+import type {NodeInfo} from './node-info.js';
 import {TeamTable, teamRows} from './team-table.js';
 import {
 	ceilingPart, cutPart, leavingPart, limitPart, suspectPart,
@@ -23,20 +24,6 @@
 	readonly isOpen: boolean;
 };
 
-/** One instance of the gateway. */
-export type NodeInfo = {
-	readonly name: string;
-	/** Identifies one run of the process. */
-	readonly incarnation: string;
-	readonly domain: string;
-	/** Address on which it accepts connections of other instances. */
-	readonly addr: string;
-	/** Processor time available to it, in cores. */
-	readonly cores: number;
-	/** Bandwidth of its network link, in Mbit/s; absent if unknown, and from instances of an earlier version. */
-	readonly linkMbps?: number;
-};
-
 type ConfigHeader = {
 	readonly version: number;
 	readonly limits: CallerLimits;
