--- a/packages/gateway/src/net/cancellation.test.ts
+++ b/packages/gateway/src/net/cancellation.test.ts
@@ -26,3 +26,21 @@
 	cancellation.abort();
 	t.deepEqual(calls, ['first', 'second']);
 });
+
+// A caller whose connection and response both end aborts twice; what was registered in between belongs to the clean-up of the first time.
+test('a listener that is added after the abort, or by a listener, is not called', t => {
+	const cancellation = new Cancellation();
+	const calls: string[] = [];
+	cancellation.addEventListener('abort', () => {
+		calls.push('first');
+		cancellation.addEventListener('abort', () => {
+			calls.push('nested');
+		});
+	});
+	cancellation.abort();
+	cancellation.addEventListener('abort', () => {
+		calls.push('late');
+	});
+	cancellation.abort();
+	t.deepEqual(calls, ['first']);
+});
--- a/packages/gateway/src/net/cancellation.ts
+++ b/packages/gateway/src/net/cancellation.ts
@@ -21,6 +21,10 @@
 
 	/** Calls the listeners. Further calls do nothing. */
 	abort(): void {
+		if (this.isAborted) {
+			return;
+		}
+
 		this.isAborted = true;
 		// A listener may remove others.
 		for (let listener = this.listeners.shift(); listener !== undefined; listener = this.listeners.shift()) {
@@ -29,7 +33,9 @@
 	}
 
 	addEventListener(_type: 'abort', listener: () => void): void {
-		this.listeners.push(listener);
+		if (!this.isAborted) {
+			this.listeners.push(listener);
+		}
 	}
 
 	removeEventListener(_type: 'abort', listener: () => void): void {
