Direct requests: time-outs reach the steward, callers that wait get an answer, cold targets get none

The steward's timer for the report ended at about the same time as the request at its sender, so that a request that timed out counted as cancelled: crash detection forgot it, and the target was not paused.

A direct request that did not reach its target by the deadline, or whose permit came after it, had the result of a caller that left, upon which the connection of the caller was closed without a status.

A permit may be used 300 ms after the start that the limiter of a cold or limited target counts, whose window allows for 100 ms. The steward sends requests to such targets itself.

--- a/packages/gateway/src/dispatch/direct-permits.ts
+++ b/packages/gateway/src/dispatch/direct-permits.ts
@@ -10,6 +10,9 @@
 /** Time for which a permit may be used, in milliseconds: some delay of messages and of a busy process. The slot is taken meanwhile, and the target may announce that it leaves. */
 const permitUseMs = 300;
 
+/** Time after the end of the request for which its report is awaited, in milliseconds: without it, requests that time out at their sender would end here first, so that crash detection would forget them. */
+const reportSlackMs = 60;
+
 /** What ends a permit. */
 enum PermitEnd {
 	Report = 'report',
@@ -124,7 +127,7 @@
 
 			const timer = setTimeout(() => {
 				finish(withoutReport('no report by the deadline'), PermitEnd.Deadline);
-			}, timeLeftMs);
+			}, timeLeftMs + reportSlackMs);
 			this.open.set(token, finish);
 			withdraw = link.whenDown(() => {
 				finish(withoutReport('the link to the sender was lost'), PermitEnd.Link);
--- a/packages/gateway/src/dispatch/order-forwarder.ts
+++ b/packages/gateway/src/dispatch/order-forwarder.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {
-	AttemptOutcome, RunMode, type Clock, type HostRoute,
+	AttemptOutcome, ErrorKind, RunMode, type Clock, type HostRoute,
 } from '@bluebellyard/core';
 import {PeerOp} from '../cluster/index.js';
 import type {CancelSignal} from '../net/index.js';
@@ -129,11 +129,19 @@
 			this.pausedUntil = clock.now() + pauseMs;
 		}
 
-		if ((isLate || isUnreached) && !to.signal.aborted && clock.now() < order.deadline) {
+		if (isLate || isUnreached) {
 			metrics.directRequests.inc({result: isLate ? 'late' : 'unreached'});
-			this.options.telemetry.logRequest('Not sent directly, but through the steward.', {id: order.requestId, target, reason});
 			this.reportInBackground(to, to.token, result, tookMs);
-			return decodeResult(await this.exchange(order, to));
+			if (!to.signal.aborted && clock.now() < order.deadline) {
+				this.options.telemetry.logRequest('Not sent directly, but through the steward.', {id: order.requestId, target, reason});
+				return decodeResult(await this.exchange(order, to));
+			}
+
+			// The steward's result is that of a withdrawn order, although the caller may wait.
+			const error = isLate && !to.signal.aborted ? ErrorKind.DeadlinePassed : errorByOutcome[outcome];
+			return failure(error, {
+				target, waitMs, reason, retryAfterMs: refusalRetryMs,
+			});
 		}
 
 		metrics.directRequests.inc({result: 'failed'});
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -283,13 +283,15 @@
 		this.options.tracker.recordSend(target.id, role);
 		this.options.crashes.recordSend(target, order);
 		const expectedMs = Math.max(1, request.workMs);
+		// A permit may be used some time after the start, which the limit of a target on requests per second does not allow for.
+		const sender = limiter.isRateLimited(startedAt) ? undefined : order.sender;
 		// The path of another instance that sends the order tells nothing of this one's.
-		const watch = order.sender === undefined
+		const watch = sender === undefined
 			? this.options.paths.watch({
 				target: target.id, expectedMs: expectedMs * limiter.slowness.factor, mayEnd: !order.isOnce && order.mode === RunMode.Usual,
 			})
 			: undefined;
-		const result = await (order.sender ?? client).send({
+		const result = await (sender ?? client).send({
 			addr: target.addr,
 			target: target.name,
 			...toTargetRequest(order),
