--- a/packages/gateway/src/dispatch/direct-rules.test.ts
+++ b/packages/gateway/src/dispatch/direct-rules.test.ts
@@ -66,3 +66,28 @@
 	harness.sent[1].end(answered);
 	t.like(await second, {kind: 'answer'});
 });
+
+// A partition of one instance from a target must not pause the target for the callers of all others.
+test('connections that break at one instance alone do not stop others from using the target', async t => {
+	const harness = new DirectPathHarness();
+	harness.view.store.set('target/t', {...harness.view.targets.get('t')!, slots: 6});
+	harness.view.notifyListeners();
+	const results: Array<Promise<unknown>> = [];
+	for (let n = 0; n < 6; n += 1) {
+		// eslint-disable-next-line no-await-in-loop
+		const {result} = await harness.start({requestId: `r${n}`});
+		results.push(result);
+	}
+
+	t.is(harness.sent.length, 6);
+	for (const {end} of harness.sent.slice(0, 6)) {
+		end(lost);
+	}
+
+	await Promise.all(results);
+	harness.clock.advance(150);
+	const next = await harness.start({requestId: 'next', route: 'small'});
+	t.is(harness.senders.length, 7, 'the target is paused');
+	harness.sent[6].end(answered);
+	t.like(await next.result, {kind: 'answer'});
+});
