--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -77,6 +77,9 @@
 	[AttemptOutcome.Cancelled]: ErrorKind.CallerDisconnected,
 };
 
+/** Outcomes that a fault between the sender and the target explains as well as one of the target. */
+const pathOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Unreachable, AttemptOutcome.Broken]);
+
 /** Retry delay reported with a failed attempt, in milliseconds. */
 const refusalRetryMs = 100;
 
@@ -283,13 +286,15 @@
 		this.options.tracker.recordSend(target.id, role);
 		this.options.crashes.recordSend(target, order);
 		const expectedMs = Math.max(1, request.workMs);
+		// A permit may be used some time after the start, which the limit of a target on requests per second does not allow for.
+		const sender = limiter.isRateLimited(startedAt) ? undefined : order.sender;
 		// The path of another instance that sends the order tells nothing of this one's.
-		const watch = order.sender === undefined
+		const watch = sender === undefined
 			? this.options.paths.watch({
 				target: target.id, expectedMs: expectedMs * limiter.slowness.factor, mayEnd: !order.isOnce && order.mode === RunMode.Usual,
 			})
 			: undefined;
-		const result = await (order.sender ?? client).send({
+		const result = await (sender ?? client).send({
 			addr: target.addr,
 			target: target.name,
 			...toTargetRequest(order),
@@ -307,7 +312,9 @@
 		this.refreshLimits(now);
 		const tookMs = result.tookMs ?? now - startedAt;
 		this.recordFeedback(order, limiter, result, tookMs);
-		const decision = this.admission.finish(limiter, result.outcome, tookMs / expectedMs, now);
+		// A connection that broke at another instance may be due to its path; the steward checks whether the target has ended.
+		const isPathDoubtful = order.sender !== undefined && !isTargetGone && pathOutcomes.has(result.outcome);
+		const decision = this.admission.finish(limiter, isPathDoubtful ? AttemptOutcome.Cancelled : result.outcome, tookMs / expectedMs, now);
 		this.settle(request.id, this.toOrderResult(order, limiter.id, result, {waitMs, isTargetGone}));
 		this.applyDecision(decision);
 	}
