Views: late whole views and late reads of the register change nothing

A whole view that a later ping of the same leader has overtaken brought rows of the view back to an earlier state. A superseded leader that was still reading the register added instances to its view, which belongs to the next leader by then; no ping corrects such a row.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -369,7 +369,9 @@
 			this.knownInstances.add(node);
 		}
 
-		leader.addRegistered(registered);
+		if (this.leader === leader) {
+			leader.addRegistered(registered);
+		}
 	}
 
 	private stepDown(reason: string): void {
--- a/packages/gateway/src/cluster/view-replica.ts
+++ b/packages/gateway/src/cluster/view-replica.ts
@@ -69,6 +69,11 @@
 	receive(ping: Pick<Ping, 'leader' | 'term' | 'seq' | 'base' | 'bases' | 'isConfigOnly'>, delta: Delta | undefined): void {
 		const state = {leader: ping.leader.incarnation, term: ping.term, seq: ping.seq};
 		if (delta?.isFull === true) {
+			if (this.state?.leader === state.leader && this.state.term === state.term && state.seq < this.state.seq) {
+				// A later ping of the same leader has overtaken this one.
+				return;
+			}
+
 			this.reset(state);
 			this.view.apply(delta);
 			return;
