--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -92,7 +92,7 @@
 		this.registration = new Registration({...options, directory: this.directory});
 		this.ownerLog = new OwnerLog(log);
 		this.suspectLog = new SuspectLog(log);
-		this.reader = new FeedReader({...options, loadSuspects: async () => loadSuspects(this.suspectLog, this.leader?.suspects, options.view)});
+		this.reader = new FeedReader({...options, loadSuspects: async () => loadSuspects(this.suspectLog, this.leader?.suspects, options.view, () => this.replica.state !== undefined)});
 		this.knownInstances = new KnownInstances(options);
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
--- a/packages/gateway/src/cluster/superseded-leader.test.ts
+++ b/packages/gateway/src/cluster/superseded-leader.test.ts
@@ -1,6 +1,6 @@
 /**
- * An instance that is superseded while it reads the store for its own term. What it reads then must not change its view,
- * which is the next leader's by that time: no ping of that leader would correct the rows.
+ * An instance that hears another leader while it reads the store, for its own term or since it heard none. What it reads
+ * then must not change its view, which is that leader's by the time of the answer: no ping would correct the rows.
  */
 import test, {type ExecutionContext} from 'ava';
 import {ManualClock, type TargetInfo} from '@bluebellyard/core';
@@ -10,9 +10,12 @@
 import {Telemetry} from '../telemetry/index.js';
 import {View, type NodeInfo} from '../view/index.js';
 import {Coordinator} from './coordinator.js';
+import {loadSuspects} from './load-suspects.js';
 import {
 	packDelta, PeerOp, type Ping, type Pong,
 } from './messages.js';
+import {SuspectLog} from './suspect-log.js';
+import {ViewReplica} from './view-replica.js';
 
 function node(name: string): NodeInfo {
 	return {
@@ -48,6 +51,12 @@
 	return coordinator;
 }
 
+function createPing(): Ping {
+	return {
+		era: 0, term: 9, leader: node('e1'), storeAgeMs: 0, targetsAgeMs: 0, formerEndsMs: {}, base: undefined, seq: 5,
+	};
+}
+
 test('the register that a superseded leader reads late does not change its view', async t => {
 	const log = new HeldLog();
 	await log.append('keyed.bluebellyard-nodes', 'e9', JSON.stringify(node('e9')));
@@ -61,17 +70,37 @@
 	await settle();
 	t.true(coordinator.isLeader);
 	t.true(log.heldCount > 0);
-	const leader = node('e1');
-	const ping: Ping = {
-		era: 0, term: 9, leader, storeAgeMs: 0, targetsAgeMs: 0, formerEndsMs: {}, base: undefined, seq: 5,
-	};
 	const bytes = await packDelta({
-		isFull: true, seq: 5, set: [['node/e0', node('e0')], ['node/e1', leader]], gone: [],
+		isFull: true, seq: 5, set: [['node/e0', node('e0')], ['node/e1', node('e1')]], gone: [],
 	});
-	const pong = coordinator.handle(PeerOp.Ping, {value: ping, bytes}) as Pong;
+	const pong = coordinator.handle(PeerOp.Ping, {value: createPing(), bytes}) as Pong;
 	t.deepEqual(pong.viewState, {leader: 'e1-1', term: 9, seq: 5});
 	t.false(coordinator.isLeader);
 	log.releaseAll();
 	await settle();
 	t.deepEqual(view.nodes().map(({name}) => name), ['e0', 'e1']);
 });
+
+// The view would reject a request that an operator has released until the process ends.
+test('suspects that an instance reads late do not change the view of a leader that it has heard since', async t => {
+	const log = new HeldLog();
+	const suspects = new SuspectLog(log);
+	const suspect = {
+		service: 's', crashes: [], trials: 0, isQuarantined: true,
+	};
+	await suspects.write('p', suspect);
+	const view = new View();
+	const replica = new ViewReplica(view, new ManualClock());
+	log.hold('list');
+	const isLoaded = loadSuspects(suspects, undefined, view, () => replica.state !== undefined);
+	await settle();
+	replica.receive(createPing(), {
+		isFull: true, seq: 5, set: [['node/e1', node('e1')]], gone: [],
+	});
+	log.releaseAll();
+	await isLoaded;
+	t.is(view.suspects.size, 0);
+	const alone = new View();
+	await loadSuspects(suspects, undefined, alone);
+	t.is(alone.suspects.size, 1);
+});
