Ownership: an acceptance counts only once no earlier grant can arrive

Cause, found by the review: an owner that accepted the new leader's grant may restart under its name before its record is read. A grant of a former leader that its new process received in time is carried out late, as that process knows no token; the range has moved meanwhile, and two targets hold it.

Change: from the time at which no grant of former leaders can arrive, an acceptance counts only if its grant was sent after that time, for revocations, for moves and for settled records. All ranges are renewed at that time, so that this costs no waiting.

One expectation of move-adjuster.test.ts changed: a range moves if its owner accepted a grant since that time; without it, it stays.

--- a/packages/gateway/src/cluster/grant.ts
+++ b/packages/gateway/src/cluster/grant.ts
@@ -58,6 +58,20 @@
 	};
 }
 
+/**
+ * Returns whether an owner rejects grants of former leaders that may still be carried out, as it accepted one of this
+ * leader. Once none can arrive any more, at `arrivalEnd`, one that was sent before does not count: the owner may have
+ * restarted since, and its process may not know the token while a grant of a former leader waits there.
+ */
+export function rejectsFormerGrants(grant: Readonly<GrantState> | undefined, arrivalEnd: number, now: number): boolean {
+	return grant?.isFenced === true && (now < arrivalEnd || grant.acceptedSentAt >= arrivalEnd);
+}
+
+/** Returns whether no grant was sent since `arrivalEnd`, so that one is due for the owner to reject those of former leaders. */
+export function isOutdated(grant: Readonly<GrantState>, arrivalEnd: number, now: number): boolean {
+	return now >= arrivalEnd && grant.lastSentAt < arrivalEnd && Number.isFinite(grant.lastSentAt);
+}
+
 /** Returns the key that identifies a grant: the range, its fencing token and its owner. */
 export function grantKey({from, to, owner, fence}: RangeOwnership): string {
 	return `${from}-${to}/${fence}@${owner}`;
--- a/packages/gateway/src/cluster/move-adjuster.test.ts
+++ b/packages/gateway/src/cluster/move-adjuster.test.ts
@@ -33,7 +33,9 @@
 // A release does not count while a grant of a lost leader may arrive: keys that the next leader moved for their load had no owner for over 5 s.
 test('a range stays with its owner while grants of a former leader may arrive', t => {
 	t.deepEqual(adjust({}, {inheritedLeaseEnd: 18_000, inheritedArrivalEnd: 11_000}), []);
-	t.deepEqual(adjust({}, {inheritedLeaseEnd: 18_000, inheritedArrivalEnd: 10_000}), [move]);
+	t.deepEqual(adjust({acceptedSentAt: 10_000}, {inheritedLeaseEnd: 18_000, inheritedArrivalEnd: 10_000}), [move]);
+	// The owner may have restarted since it accepted a grant.
+	t.deepEqual(adjust({acceptedSentAt: 9000}, {inheritedLeaseEnd: 18_000, inheritedArrivalEnd: 10_000}), []);
 	t.deepEqual(adjust({unansweredSentAt: 9000}, {inheritedArrivalEnd: 11_000}), [renewal]);
 	t.deepEqual(adjust({}, {inheritedArrivalEnd: 11_000, ids: ['b']}), [move]);
 });
--- a/packages/gateway/src/cluster/move-adjuster.ts
+++ b/packages/gateway/src/cluster/move-adjuster.ts
@@ -5,7 +5,7 @@
 import {
 	leaseExpiry, overlaps, type FormerOwner, type KeyMove, type LeaseTiming, type RangeOwnership,
 } from '@bluebellyard/core';
-import type {GrantState} from './grant.js';
+import {rejectsFormerGrants, type GrantState} from './grant.js';
 
 /** Shortest wait for a former owner at which it gets its range back instead, in milliseconds; the write and the grant take less. */
 const minReturnWaitMs = 500;
@@ -85,7 +85,7 @@
 		}
 
 		// The owner has not accepted the present token yet, so that it does not reject earlier grants.
-		const isUnfenced = parts.some(range => mayCount(findGrant(range)?.formerUnansweredSentAt) || (now < inheritedLeaseEnd && findGrant(range)?.isFenced !== true));
+		const isUnfenced = parts.some(range => mayCount(findGrant(range)?.formerUnansweredSentAt) || (now < inheritedLeaseEnd && !rejectsFormerGrants(findGrant(range), inheritedArrivalEnd, now)));
 		return isUnfenced ? [] : [move];
 	}
 }
--- a/packages/gateway/src/cluster/ownership-manager.ts
+++ b/packages/gateway/src/cluster/ownership-manager.ts
@@ -22,7 +22,7 @@
 import {Revocations} from './revocations.js';
 import {SilentOwners} from './silent-owners.js';
 import {
-	grantKey, createGrantState, inheritGrantState, latestSend, pendingSince, type GrantState,
+	grantKey, createGrantState, inheritGrantState, isOutdated, latestSend, pendingSince, rejectsFormerGrants, type GrantState,
 } from './grant.js';
 
 /** Delay before the removal of former owners is written, in milliseconds, so that another write can include it. */
@@ -224,7 +224,7 @@
 		const {clock, inheritedLeaseEnd, inheritedArrivalEnd} = this.options;
 		const now = clock.now();
 		const grants = this.map.findOverlapping(part).map(range => this.grants.get(grantKey(range)));
-		const isFenced = now >= inheritedArrivalEnd() && grants.every(grant => grant?.isFenced === true);
+		const isFenced = now >= inheritedArrivalEnd() && grants.every(grant => rejectsFormerGrants(grant, inheritedArrivalEnd(), now));
 		return (isFenced || now >= inheritedLeaseEnd()) && this.held.tryHold(part, grants, now);
 	}
 
@@ -345,7 +345,7 @@
 		const lastGrants = formerMap.findOverlapping(range).filter(part => part.owner === former.owner).map(part => formerGrants.get(grantKey(part)));
 		this.revocations.begin(range, former, {
 			now,
-			isFenced: lastGrants.length > 0 && lastGrants.every(grant => grant?.isFenced === true),
+			isFenced: lastGrants.length > 0 && lastGrants.every(grant => rejectsFormerGrants(grant, this.options.inheritedArrivalEnd(), now)),
 			pendingSince: Math.max(Number.NEGATIVE_INFINITY, ...lastGrants.map(grant => pendingSince(grant, now))),
 			lastSentAt: lastGrants.length === 0 ? now : Math.max(...lastGrants.map(grant => latestSend(grant, now))),
 			isSettled: lastGrants.length === 0 && former.isSettled,
@@ -354,7 +354,7 @@
 
 	private renewIfDue(range: RangeOwnership, now: number): void {
 		const grant = this.grants.get(grantKey(range));
-		if (grant === undefined || grant.isInFlight || now < grant.nextAt) {
+		if (grant === undefined || grant.isInFlight || (now < grant.nextAt && !isOutdated(grant, this.options.inheritedArrivalEnd(), now))) {
 			return;
 		}
 
