Configuration: log and measure its age apart from the contact with the leader

Nothing told when a configuration took effect at an instance, by which way it came, or how old the reading was that it rests on: a leader that reads the targets' records looks fresh while its read of the operators' records is silent.

Pings now state the age of the leader's configuration. Each instance logs 'A configuration took effect at this instance.' with source, unconfirmedMs and applyMs, and has bluebellyard_config_version and bluebellyard_config_age_seconds; the leader names the instance that confirmed last. No decision changes. Instances of earlier versions ignore the field.

--- a/packages/gateway/src/cluster/config-progress.ts
+++ b/packages/gateway/src/cluster/config-progress.ts
@@ -23,6 +23,8 @@
 	private version: number | undefined;
 	private changedAt = Number.NEGATIVE_INFINITY;
 	private confirmedAt = Number.NEGATIVE_INFINITY;
+	/** Name of the instance that confirmed it last. */
+	private last: string | undefined;
 	private isChecked = false;
 	/** Names of instances that have not confirmed it. */
 	private pending = new Set<string>();
@@ -39,6 +41,7 @@
 			this.version = version;
 			this.changedAt = now;
 			this.confirmedAt = now;
+			this.last = undefined;
 			this.isChecked = false;
 			this.setPending(version === undefined ? [] : names());
 		} else if (!this.isChecked && this.pending.size > 0 && now - this.changedAt > configDelayMs) {
@@ -66,6 +69,7 @@
 		}
 
 		this.confirmedAt = now;
+		this.last = name;
 		this.pending.delete(name);
 		this.telemetry.metrics.configPending.set(this.pending.size);
 		if (this.pending.size === 0) {
@@ -80,7 +84,7 @@
 
 	private reportInForce(): void {
 		this.telemetry.info('leader', 'A configuration is in force at all instances that answer.', {
-			version: this.version, tookMs: Math.round(this.confirmedAt - this.changedAt),
+			version: this.version, tookMs: Math.round(this.confirmedAt - this.changedAt), last: this.last,
 		});
 	}
 
--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -2,13 +2,11 @@
  * Follows the leader, and stands for election when there is none.
  */
 import type {Buffer} from 'node:buffer';
-import type {Clock, LeaseTiming} from '@bluebellyard/core';
 import type {Message} from '../peers/index.js';
-import {
-	StaleAppendError, type KeyedLog, type OperatorFeed, type TargetControl, type TargetFeed,
-} from '../ports/index.js';
-import type {Telemetry} from '../telemetry/index.js';
+import {StaleAppendError} from '../ports/index.js';
 import type {NodeInfo} from '../view/index.js';
+import {ConfigAge, ConfigSource} from './config-age.js';
+import type {CoordinatorOptions} from './coordinator-options.js';
 import {Directory} from './directory.js';
 import {
 	ElectionOutcome, LeaderElection, leaderTimeoutMs, maxLeaderStoreAgeMs, type ElectionResult, type WonElection,
@@ -20,9 +18,9 @@
 import {Leader} from './leader.js';
 import {LeaderChannel} from './leader-channel.js';
 import {
-	PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type Ping, type Pong, type Report,
+	isSameState, PeerOp, toFormerEnds, unpackDelta, type LeaderQueryReply, type Ping, type Pong,
 } from './messages.js';
-import {KnownInstances, type KnownInstancesOptions} from './known-instances.js';
+import {KnownInstances} from './known-instances.js';
 import {FeedReader} from './feed-reader.js';
 import {compareLeaderships, type Leadership} from './leader-record.js';
 import {OwnerLog} from './owner-log.js';
@@ -43,27 +41,6 @@
 /** Delay between two attempts to become leader, in milliseconds. */
 const retryDelayMs = 800;
 
-/** Options of `Coordinator`. */
-export type CoordinatorOptions = KnownInstancesOptions & {
-	readonly log: KeyedLog;
-	readonly operators: OperatorFeed;
-	readonly targets: TargetFeed;
-	readonly control: TargetControl;
-	readonly clock: Clock;
-	readonly telemetry: Telemetry;
-	readonly timing: LeaseTiming;
-	/** Processor time in cores below which an instance gets queues only if its domain has no larger one. */
-	readonly minStewardCores?: number;
-	/** Returns whether keys leave targets at once whose load surges. */
-	readonly detectsSurges?: () => boolean;
-	/** Whether the contacts of a leader bound its grants, here as leader and as the next one. */
-	readonly usesContactBound: boolean;
-	/** Interval at which each target writes its entry again, in milliseconds. */
-	readonly heartbeatMs: number;
-	/** Returns the measurements since the last call. */
-	readonly report: () => Report;
-};
-
 /** Takes part in membership and leader election for one instance, as follower or as leader. */
 export class Coordinator {
 	/** Way to the present leader. */
@@ -79,6 +56,7 @@
 	private readonly handover: LeadHandover;
 	private readonly followed: FollowedLeader;
 	private readonly replica: ViewReplica;
+	private readonly configAge: ConfigAge;
 	private isElecting = false;
 	private isStopped = false;
 	private nextElectionAt: number;
@@ -92,7 +70,14 @@
 		this.registration = new Registration({...options, directory: this.directory});
 		this.ownerLog = new OwnerLog(log);
 		this.suspectLog = new SuspectLog(log);
-		this.reader = new FeedReader({...options, loadSuspects: async () => loadSuspects(this.suspectLog, this.leader?.suspects, options.view, () => this.replica.state !== undefined)});
+		this.configAge = new ConfigAge(options);
+		this.reader = new FeedReader({
+			...options,
+			loadSuspects: async () => loadSuspects(this.suspectLog, this.leader?.suspects, options.view, () => this.replica.state !== undefined),
+			onOperatorsRead: knownAt => {
+				this.configAge.confirm(knownAt, ConfigSource.Store);
+			},
+		});
 		this.knownInstances = new KnownInstances(options);
 		this.election = new LeaderElection({
 			...options, ownerLog: this.ownerLog, directory: this.directory, knownInstances: this.knownInstances,
@@ -125,6 +110,11 @@
 		return this.isLeader ? this.options.clock.now() : (leadership.term === 0 ? Number.NEGATIVE_INFINITY : lastPingAt);
 	}
 
+	/** Time since the configuration of this instance was last known to be the newest one in the store, in milliseconds. */
+	get configAgeMs(): number {
+		return this.configAge.ms;
+	}
+
 	/** Registers this instance and starts to follow a leader. */
 	start(): void {
 		void this.register();
@@ -249,7 +239,7 @@
 				this.nextElectionAt = clock.now() + (this.drawElectionDelayMs() / 2);
 			}
 
-			this.replica.receive(ping, unpackDelta(changes));
+			this.receiveChanges(ping, changes);
 		}
 
 		return {
@@ -259,6 +249,16 @@
 		};
 	}
 
+	private receiveChanges(ping: Ping, changes: Buffer): void {
+		const {clock} = this.options;
+		const startedAt = clock.now();
+		this.replica.receive(ping, unpackDelta(changes));
+		const applyMs = Math.round(clock.now() - startedAt);
+		const isUpToDate = isSameState(this.replica.state, {leader: ping.leader.incarnation, term: ping.term, seq: ping.seq});
+		const newestAt = isUpToDate && ping.configAgeMs !== undefined ? startedAt - ping.configAgeMs : undefined;
+		this.configAge.confirm(newestAt, ConfigSource.Leader, {applyMs});
+	}
+
 	private answerLeaderQuery(): LeaderQueryReply {
 		return {
 			...this.leadership,
@@ -352,6 +352,7 @@
 			reader: this.reader,
 			baseState: this.replica.createBase(),
 			lostLeader,
+			configAgeMs: () => this.configAgeMs,
 			isLeaving: () => this.isLeaving,
 			onSuperseded: () => {
 				this.stepDown('the store names another leader');
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -45,6 +45,8 @@
 	readonly heartbeatMs: number;
 	/** Called with the first reading of the configuration, so that no caller is served before what it loads is known. The configuration is applied once it resolves. */
 	readonly loadSuspects?: () => Promise<void>;
+	/** Called after each read of the operators' records, with the monotonic time up to which they are known, in milliseconds. */
+	readonly onOperatorsRead?: (knownAt: number) => void;
 };
 
 /** Keeps the view up to date with the store. */
@@ -116,8 +118,11 @@
 	}
 
 	private async readOperators(generation: number): Promise<void> {
-		const {operators, telemetry, view, loadSuspects} = this.options;
+		const {
+			operators, telemetry, view, clock, loadSuspects, onOperatorsRead,
+		} = this.options;
 		while (this.isRunning && generation === this.generation) {
+			const startedAt = clock.now();
 			try {
 				// Reads must not overlap.
 				// eslint-disable-next-line no-await-in-loop
@@ -131,6 +136,9 @@
 					this.applyOperatorEntries(change.set, change.gone, change.isFull);
 					view.notifyListeners();
 				}
+
+				// An answer without changes may be late, so that the end of the wait counts.
+				onOperatorsRead?.(change.isFull ? startedAt : Math.min(clock.now(), startedAt + operatorWaitMs));
 			} catch (err) {
 				telemetry.warn('news', 'The records of operators could not be read; trying again.', {err});
 				if (view.configVersion === undefined) {
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -68,6 +68,8 @@
 	readonly isLeaving: () => boolean;
 	/** Returns the monotonic time at which the last successful read of the targets' records began, in milliseconds. */
 	readonly targetsReadAt: () => number;
+	/** Returns the time since the configuration of this instance was last known to be the newest one, in milliseconds. */
+	readonly configAgeMs?: () => number;
 	/** Returns the latest times at which former leaders may send a grant. */
 	readonly formerSendEnds: () => SendEnds;
 	/** Returns what a ping that is sent now tells of the leader's contacts, if anything. */
@@ -318,12 +320,13 @@
 
 	/** Returns what a ping tells of this leader. Ages count from its sending, not from the time at which large changes began to be packed. */
 	private describeLeader(follower: Follower, now: number): Omit<Ping, 'storeAgeMs' | 'base' | 'seq'> {
-		const {self, leadership, contactStatement, targetsReadAt, formerSendEnds} = this.options;
+		const {self, leadership, contactStatement, targetsReadAt, configAgeMs, formerSendEnds} = this.options;
 		const statement = contactStatement();
 		return {
 			...leadership(),
 			leader: self,
 			targetsAgeMs: Math.round(now - targetsReadAt()),
+			...(configAgeMs !== undefined && {configAgeMs: Math.round(configAgeMs())}),
 			formerEndsMs: toFormerEnds(formerSendEnds(), now),
 			...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
 		};
--- a/packages/gateway/src/cluster/index.ts
+++ b/packages/gateway/src/cluster/index.ts
@@ -1,4 +1,5 @@
 export * from './coordinator.js';
+export type * from './coordinator-options.js';
 export * from './ownership-manager.js';
 export type * from './ownership-manager-options.js';
 export * from './messages.js';
--- a/packages/gateway/src/cluster/leader-options.ts
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -40,6 +40,8 @@
 	readonly detectsSurges?: () => boolean;
 	/** Processor time in cores below which an instance gets queues only if its domain has no larger one. */
 	readonly minStewardCores?: number;
+	/** Returns the time since the configuration of this instance was last known to be the newest one, in milliseconds. */
+	readonly configAgeMs?: () => number;
 	/** States of former leaders on which the changes of this term can be based. */
 	readonly baseState: BaseState | undefined;
 	/** Incarnation of the former leader if it fell silent. */
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -71,6 +71,8 @@
 	readonly storeAgeMs: number;
 	/** Time since the leader's last successful read of the targets' records began, in milliseconds. */
 	readonly targetsAgeMs: number;
+	/** Time since the leader's configuration was last known to be the newest one in the store, in milliseconds; absent from instances of an earlier version. */
+	readonly configAgeMs?: number;
 	/** For each former leader, the time until which it may send grants, in milliseconds from now; negative if that is over. */
 	readonly formerEndsMs: FormerEnds;
 	/** What the leader tells of its contacts; absent from one that is alone, or of an earlier version. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -358,6 +358,7 @@
 		metrics.inFlight.set(this.queues.inFlight);
 		metrics.delay.set((this.overload?.delayMs ?? 0) / 1000);
 		metrics.viewAge.set(this.coordinator.leaderContactAgeMs / 1000);
+		metrics.configAge.set(this.coordinator.configAgeMs / 1000);
 		metrics.stewardSlots.reset();
 		for (const [responses, slots] of stewardSlots(this.view, this.self.name)) {
 			metrics.stewardSlots.set({responses}, slots);
--- a/packages/gateway/src/telemetry/metrics.ts
+++ b/packages/gateway/src/telemetry/metrics.ts
@@ -235,6 +235,18 @@
 		registers: [this.registry],
 	});
 
+	readonly configVersion = new Gauge({
+		name: 'bluebellyard_config_version',
+		help: 'Version of the configuration that is active on this instance; 0 before the first one.',
+		registers: [this.registry],
+	});
+
+	readonly configAge = new Gauge({
+		name: 'bluebellyard_config_age_seconds',
+		help: 'Time since the configuration of this instance was last known to be the newest one in the store.',
+		registers: [this.registry],
+	});
+
 	readonly configPending = new Gauge({
 		name: 'bluebellyard_config_pending_instances',
 		help: 'Instances that have not confirmed the newest configuration to this instance as leader.',
