Leader: a lost answer to its read of the operators' records delays a configuration by 0.65 s at most

Cause: the read waits in the store for 2.5 s and may take 0.75 s more. An answer that is lost on a connection that stays open is noticed only then. The leader's other reads go on, so that nobody stands for election.

Change: OperatorLoop waits for 0.4 s, expects the answer within 0.25 s more, and reads again at once without a wait and with the usual timeout, as a slow store may need it. That is about two calls a second more, on the leader only.

--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -4,18 +4,18 @@
  */
 import type {Clock, TargetInfo} from '@bluebellyard/core';
 import {sleep} from '../net/index.js';
-import type {OperatorEntry, OperatorFeed, TargetFeed} from '../ports/index.js';
+import type {
+	FeedChange, OperatorEntry, OperatorFeed, TargetFeed,
+} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {Evacuations} from './evacuations.js';
+import {OperatorLoop} from './operator-loop.js';
 import {TargetRecords} from './target-records.js';
 
 /** Interval between two reads of the targets' records, in milliseconds: delays a heartbeat by a third of its interval at most, and is well below the time for draining. */
 const targetReadIntervalMs = 450;
 
-/** Longest wait for changes by operators, in milliseconds; bounds the time until a silent connection is noticed. */
-const operatorWaitMs = 2500;
-
 /** Delay before the next read after a failed one, in milliseconds. */
 const retryDelayMs = 250;
 
@@ -70,12 +70,34 @@
 	private readonly coldUntil = new Map<string, number>();
 	private readonly evacuations = new Evacuations();
 	private readonly records: TargetRecords;
+	private readonly operatorLoop: OperatorLoop;
 
 	constructor(options: FeedReaderOptions) {
+		const {operators, clock, view, loadSuspects} = options;
 		this.options = options;
+		this.operatorLoop = new OperatorLoop({
+			feed: operators,
+			clock,
+			async prepare() {
+				if (view.configVersion === undefined) {
+					await loadSuspects?.();
+				}
+			},
+			onChange: (change, knownAt) => {
+				this.handleOperatorChange(change, knownAt);
+			},
+			onFailure: err => {
+				this.handleOperatorFailure(err);
+			},
+		});
 		this.records = new TargetRecords(options.view, options.clock);
 	}
 
+	/** Whether this instance reads the store. */
+	get isReading(): boolean {
+		return this.isRunning;
+	}
+
 	/** Monotonic time at which the last successful read of the targets' records began. */
 	get lastReadAt(): number {
 		return this.readAt;
@@ -101,15 +123,15 @@
 
 		this.records.load();
 		this.evacuations.load(this.options.view.evacuated);
-		this.options.operators.restart();
 		this.options.targets.restart();
-		void this.readOperators(this.generation);
+		this.operatorLoop.start();
 		void this.readTargets(this.generation);
 	}
 
 	/** Stops reading. */
 	stop(): void {
 		this.isRunning = false;
+		this.operatorLoop.stop();
 	}
 
 	/** Returns how much longer a target is cold, in milliseconds. */
@@ -117,38 +139,22 @@
 		return Math.max(0, (this.coldUntil.get(target) ?? 0) - now);
 	}
 
-	private async readOperators(generation: number): Promise<void> {
-		const {
-			operators, telemetry, view, clock, loadSuspects, onOperatorsRead,
-		} = this.options;
-		while (this.isRunning && generation === this.generation) {
-			const startedAt = clock.now();
-			try {
-				// Reads must not overlap.
-				// eslint-disable-next-line no-await-in-loop
-				const [change] = await Promise.all([operators.next(operatorWaitMs), view.configVersion === undefined ? loadSuspects?.() : undefined]);
-				if (generation !== this.generation || !this.isRunning) {
-					return;
-				}
-
-				this.recordEra(change.era);
-				if (change.isFull || change.set.size > 0 || change.gone.length > 0) {
-					this.applyOperatorEntries(change.set, change.gone, change.isFull);
-					view.notifyListeners();
-				}
+	private handleOperatorChange(change: FeedChange<OperatorEntry>, knownAt: number): void {
+		this.recordEra(change.era);
+		if (change.isFull || change.set.size > 0 || change.gone.length > 0) {
+			this.applyOperatorEntries(change.set, change.gone, change.isFull);
+			this.options.view.notifyListeners();
+		}
 
-				// An answer without changes may be late, so that the end of the wait counts.
-				onOperatorsRead?.(change.isFull ? startedAt : Math.min(clock.now(), startedAt + operatorWaitMs));
-			} catch (err) {
-				telemetry.warn('news', 'The records of operators could not be read; trying again.', {err});
-				if (view.configVersion === undefined) {
-					// The records may have been read although the suspects were not.
-					operators.restart();
-				}
+		this.options.onOperatorsRead?.(knownAt);
+	}
 
-				// eslint-disable-next-line no-await-in-loop
-				await sleep(retryDelayMs);
-			}
+	private handleOperatorFailure(err: unknown): void {
+		const {telemetry, view, operators} = this.options;
+		telemetry.warn('news', 'The records of operators could not be read; trying again.', {err});
+		if (view.configVersion === undefined) {
+			// The records may have been read although the suspects were not.
+			operators.restart();
 		}
 	}
 
--- a/packages/gateway/src/mocks/memory-feed.ts
+++ b/packages/gateway/src/mocks/memory-feed.ts
@@ -42,6 +42,16 @@
 		this.isFull = true;
 	}
 
+	/** The copy has the entries that this feed has now. */
+	override fork(): MemoryFeed<T> {
+		const copy = new MemoryFeed<T>();
+		for (const [key, value] of this.rows) {
+			copy.put(key, value);
+		}
+
+		return copy;
+	}
+
 	override async next(waitMs: number): Promise<FeedChange<T>> {
 		await new Promise(resolve => {
 			setTimeout(resolve, Math.min(waitMs, 5));
--- a/packages/gateway/src/mocks/shared-topic.ts
+++ b/packages/gateway/src/mocks/shared-topic.ts
@@ -63,10 +63,14 @@
 		this.offset = undefined;
 	}
 
-	override async next(waitMs: number): Promise<FeedChange<T>> {
+	override fork(): Feed<T> {
+		return this.topic.open(this.link);
+	}
+
+	override async next(waitMs: number, timeoutMs = readTimeoutMs): Promise<FeedChange<T>> {
 		const {records} = this.topic;
 		const from = this.offset;
-		const end = await this.link.call(readTimeoutMs + waitMs, async () => {
+		const end = await this.link.call(timeoutMs + waitMs, async () => {
 			const waitEnd = performance.now() + (from === undefined ? 0 : waitMs);
 			do {
 				// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/ports/feed.ts
+++ b/packages/gateway/src/ports/feed.ts
@@ -15,11 +15,17 @@
 
 /** A stream of changes from the platform's store. */
 export abstract class Feed<T> {
-	/** Waits up to `waitMs` for changes and resolves to them, possibly to none. Rejects if the store can't be reached. */
-	abstract next(waitMs: number): Promise<FeedChange<T>>;
+	/**
+	 * Waits up to `waitMs` for changes and resolves to them, possibly to none. Rejects if the store can't be reached, or does
+	 * not answer within `timeoutMs` after that time; the adapter has a usual timeout.
+	 */
+	abstract next(waitMs: number, timeoutMs?: number): Promise<FeedChange<T>>;
 
 	/** Makes the next call of `next` return all entries. */
 	abstract restart(): void;
+
+	/** Returns another reader of the same entries, which returns all of them at first. */
+	abstract fork(): Feed<T>;
 }
 
 /** A published configuration. */
