Followers: targets that leave and evacuated domains are read directly, too

Cause: as for configurations; the leader's pings state the age of its reading of the targets' records, and nobody acted on it.

Change: FollowedView takes the older of both readings for the age of what the leader tells. From 1.6 s on DirectReader also reads the records of targets, 0.3 s later than those of operators, as that takes CPU time in large deployments and most new leaders are heard by then. Targets that are draining or have no record, and evacuated domains, get no work of this instance (View.direct), until the leader states a later reading. More than a quarter of the targets without a record may have lost it in an outage and stay in use. FeedReader and DirectReader share OperatorLoop and TargetLoop.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -181,7 +181,7 @@
 		const {clock, view} = this.options;
 		const now = clock.now();
 		this.registration.announceAgain(view.storeEra);
-		this.followedView.tick(this.leader === undefined && !this.reader.isReading);
+		this.followedView.tick(this.reader.isReading ? this.reader.knownAt : undefined);
 		if (this.leader !== undefined) {
 			this.leader.tick();
 			if (!this.isLeaving) {
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -3,22 +3,16 @@
  * Runs on the leader and on an instance without contact with a leader.
  */
 import type {Clock, TargetInfo} from '@bluebellyard/core';
-import {sleep} from '../net/index.js';
 import type {
 	FeedChange, OperatorEntry, OperatorFeed, TargetFeed,
 } from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import type {View} from '../view/index.js';
+import {isSameSet, type View} from '../view/index.js';
 import {Evacuations} from './evacuations.js';
 import {OperatorLoop} from './operator-loop.js';
+import {TargetLoop} from './target-loop.js';
 import {TargetRecords} from './target-records.js';
 
-/** Interval between two reads of the targets' records, in milliseconds: delays a heartbeat by a third of its interval at most, and is well below the time for draining. */
-const targetReadIntervalMs = 450;
-
-/** Delay before the next read after a failed one, in milliseconds. */
-const retryDelayMs = 250;
-
 /**
  * Heartbeats that fit into a time without successful reads in which no entry of a running target can expire: the store
  * removes an entry after three missed heartbeats, and the last one was not much more than one interval old at the last read.
@@ -52,10 +46,9 @@
 /** Keeps the view up to date with the store. */
 export class FeedReader {
 	private readonly options: FeedReaderOptions;
-	private isRunning = false;
-	/** Increases with each start, so that read loops of an earlier start end. */
-	private generation = 0;
 	private readAt = Number.NEGATIVE_INFINITY;
+	/** Time up to which the operators' records are known since the start. */
+	private operatorsAt = Number.NEGATIVE_INFINITY;
 	/** Whether the next read is the first one since the start. */
 	private isFirstRead = false;
 	/** Time at which the store was reachable again after its last outage. */
@@ -71,9 +64,12 @@
 	private readonly evacuations = new Evacuations();
 	private readonly records: TargetRecords;
 	private readonly operatorLoop: OperatorLoop;
+	private readonly targetLoop: TargetLoop;
 
 	constructor(options: FeedReaderOptions) {
-		const {operators, clock, view, loadSuspects} = options;
+		const {
+			operators, targets, clock, view, telemetry, loadSuspects,
+		} = options;
 		this.options = options;
 		this.operatorLoop = new OperatorLoop({
 			feed: operators,
@@ -90,12 +86,27 @@
 				this.handleOperatorFailure(err);
 			},
 		});
-		this.records = new TargetRecords(options.view, options.clock);
+		this.targetLoop = new TargetLoop({
+			feed: targets,
+			clock,
+			onChange: (change, startedAt) => {
+				this.handleTargetChange(change, startedAt);
+			},
+			onFailure: err => {
+				telemetry.warn('news', 'The records of targets could not be read; trying again.', {err, ageMs: Math.round(clock.now() - this.readAt)});
+			},
+		});
+		this.records = new TargetRecords(view, clock);
 	}
 
 	/** Whether this instance reads the store. */
 	get isReading(): boolean {
-		return this.isRunning;
+		return this.targetLoop.isRunning;
+	}
+
+	/** Monotonic time up to which all records are known since the start; negative infinity before. */
+	get knownAt(): number {
+		return this.isFirstRead ? Number.NEGATIVE_INFINITY : Math.min(this.operatorsAt, this.readAt);
 	}
 
 	/** Monotonic time at which the last successful read of the targets' records began. */
@@ -108,13 +119,12 @@
 	 * read before, by this instance or a former leader, in milliseconds.
 	 */
 	start(readAt = this.options.clock.now()): void {
-		if (this.isRunning) {
+		if (this.isReading) {
 			return;
 		}
 
-		this.isRunning = true;
-		this.generation += 1;
 		this.isFirstRead = true;
+		this.operatorsAt = Number.NEGATIVE_INFINITY;
 		this.readAt = readAt;
 		this.idsByName.clear();
 		for (const target of this.options.view.targets.values()) {
@@ -123,15 +133,14 @@
 
 		this.records.load();
 		this.evacuations.load(this.options.view.evacuated);
-		this.options.targets.restart();
 		this.operatorLoop.start();
-		void this.readTargets(this.generation);
+		this.targetLoop.start();
 	}
 
 	/** Stops reading. */
 	stop(): void {
-		this.isRunning = false;
 		this.operatorLoop.stop();
+		this.targetLoop.stop();
 	}
 
 	/** Returns how much longer a target is cold, in milliseconds. */
@@ -146,6 +155,7 @@
 			this.options.view.notifyListeners();
 		}
 
+		this.operatorsAt = knownAt;
 		this.options.onOperatorsRead?.(knownAt);
 	}
 
@@ -194,33 +204,15 @@
 		}
 	}
 
-	private async readTargets(generation: number): Promise<void> {
-		const {targets, telemetry, clock, view} = this.options;
-		while (this.isRunning && generation === this.generation) {
-			const startedAt = clock.now();
-			try {
-				// eslint-disable-next-line no-await-in-loop
-				const change = await targets.next(0);
-				if (generation !== this.generation || !this.isRunning) {
-					return;
-				}
-
-				this.recordRead(startedAt);
-				const before = view.store.lastSeq;
-				this.recordEra(change.era);
-				this.publishEvacuations(clock.now());
-				this.applyTargetEntries(change.set, change.gone, change.isFull);
-				if (view.store.lastSeq !== before) {
-					view.notifyListeners();
-				}
-			} catch (err) {
-				telemetry.warn('news', 'The records of targets could not be read; trying again.', {err, ageMs: Math.round(clock.now() - this.readAt)});
-				// eslint-disable-next-line no-await-in-loop
-				await sleep(retryDelayMs);
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			await sleep(Math.max(1, targetReadIntervalMs - (clock.now() - startedAt)));
+	private handleTargetChange(change: FeedChange<TargetInfo>, startedAt: number): void {
+		const {view, clock} = this.options;
+		this.recordRead(startedAt);
+		const before = view.store.lastSeq;
+		this.recordEra(change.era);
+		this.publishEvacuations(clock.now());
+		this.applyTargetEntries(change.set, change.gone, change.isFull);
+		if (view.store.lastSeq !== before) {
+			view.notifyListeners();
 		}
 	}
 
@@ -331,10 +323,6 @@
 	}
 }
 
-function isSameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
-	return a.size === b.size && [...a].every(item => b.has(item));
-}
-
 function isSameTarget(a: TargetInfo, b: TargetInfo): boolean {
 	return a.service === b.service && a.addr === b.addr && a.domain === b.domain && a.slots === b.slots && a.phase === b.phase;
 }
--- a/packages/gateway/src/cluster/followed-view.test.ts
+++ b/packages/gateway/src/cluster/followed-view.test.ts
@@ -1,6 +1,6 @@
 /** Guards against a follower that relies on a leader which does not know the newest configuration, and against views that its own reading spoils. */
 import test, {type ExecutionContext} from 'ava';
-import {ManualClock} from '@bluebellyard/core';
+import {ManualClock, TargetPhase, type TargetInfo} from '@bluebellyard/core';
 import {createConfig, createConfiguredView} from '../mocks/create-config.js';
 import {until} from '../mocks/feed-harness.js';
 import {MemoryFeed} from '../mocks/memory-feed.js';
@@ -11,8 +11,9 @@
 import {FollowedView} from './followed-view.js';
 import {packDelta, type Ping} from './messages.js';
 
-/** Age above which an instance reads the store, and some time more. */
+/** Age above which an instance reads the operators' records, and that above which it also reads those of targets, with some time more. */
 const staleMs = 1400;
+const staleTargetsMs = 1700;
 
 type Harness = {
 	readonly clock: ManualClock;
@@ -23,14 +24,36 @@
 	readonly ping: (ages: Partial<Ping>, isWhole?: boolean) => Promise<void>;
 };
 
-/** A follower of a leader that has version 1, while the store has version 2. */
+function target(name: string, domain = 'x'): TargetInfo {
+	return {
+		id: `${name}@1`, name, service: 's', addr: name, domain, slots: 2, phase: TargetPhase.Ready, bornAt: 1, coldLeftMs: 0, recordSeq: 1,
+	};
+}
+
+function usableNames(view: View): string[] {
+	return [...view.targets.values()].filter(info => view.isUsable(info)).map(({name}) => name);
+}
+
+/** A follower of a leader that has version 1 and seven targets; in the store there are version 2, an evacuated domain, one target that is draining and one that is missing. */
 async function setUp(t: ExecutionContext, view = new View()): Promise<Harness> {
 	const clock = new ManualClock(10_000);
 	const operators = new MemoryFeed<OperatorEntry>();
 	operators.put('config', {kind: 'config', config: createConfig(2)});
+	operators.put('evacuate/z', {kind: 'evacuation', domain: 'z'});
 	const leaderView = createConfiguredView();
+	for (const name of ['a', 'b', 'c', 'd', 'e', 'f', 'gone']) {
+		leaderView.store.set(`target/${name}@1`, target(name));
+	}
+
+	const targets = new MemoryFeed<TargetInfo>();
+	targets.put('a', {...target('a'), phase: TargetPhase.Draining, recordSeq: 2});
+	targets.put('b', target('b'));
+	for (const name of ['c', 'd', 'e', 'f']) {
+		targets.put(name, target(name));
+	}
+
 	const followed = new FollowedView({
-		view, operators, clock, telemetry: new Telemetry(clock),
+		view, operators, targets, clock, telemetry: new Telemetry(clock),
 	});
 	t.teardown(() => {
 		followed.stop();
@@ -66,7 +89,7 @@
 	const {clock, view, followed, ping} = await setUp(t);
 	await ping({configAgeMs: 0}, true);
 	clock.advance(staleMs);
-	followed.tick(true);
+	followed.tick(undefined);
 	t.true(await hasVersion(view, 2));
 	t.true(followed.configAge.ms < staleMs);
 });
@@ -76,7 +99,7 @@
 	await ping({configAgeMs: 0}, true);
 	clock.advance(staleMs);
 	await ping({configAgeMs: staleMs});
-	followed.tick(true);
+	followed.tick(undefined);
 	t.true(await hasVersion(view, 2));
 });
 
@@ -86,7 +109,7 @@
 	clock.advance(staleMs);
 	leaderView.setConfig(createConfig(2));
 	await ping({configAgeMs: 0, base: undefined});
-	followed.tick(true);
+	followed.tick(undefined);
 	t.true(await hasVersion(view, 2));
 });
 
@@ -97,7 +120,7 @@
 		clock.advance(staleMs / 2);
 		// eslint-disable-next-line no-await-in-loop
 		await ping({configAgeMs: 300});
-		followed.tick(true);
+		followed.tick(undefined);
 	}
 
 	t.false(followed.isReading);
@@ -109,7 +132,7 @@
 	await ping({storeAgeMs: 200}, true);
 	clock.advance(staleMs);
 	await ping({storeAgeMs: 200});
-	followed.tick(true);
+	followed.tick(undefined);
 	t.false(followed.isReading);
 });
 
@@ -117,13 +140,13 @@
 	const {clock, view, followed, leaderView, ping} = await setUp(t);
 	await ping({configAgeMs: 0}, true);
 	clock.advance(staleMs);
-	followed.tick(true);
+	followed.tick(undefined);
 	t.true(await hasVersion(view, 2));
 	const former = {leader: 'e1-1', term: 1, seq: leaderView.store.lastSeq};
 	t.deepEqual(followed.replica.state, former);
 	leaderView.setConfig(createConfig(3));
 	await ping({configAgeMs: 0, base: former}, true);
-	followed.tick(true);
+	followed.tick(undefined);
 	t.is(view.configVersion, 3);
 	t.false(followed.isReading);
 	t.deepEqual([...view.configRows().keys()].toSorted(), [...leaderView.configRows().keys()].toSorted());
@@ -132,7 +155,68 @@
 test('an instance without any configuration leaves the first one to an election', async t => {
 	const {clock, view, followed} = await setUp(t);
 	clock.advance(staleMs);
-	followed.tick(true);
+	followed.tick(undefined);
 	t.false(followed.isReading);
 	t.is(view.configVersion, undefined);
 });
+
+test('a target that is draining or has no entry gets no work once the follower has read that', async t => {
+	const {clock, view, followed, ping} = await setUp(t);
+	await ping({configAgeMs: 0}, true);
+	t.is(usableNames(view).length, 7);
+	clock.advance(staleTargetsMs);
+	followed.tick(undefined);
+	t.true(await until(() => usableNames(view).length === 5));
+	t.deepEqual(usableNames(view), ['b', 'c', 'd', 'e', 'f']);
+});
+
+test('what a follower has read stays in effect until its leader has read it, too', async t => {
+	const {clock, view, followed, ping} = await setUp(t);
+	await ping({configAgeMs: 0}, true);
+	clock.advance(staleTargetsMs);
+	followed.tick(undefined);
+	t.true(await until(() => usableNames(view).length === 5 && view.direct.evacuated.has('z')));
+	clock.advance(100);
+	await ping({configAgeMs: 300, targetsAgeMs: 300});
+	followed.tick(undefined);
+	t.false(followed.isReading);
+	t.is(usableNames(view).length, 5);
+	clock.advance(300);
+	await ping({configAgeMs: 100, targetsAgeMs: 100});
+	followed.tick(undefined);
+	t.is(usableNames(view).length, 7);
+	t.is(view.direct.evacuated.size, 0);
+});
+
+test('targets whose entries may have expired in an outage stay in use', async t => {
+	const {clock, view, followed, leaderView, ping} = await setUp(t);
+	for (const name of ['g', 'h', 'i']) {
+		leaderView.store.set(`target/${name}@1`, target(name));
+	}
+
+	await ping({configAgeMs: 0}, true);
+	clock.advance(staleTargetsMs);
+	followed.tick(undefined);
+	t.true(await until(() => view.direct.left.size > 0));
+	t.deepEqual([...view.direct.left], ['a@1']);
+});
+
+test('a record of a store that returned from an older copy does not end the work of a target', async t => {
+	const {clock, view, followed, leaderView, ping} = await setUp(t);
+	leaderView.store.set('target/a@1', {...target('a'), recordSeq: 3});
+	await ping({configAgeMs: 0}, true);
+	clock.advance(staleTargetsMs);
+	followed.tick(undefined);
+	t.true(await until(() => view.direct.left.size > 0));
+	t.deepEqual([...view.direct.left], ['gone@1']);
+});
+
+test('an instance that reads the store for a view of its own reads it once', async t => {
+	const {clock, followed, ping} = await setUp(t);
+	await ping({configAgeMs: 0}, true);
+	clock.advance(staleTargetsMs);
+	followed.tick(undefined);
+	t.true(followed.isReading);
+	followed.tick(clock.now());
+	t.false(followed.isReading);
+});
--- a/packages/gateway/src/cluster/followed-view.ts
+++ b/packages/gateway/src/cluster/followed-view.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type {Clock} from '@bluebellyard/core';
-import type {OperatorFeed} from '../ports/index.js';
+import type {OperatorFeed, TargetFeed} from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {ConfigAge, ConfigSource} from './config-age.js';
@@ -9,18 +9,22 @@
 import {ViewReplica} from './view-replica.js';
 
 /**
- * Age of the configuration by what the leader tells from which an instance reads the store itself, in milliseconds. The
- * leader's reading is usually at most 0.4 s old, and its pings come every 0.7 s at most.
+ * Age of what the leader tells of the store from which an instance reads the operators' records itself, in milliseconds. The
+ * leader's readings are usually at most 0.5 s old, and its pings come every 0.7 s at most.
  */
 const maxLeaderAgeMs = 1300;
 
-/** Age of the leader's configuration from which its pings suffice again, in milliseconds. */
+/** The same for the records of targets, in milliseconds. By then most new leaders are heard, and reading them takes CPU time in large deployments. */
+const maxTargetsAgeMs = 1600;
+
+/** Age from which the leader's pings suffice again, in milliseconds. */
 const freshLeaderAgeMs = 900;
 
 /** Options of `FollowedView`. */
 export type FollowedViewOptions = {
 	readonly view: View;
 	readonly operators: OperatorFeed;
+	readonly targets: TargetFeed;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 };
@@ -31,8 +35,8 @@
 	readonly configAge: ConfigAge;
 	private readonly direct: DirectReader;
 	private readonly options: FollowedViewOptions;
-	/** Time up to which the leader's configuration is known to have been the newest one; at first that of the start. */
-	private leaderNewestAt: number;
+	/** Time up to which the leader knew all records of the store that the view is based on; at first that of the start. */
+	private leaderKnownAt: number;
 
 	constructor(options: FollowedViewOptions) {
 		const {view, clock} = options;
@@ -40,12 +44,12 @@
 		this.replica = new ViewReplica(view, clock);
 		this.configAge = new ConfigAge(options);
 		this.direct = new DirectReader({...options, onOperatorsRead: this.recordStoreRead});
-		this.leaderNewestAt = clock.now();
+		this.leaderKnownAt = clock.now();
 	}
 
 	/** Whether this instance reads the store itself. */
 	get isReading(): boolean {
-		return this.direct.isRunning;
+		return this.direct.isReadingOperators;
 	}
 
 	/** Records that this instance has read the records of operators up to a monotonic time. */
@@ -61,21 +65,30 @@
 		const applyMs = Math.round(clock.now() - startedAt);
 		const isUpToDate = isSameState(this.replica.state, {leader: ping.leader.incarnation, term: ping.term, seq: ping.seq});
 		// A leader of an earlier version states the age of its contact with the store only.
-		const newestAt = isUpToDate ? startedAt - (ping.configAgeMs ?? ping.storeAgeMs) : undefined;
-		this.leaderNewestAt = Math.max(this.leaderNewestAt, newestAt ?? this.leaderNewestAt);
-		this.configAge.confirm(newestAt, ConfigSource.Leader, {applyMs});
+		const configAgeMs = ping.configAgeMs ?? ping.storeAgeMs;
+		if (isUpToDate) {
+			this.leaderKnownAt = Math.max(this.leaderKnownAt, startedAt - Math.max(configAgeMs, ping.targetsAgeMs));
+		}
+
+		this.configAge.confirm(isUpToDate ? startedAt - configAgeMs : undefined, ConfigSource.Leader, {applyMs});
 	}
 
-	/** Starts and stops reading the store. `isFollowing` is whether this instance depends on what a leader tells. */
-	tick(isFollowing: boolean): void {
-		const {clock, view, telemetry} = this.options;
-		const leaderAgeMs = clock.now() - this.leaderNewestAt;
-		if (!isFollowing || leaderAgeMs < freshLeaderAgeMs) {
+	/**
+	 * Starts and stops reading the store. `ownKnownAt` is the monotonic time up to which this instance has read all records
+	 * for a view of its own, in milliseconds; undefined if it depends on what a leader tells.
+	 */
+	tick(ownKnownAt: number | undefined): void {
+		const {clock, view} = this.options;
+		const knownAt = ownKnownAt ?? this.leaderKnownAt;
+		const ageMs = clock.now() - knownAt;
+		if (ownKnownAt !== undefined || ageMs < freshLeaderAgeMs) {
 			this.direct.stop();
-		} else if (leaderAgeMs > maxLeaderAgeMs && view.configVersion !== undefined && !this.direct.isRunning) {
-			telemetry.info('config', 'The leader does not confirm the configuration; reading the store directly.', {ageMs: Math.round(leaderAgeMs), version: view.configVersion});
-			telemetry.metrics.directReads.inc();
-			this.direct.start();
+		} else if (view.configVersion !== undefined) {
+			this.readIfOld(ageMs);
+		}
+
+		if (!this.isReading && knownAt >= this.direct.readAt && view.direct.clear()) {
+			view.notifyListeners();
 		}
 	}
 
@@ -83,4 +96,17 @@
 	stop(): void {
 		this.direct.stop();
 	}
+
+	private readIfOld(ageMs: number): void {
+		const {view, telemetry} = this.options;
+		if (ageMs > maxLeaderAgeMs && !this.direct.isReadingOperators) {
+			telemetry.info('config', 'The leader does not confirm what it has read; reading the store directly.', {ageMs: Math.round(ageMs), version: view.configVersion});
+			telemetry.metrics.directReads.inc();
+			this.direct.startOperators();
+		}
+
+		if (ageMs > maxTargetsAgeMs) {
+			this.direct.startTargets();
+		}
+	}
 }
--- a/packages/gateway/src/mocks/coordinator-cluster.ts
+++ b/packages/gateway/src/mocks/coordinator-cluster.ts
@@ -88,7 +88,8 @@
 		}
 
 		await this.until(() => this.instances.some(({coordinator}) => coordinator.isLeader)
-			&& this.instances.every(({view, coordinator}) => view.configVersion === 1 && coordinator.leadership.term > 0 && view.nodes().length === this.instances.length));
+			&& this.instances.every(({view, coordinator}) => view.configVersion === 1 && coordinator.leadership.term > 0
+				&& view.nodes().length === this.instances.length && view.targets.size === this.targets.size));
 	}
 
 	/** The instance that leads. */
@@ -122,11 +123,18 @@
 	}
 
 	/** Publishes a configuration; resolves to the time until all given instances have it, in milliseconds. */
-	async measure(version: number, observed = this.running): Promise<number> {
-		const publishedAt = performance.now();
-		this.publish(version);
-		await this.until(() => observed.every(({view}) => view.configVersion === version));
-		return performance.now() - publishedAt;
+	async measure(version: number, observed: readonly ClusterInstance[]): Promise<number> {
+		return this.measureChange(() => {
+			this.publish(version);
+		}, () => observed.every(({view}) => view.configVersion === version));
+	}
+
+	/** Changes something in the store; resolves to the time until a condition is met, in milliseconds. */
+	async measureChange(change: () => void, condition: () => boolean): Promise<number> {
+		const changedAt = performance.now();
+		change();
+		await this.until(condition);
+		return performance.now() - changedAt;
 	}
 
 	/** Ends all instances. */
--- a/packages/gateway/src/mocks/shared-topic.ts
+++ b/packages/gateway/src/mocks/shared-topic.ts
@@ -41,6 +41,11 @@
 export class SharedTopic<T> {
 	readonly records: Array<{readonly key: string; readonly value: T | undefined}> = [];
 
+	/** Number of entries. */
+	get size(): number {
+		return [...new Map(this.records.map(({key, value}) => [key, value])).values()].filter(value => value !== undefined).length;
+	}
+
 	/** Adds or replaces an entry; removes it without a value. */
 	put(key: string, value: T | undefined): void {
 		this.records.push({key, value});
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -141,8 +141,8 @@
 	}
 
 	private updateFromView(): void {
-		const {store, announcedLeaving} = this.options.view;
-		const viewVersion = [...['target', 'service', 'evacuated', 'steward', limitPart, leavingPart].map(part => store.lastSeqOfPart(part)), announcedLeaving.size].join('/');
+		const {store, announcedLeaving, direct} = this.options.view;
+		const viewVersion = [...['target', 'service', 'evacuated', 'steward', limitPart, leavingPart].map(part => store.lastSeqOfPart(part)), announcedLeaving.size, direct.revision].join('/');
 		if (viewVersion === this.viewVersion) {
 			return;
 		}
--- a/packages/gateway/src/view/index.ts
+++ b/packages/gateway/src/view/index.ts
@@ -6,3 +6,4 @@
 export type * from './node-info.js';
 export * from './view.js';
 export * from './view-parts.js';
+export * from './direct-reading.js';
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -8,6 +8,7 @@
 } from '@bluebellyard/core';
 import type {GatewayConfig} from '../ports/index.js';
 import {DeltaStore, type Delta} from './delta-store.js';
+import {DirectReading} from './direct-reading.js';
 import {isConfigRow, LeaderConfig, toConfigRows} from './leader-config.js';
 import type {NodeInfo} from './node-info.js';
 import {TeamTable} from './team-table.js';
@@ -40,6 +41,8 @@
 /** Typed access to the replicated state. */
 export class View {
 	readonly store = new DeltaStore();
+	/** What this instance has read in the store itself, in addition to what its leader tells. */
+	readonly direct = new DirectReading();
 	private readonly teamTable = new TeamTable(this.store);
 	/** Sequence number at which each cached table was built, by key part. */
 	private readonly builtAtSeq = new Map<string, number>();
@@ -194,7 +197,9 @@
 
 	/** Returns whether a target may receive work. */
 	isUsable(target: TargetInfo): boolean {
-		return target.phase === TargetPhase.Ready && !this.evacuated.has(target.domain) && !this.isLeaving(target.id);
+		const {evacuated, left} = this.direct;
+		return target.phase === TargetPhase.Ready && !left.has(target.id) && !this.isLeaving(target.id)
+			&& !evacuated.has(target.domain) && !this.evacuated.has(target.domain);
 	}
 
 	/** Returns whether a target announced that it leaves, to this instance or to another one. */
