--- a/packages/gateway/src/mocks/coordinator-cluster.ts
+++ b/packages/gateway/src/mocks/coordinator-cluster.ts
@@ -102,9 +102,11 @@
 		return this.instances.filter(({self}) => !this.ended.has(self.name));
 	}
 
-	/** Publishes a configuration as operators do. */
+	/** Publishes a configuration as operators do. It has a route of its own, so that a mixed one is found. */
 	publish(version: number): void {
-		this.operators.put('config', {kind: 'config', config: createConfig(version)});
+		const {routes: [route, ...others], ...config} = createConfig(version);
+		const own = {...route, name: `v${version}`, prefix: `/v${version}/`};
+		this.operators.put('config', {kind: 'config', config: {...config, routes: [route, ...others, own]}});
 	}
 
 	/** Cuts the links between all pairs of instances for which the function returns true, in both directions. */
@@ -116,6 +118,11 @@
 		}
 	}
 
+	/** Restores all links between instances. */
+	heal(): void {
+		this.cutPairs.clear();
+	}
+
 	/** Ends an instance without a farewell. */
 	kill({self, coordinator}: ClusterInstance): void {
 		this.ended.add(self.name);
