Followers: what they have read stays in effect until a leader has read it in its own term

A follower forgot targets that had left, and evacuated domains, that it had read itself as soon as a new leader was heard: the age that the leader states may come from before its term, when it knew of the store what its predecessor or its own direct reading told, and its view has no rows of that.

Pings state the age of the reading that the leader's view is based on, Ping.recordsAgeMs, once there is one in its term; only that ends what a follower has read. followed-view.test.ts has the case.

--- a/packages/gateway/src/cluster/followed-view.test.ts
+++ b/packages/gateway/src/cluster/followed-view.test.ts
@@ -177,12 +177,16 @@
 	followed.tick(undefined);
 	t.true(await until(() => usableNames(view).length === 5 && view.direct.evacuated.has('z')));
 	clock.advance(100);
-	await ping({configAgeMs: 300, targetsAgeMs: 300});
+	await ping({configAgeMs: 300, targetsAgeMs: 300, recordsAgeMs: 300});
 	followed.tick(undefined);
 	t.false(followed.isReading);
 	t.is(usableNames(view).length, 5);
 	clock.advance(300);
-	await ping({configAgeMs: 100, targetsAgeMs: 100});
+	// A leader that has been elected meanwhile and has not read the records.
+	await ping({configAgeMs: 100, targetsAgeMs: 0});
+	followed.tick(undefined);
+	t.is(usableNames(view).length, 5);
+	await ping({configAgeMs: 100, targetsAgeMs: 100, recordsAgeMs: 100});
 	followed.tick(undefined);
 	t.is(usableNames(view).length, 7);
 	t.is(view.direct.evacuated.size, 0);
--- a/packages/gateway/src/cluster/followed-view.ts
+++ b/packages/gateway/src/cluster/followed-view.ts
@@ -35,8 +35,10 @@
 	readonly configAge: ConfigAge;
 	private readonly direct: DirectReader;
 	private readonly options: FollowedViewOptions;
-	/** Time up to which the leader knew all records of the store that the view is based on; at first that of the start. */
+	/** Time up to which the leader knows the store, by its readings or those before its term; at first that of the start. */
 	private leaderKnownAt: number;
+	/** Time up to which the view has all records of the store. A leader that has not read them yet lacks what this instance has read. */
+	private viewKnownAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: FollowedViewOptions) {
 		const {view, clock} = options;
@@ -67,7 +69,10 @@
 		// A leader of an earlier version states the age of its contact with the store only.
 		const configAgeMs = ping.configAgeMs ?? ping.storeAgeMs;
 		if (isUpToDate) {
-			this.leaderKnownAt = Math.max(this.leaderKnownAt, startedAt - Math.max(configAgeMs, ping.targetsAgeMs));
+			const leaderAgeMs = Math.max(configAgeMs, ping.targetsAgeMs);
+			const viewAgeMs = ping.configAgeMs === undefined ? leaderAgeMs : ping.recordsAgeMs ?? Number.POSITIVE_INFINITY;
+			this.leaderKnownAt = Math.max(this.leaderKnownAt, startedAt - leaderAgeMs);
+			this.viewKnownAt = Math.max(this.viewKnownAt, startedAt - viewAgeMs);
 		}
 
 		this.configAge.confirm(isUpToDate ? startedAt - configAgeMs : undefined, ConfigSource.Leader, {applyMs});
@@ -79,15 +84,14 @@
 	 */
 	tick(ownKnownAt: number | undefined): void {
 		const {clock, view} = this.options;
-		const knownAt = ownKnownAt ?? this.leaderKnownAt;
-		const ageMs = clock.now() - knownAt;
+		const ageMs = clock.now() - this.leaderKnownAt;
 		if (ownKnownAt !== undefined || ageMs < freshLeaderAgeMs) {
 			this.direct.stop();
 		} else if (view.configVersion !== undefined) {
 			this.readIfOld(ageMs);
 		}
 
-		if (!this.isReading && knownAt >= this.direct.readAt && view.direct.clear()) {
+		if (!this.isReading && (ownKnownAt ?? this.viewKnownAt) >= this.direct.readAt && view.direct.clear()) {
 			view.notifyListeners();
 		}
 	}
--- a/packages/gateway/src/cluster/follower-sync.ts
+++ b/packages/gateway/src/cluster/follower-sync.ts
@@ -70,6 +70,8 @@
 	readonly targetsReadAt: () => number;
 	/** Returns the time since the configuration of this instance was last known to be the newest one, in milliseconds. */
 	readonly configAgeMs?: () => number;
+	/** Returns the monotonic time up to which this leader has read all records for its view, in milliseconds; negative infinity before. */
+	readonly recordsKnownAt?: () => number;
 	/** Returns the latest times at which former leaders may send a grant. */
 	readonly formerSendEnds: () => SendEnds;
 	/** Returns what a ping that is sent now tells of the leader's contacts, if anything. */
@@ -320,13 +322,15 @@
 
 	/** Returns what a ping tells of this leader. Ages count from its sending, not from the time at which large changes began to be packed. */
 	private describeLeader(follower: Follower, now: number): Omit<Ping, 'storeAgeMs' | 'base' | 'seq'> {
-		const {self, leadership, contactStatement, targetsReadAt, configAgeMs, formerSendEnds} = this.options;
+		const {self, leadership, contactStatement, targetsReadAt, configAgeMs, recordsKnownAt, formerSendEnds} = this.options;
 		const statement = contactStatement();
+		const recordsAgeMs = now - (recordsKnownAt?.() ?? Number.NEGATIVE_INFINITY);
 		return {
 			...leadership(),
 			leader: self,
 			targetsAgeMs: Math.round(now - targetsReadAt()),
 			...(configAgeMs !== undefined && {configAgeMs: Math.round(configAgeMs())}),
+			...(Number.isFinite(recordsAgeMs) && {recordsAgeMs: Math.round(recordsAgeMs)}),
 			formerEndsMs: toFormerEnds(formerSendEnds(), now),
 			...(statement === undefined ? {} : {contact: follower.stamp === undefined ? statement : {...statement, echo: follower.stamp}}),
 		};
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -74,6 +74,7 @@
 			...options,
 			leadership: () => this.leadership,
 			targetsReadAt: () => options.reader.lastReadAt,
+			recordsKnownAt: () => options.reader.knownAt,
 			formerSendEnds: () => this.formerSendEnds,
 			contactStatement: () => this.confirmation.createContactStatement(),
 			onPong: (node, pong, sentAt) => {
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -73,6 +73,8 @@
 	readonly targetsAgeMs: number;
 	/** Time since the leader's configuration was last known to be the newest one in the store, in milliseconds; absent from instances of an earlier version. */
 	readonly configAgeMs?: number;
+	/** Time since the leader last knew all records for its view, in milliseconds; absent before it has read them in this term, and from instances of an earlier version. */
+	readonly recordsAgeMs?: number;
 	/** For each former leader, the time until which it may send grants, in milliseconds from now; negative if that is over. */
 	readonly formerEndsMs: FormerEnds;
 	/** What the leader tells of its contacts; absent from one that is alone, or of an earlier version. */
