Followers: do not decode a large configuration because the leader still does

Cause: the leader receives a large configuration and decodes it for more than a second, in which it confirms nothing. The followers then read and decode it themselves, which takes as long there, and hundreds of instances would read megabytes from the store at once.

Change: a feed tells when the store has answered, before the entries are decoded. While the leader decodes, for 3 s at most, it counts as informed.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -338,7 +338,8 @@
 			reader: this.reader,
 			baseState: this.followedView.replica.createBase(),
 			lostLeader,
-			configAgeMs: () => this.configAgeMs,
+			// Followers that decoded a large configuration as well would have it no sooner.
+			configAgeMs: () => this.reader.isDecoding ? 0 : this.configAgeMs,
 			isLeaving: () => this.isLeaving,
 			onSuperseded: () => {
 				this.stepDown('the store names another leader');
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -104,6 +104,11 @@
 		return this.targetLoop.isRunning;
 	}
 
+	/** Whether this instance decodes operators' records that it has received. */
+	get isDecoding(): boolean {
+		return this.operatorLoop.isDecoding;
+	}
+
 	/** Monotonic time up to which all records are known since the start; negative infinity before. */
 	get knownAt(): number {
 		return this.isFirstRead ? Number.NEGATIVE_INFINITY : Math.min(this.operatorsAt, this.readAt);
--- a/packages/gateway/src/cluster/leader-options.ts
+++ b/packages/gateway/src/cluster/leader-options.ts
@@ -40,7 +40,7 @@
 	readonly detectsSurges?: () => boolean;
 	/** Processor time in cores below which an instance gets queues only if its domain has no larger one. */
 	readonly minStewardCores?: number;
-	/** Returns the time since the configuration of this instance was last known to be the newest one, in milliseconds. */
+	/** Returns the time since the configuration of this instance was last known to be the newest one, in milliseconds; 0 while it decodes another one. */
 	readonly configAgeMs?: () => number;
 	/** States of former leaders on which the changes of this term can be based. */
 	readonly baseState: BaseState | undefined;
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -71,7 +71,7 @@
 	readonly storeAgeMs: number;
 	/** Time since the leader's last successful read of the targets' records began, in milliseconds. */
 	readonly targetsAgeMs: number;
-	/** Time since the leader's configuration was last known to be the newest one in the store, in milliseconds; absent from instances of an earlier version. */
+	/** Time since the leader's configuration was last known to be the newest one in the store, in milliseconds; 0 while it decodes another one. Absent from instances of an earlier version. */
 	readonly configAgeMs?: number;
 	/** Time since the leader last knew all records for its view, in milliseconds; absent before it has read them in this term, and from instances of an earlier version. */
 	readonly recordsAgeMs?: number;
--- a/packages/gateway/src/cluster/operator-loop.test.ts
+++ b/packages/gateway/src/cluster/operator-loop.test.ts
@@ -1,7 +1,9 @@
 /** Guards against a lost answer that keeps changes by operators back until a long timeout, and against ages that are too low. */
 import test, {type ExecutionContext} from 'ava';
 import {systemClock} from '@bluebellyard/core';
-import {Feed, type FeedChange, type OperatorEntry} from '../ports/index.js';
+import {
+	Feed, type FeedChange, type FeedReadOptions, type OperatorEntry,
+} from '../ports/index.js';
 import {OperatorLoop} from './operator-loop.js';
 
 const noChange: FeedChange<OperatorEntry> = {
@@ -11,6 +13,7 @@
 type Read = {
 	readonly waitMs: number;
 	readonly timeoutMs: number | undefined;
+	readonly receive: (() => void) | undefined;
 	readonly answer: (change: FeedChange<OperatorEntry>) => void;
 	readonly fail: () => void;
 };
@@ -27,10 +30,10 @@
 		return new ScriptedFeed();
 	}
 
-	override async next(waitMs: number, timeoutMs?: number): Promise<FeedChange<OperatorEntry>> {
+	override async next(waitMs: number, {timeoutMs, onAnswer}: FeedReadOptions = {}): Promise<FeedChange<OperatorEntry>> {
 		return new Promise((resolve, reject) => {
 			this.reads.push({
-				waitMs, timeoutMs, answer: resolve, fail() {
+				waitMs, timeoutMs, receive: onAnswer, answer: resolve, fail() {
 					reject(new Error('no answer'));
 				},
 			});
@@ -108,3 +111,13 @@
 	t.deepEqual(knownAt, []);
 	t.is(feed.reads.length, 1);
 });
+
+test('an answer counts as being decoded until it takes effect', async t => {
+	const {feed, loop} = setUp(t);
+	t.false(loop.isDecoding);
+	feed.reads[0].receive?.();
+	t.true(loop.isDecoding);
+	feed.reads[0].answer(noChange);
+	await settle();
+	t.false(loop.isDecoding);
+});
--- a/packages/gateway/src/cluster/operator-loop.ts
+++ b/packages/gateway/src/cluster/operator-loop.ts
@@ -11,6 +11,9 @@
 /** Delay before the next read after two that failed, in milliseconds. */
 const retryDelayMs = 250;
 
+/** Longest time for which an answer counts as being decoded, in milliseconds: the longest time within which a configuration must be in force. */
+const maxDecodeMs = 3000;
+
 /** Options of `OperatorLoop`. */
 export type OperatorLoopOptions = {
 	readonly feed: OperatorFeed;
@@ -31,6 +34,8 @@
 	private running = false;
 	/** Increases with each start, so that reads of an earlier start have no effect. */
 	private generation = 0;
+	/** Time at which the store gave an answer that has not taken effect yet. */
+	private answeredAt: number | undefined;
 
 	constructor(options: OperatorLoopOptions) {
 		this.options = options;
@@ -41,6 +46,11 @@
 		return this.running;
 	}
 
+	/** Whether an answer is being decoded, which takes long for many keys of teams. */
+	get isDecoding(): boolean {
+		return this.answeredAt !== undefined && this.options.clock.now() - this.answeredAt < maxDecodeMs;
+	}
+
 	/** Starts reading. */
 	start(): void {
 		if (!this.running) {
@@ -83,13 +93,19 @@
 				}
 
 				hasFailed = true;
+			} finally {
+				this.answeredAt = undefined;
 			}
 		}
 	}
 
 	private async read(hasFailed: boolean): Promise<FeedChange<OperatorEntry>> {
-		const {feed, prepare} = this.options;
-		const [change] = await Promise.all([hasFailed ? feed.next(0) : feed.next(waitMs, answerTimeoutMs), prepare?.()]);
+		const {feed, clock, prepare} = this.options;
+		const onAnswer = () => {
+			this.answeredAt = clock.now();
+		};
+
+		const [change] = await Promise.all([hasFailed ? feed.next(0, {onAnswer}) : feed.next(waitMs, {timeoutMs: answerTimeoutMs, onAnswer}), prepare?.()]);
 		return change;
 	}
 }
--- a/packages/gateway/src/mocks/shared-topic.ts
+++ b/packages/gateway/src/mocks/shared-topic.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {sleep} from '../net/index.js';
-import {Feed, type FeedChange} from '../ports/index.js';
+import {Feed, type FeedChange, type FeedReadOptions} from '../ports/index.js';
 
 /** Time without an answer after which a read fails, in milliseconds, beside the time for which the store may wait. */
 const readTimeoutMs = 750;
@@ -72,7 +72,7 @@
 		return this.topic.open(this.link);
 	}
 
-	override async next(waitMs: number, timeoutMs = readTimeoutMs): Promise<FeedChange<T>> {
+	override async next(waitMs: number, {timeoutMs = readTimeoutMs}: FeedReadOptions = {}): Promise<FeedChange<T>> {
 		const {records} = this.topic;
 		const from = this.offset;
 		const end = await this.link.call(timeoutMs + waitMs, async () => {
--- a/packages/gateway/src/ports/feed.ts
+++ b/packages/gateway/src/ports/feed.ts
@@ -13,13 +13,18 @@
 	readonly gone: readonly string[];
 };
 
+/** Options of a read. */
+export type FeedReadOptions = {
+	/** Longest time until the answer, beside the wait, in milliseconds; the adapter has a usual timeout. */
+	readonly timeoutMs?: number;
+	/** Called when the store has answered, before the entries are decoded. */
+	readonly onAnswer?: () => void;
+};
+
 /** A stream of changes from the platform's store. */
 export abstract class Feed<T> {
-	/**
-	 * Waits up to `waitMs` for changes and resolves to them, possibly to none. Rejects if the store can't be reached, or does
-	 * not answer within `timeoutMs` after that time; the adapter has a usual timeout.
-	 */
-	abstract next(waitMs: number, timeoutMs?: number): Promise<FeedChange<T>>;
+	/** Waits up to `waitMs` for changes and resolves to them, possibly to none. Rejects if the store can't be reached or does not answer in time. */
+	abstract next(waitMs: number, options?: FeedReadOptions): Promise<FeedChange<T>>;
 
 	/** Makes the next call of `next` return all entries. */
 	abstract restart(): void;
