Followers: a process that stood still is no silence of the leader

Change: a tick that comes 0.4 s late or more does not decide whether to read the store; the pings that wait are handled before the next one.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -31,6 +31,9 @@
 /** Interval between two ticks, in milliseconds. */
 const tickIntervalMs = 100;
 
+/** Time between two ticks above which this process stood still, in milliseconds. Pings that have arrived meanwhile are handled before the next tick. */
+const standstillMs = 400;
+
 /** Largest random part of election delays, in milliseconds, so that few instances stand at the same time. */
 const maxRandomDelayMs = 400;
 
@@ -61,6 +64,7 @@
 	private isLeaving = false;
 	private storeFailedAt = Number.NEGATIVE_INFINITY;
 	private timer: NodeJS.Timeout | undefined;
+	private tickedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: CoordinatorOptions) {
 		const {log, clock, view} = options;
@@ -181,7 +185,11 @@
 		const {clock, view} = this.options;
 		const now = clock.now();
 		this.registration.announceAgain(view.storeEra);
-		this.followedView.tick(this.reader.isReading ? this.reader.knownAt : undefined);
+		if (now - this.tickedAt < standstillMs) {
+			this.followedView.tick(this.reader.isReading ? this.reader.knownAt : undefined);
+		}
+
+		this.tickedAt = now;
 		if (this.leader !== undefined) {
 			this.leader.tick();
 			if (!this.isLeaving) {
