--- a/review/common/upstream.mjs
+++ b/review/common/upstream.mjs
@@ -16,9 +16,9 @@
 	waiting = [];
 
 	/** `faults` may hold `sheds()`: reject the next request; `answer(res, id)`: answer it in a way of its own, returns whether it did; `onRejected(socket, bytes)`, with the rejection as sent. */
-	constructor({id, service, zone, slots = 2, queue = 8, workMs = 60, faults = {}}) {
+	constructor({id, service, zone, slots = 2, queue = 8, workMs = 60, faults = {}, bodyBytes = () => 0}) {
 		Object.assign(this, {
-			id, service, zone, slots, queue, workMs, faults,
+			id, service, zone, slots, queue, workMs, faults, bodyBytes,
 		});
 		this.server = createServer({keepAliveTimeout: 10_000}, (req, res) => {
 			this.handle(req, res);
@@ -151,7 +151,7 @@
 		}
 
 		arrival.result = 'answered';
-		const body = Buffer.from(`${id} of ${this.id}`);
+		const body = Buffer.from(`${id} of ${this.id}`.padEnd(this.bodyBytes(req.url), '.'));
 		res.writeHead(200, {
 			'x-attempt-id': id, 'x-response-seal': `seal-${id}`, 'x-upstream-load': this.load, 'content-length': body.length,
 		}).end(body);
