--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -13,6 +13,10 @@
 const playMs = 60_000;
 const troubleFromMs = 5000;
 
+/** The disturbance lasts this long, again and again, with a pause between, in milliseconds; 5 s is the default of `garble`. */
+const disturbedMs = 5000;
+const pauseMs = 1000;
+
 /** Share of the upstreams that are faulty, and share of their answers that never end: the defaults of `garble`. */
 const faultyShare = 0.5;
 const endlessShare = 0.02;
@@ -99,7 +103,7 @@
 	await deployment.startInstances(zones);
 	await sleep(4000);
 	await sendSteadily({perSecond: requestsPerSecond, forMs: playMs}, async (n, elapsedMs) => {
-		isDisturbed = hasTrouble && elapsedMs >= troubleFromMs;
+		isDisturbed = hasTrouble && elapsedMs >= troubleFromMs && (elapsedMs - troubleFromMs) % (disturbedMs + pauseMs) < disturbedMs;
 		if (n % 10 === 0) {
 			memory.push({at: elapsedMs, mb: deployment.instances.map(({memoryMb}) => Math.round(memoryMb))});
 		}
