Target client: the log tells which request an answer names

A request that was answered 503 by one target and ran at another leaves "target answered 503, not run" in the log, whether the target had said so of this request or of another one. The reason now names the request of the answer, the local port of the connection and the number of the request on it, if the answer names another request.

--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -224,6 +224,7 @@
 		}
 
 		this.isWritten = true;
+		this.connection.sentRequests += 1;
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
@@ -274,13 +275,13 @@
 		if (meta?.isNotRun === true || status === misdirectedStatus) {
 			const outcome = status === misdirectedStatus ? AttemptOutcome.NotRun : AttemptOutcome.Full;
 			return {
-				...answered, outcome, isNotRun: true, reason: `target answered ${status}, not run`,
+				...answered, outcome, isNotRun: true, reason: `target answered ${status}, not run${this.describeOrigin()}`,
 			};
 		}
 
 		if (meta?.requestId !== this.req.requestId) {
 			this.controller?.abort(new Error('answer of another request'));
-			return this.withoutAnswer(AttemptOutcome.Broken, 'answer of another request');
+			return this.withoutAnswer(AttemptOutcome.Broken, `answer of another request${this.describeOrigin()}`);
 		}
 
 		if (status < 300 && !meta.isSealed) {
@@ -296,6 +297,15 @@
 		};
 	}
 
+	/** Returns which request an answer names, if it is not this one, and on which connection it came. */
+	private describeOrigin(): string {
+		const named = this.meta?.requestId ?? '';
+		const {socket, sentRequests} = this.connection;
+		return named === this.req.requestId
+			? ''
+			: `; the answer names ${named === '' ? 'no request' : `request ${named}`}, local port ${socket?.localPort ?? 'unknown'}, request ${sentRequests} on the connection`;
+	}
+
 	private fail(outcome: AttemptOutcome, reason: string): void {
 		const isNotRun = !this.isWritten;
 		this.finish({...this.withoutAnswer(outcome, reason), isNotRun});
--- a/packages/gateway/src/queue/tracked-client.ts
+++ b/packages/gateway/src/queue/tracked-client.ts
@@ -22,6 +22,8 @@
 	hasFailed: boolean;
 	/** When it was opened, in monotonic milliseconds; set by the owner of the client. */
 	connectedAt: number;
+	/** Number of requests that were written to it. */
+	sentRequests: number;
 };
 
 /**
@@ -35,7 +37,9 @@
 
 	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. */
 	constructor(origin: string | URL, localAddress: string | undefined, onConnect: () => void) {
-		const state: ConnectionState = {socket: undefined, hasFailed: false, connectedAt: Number.NEGATIVE_INFINITY};
+		const state: ConnectionState = {
+			socket: undefined, hasFailed: false, connectedAt: Number.NEGATIVE_INFINITY, sentRequests: 0,
+		};
 		super(origin, {
 			connect(options, callback) {
 				connector(options, (...args) => {
@@ -44,6 +48,7 @@
 						onConnect();
 						state.socket = socket;
 						state.hasFailed = false;
+						state.sentRequests = 0;
 						socket.on('error', () => {
 							state.hasFailed = true;
 						});
