Target client: an answer counts only for the request that it names

Cause: a rejection (X-Not-Executed, 421) was believed before its id was compared with that of the request. A target may send an answer twice, the second time in the place of the next answer; the next request then counted as not run, while the target ran it.

Change: the id is compared when the head arrives. An answer of another request ends the exchange with an unknown outcome and resets the connection. A retry has the id of the rejected request, so it gets another connection than the one on which it was rejected; requests without an id share none.

Not affected, by reading: links between instances, health checks.

--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -84,6 +84,9 @@
 /** Longest idle time after which a connection may carry a request that must run at most once, in milliseconds; no target closes an idle connection this early. */
 const reuseForOnceMs = 50;
 
+/** Largest number of rejected requests that are remembered of a connection; a second copy of an older rejection would have been noticed in the place of a later answer. */
+const maxRejectedIds = 64;
+
 /** Status with which targets refuse requests for another target or for keys that they do not own. */
 const misdirectedStatus = 421;
 
@@ -142,16 +145,16 @@
 	}
 
 	/**
-	 * Returns the client of the most recently used idle connection if the request may use it, else one that opens a new
+	 * Returns the client of the most recently used idle connection that the request may use, else one that opens a new
 	 * connection. If no further connection may be kept, it takes the place of the least recently used one, whose client
 	 * it uses, as creating and destroying a client costs more CPU time than the connection.
 	 */
 	private acquire(req: TargetRequest): TrackedClient {
 		const idle = this.idle.get(req.addr) ?? [];
-		const last = idle.at(-1);
-		if (last !== undefined && (!req.isOnce || this.clock.now() - last.since <= reuseForOnceMs)) {
-			idle.pop();
-			return last.client;
+		const usable = idle.findLastIndex(connection => this.mayReuse(connection, req));
+		if (usable !== -1) {
+			const [{client}] = idle.splice(usable, 1);
+			return client;
 		}
 
 		const oldest = idle.length >= req.connections ? idle.shift() : undefined;
@@ -167,6 +170,12 @@
 		return client;
 	}
 
+	/** Returns whether a request may be sent on a connection, and its answer can be told apart from those before it. */
+	private mayReuse({client, since}: IdleConnection, {requestId, isOnce}: TargetRequest): boolean {
+		const isRecent = !isOnce || this.clock.now() - since <= reuseForOnceMs;
+		return isRecent && requestId !== '' && !client.connection.rejectedIds.has(requestId);
+	}
+
 	private release(req: TargetRequest, client: TrackedClient, {outcome}: TargetResult): void {
 		const idle = this.idle.get(req.addr) ?? [];
 		const isUsable = outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.Full || outcome === AttemptOutcome.NotRun;
@@ -175,6 +184,10 @@
 			return;
 		}
 
+		if (outcome !== AttemptOutcome.Answered) {
+			recordRejection(client.connection.rejectedIds, req.requestId);
+		}
+
 		idle.push({client, since: this.clock.now()});
 		this.idle.set(req.addr, idle);
 	}
@@ -233,9 +246,16 @@
 			return;
 		}
 
+		const meta = this.wire.readTarget(headers);
+		if (meta.requestId !== this.req.requestId) {
+			// A target may send an answer twice; what a second copy states belongs to an earlier request.
+			this.fail(AttemptOutcome.Broken, this.describeForeignAnswer(status, meta.requestId));
+			return;
+		}
+
 		this.status = status;
 		this.headers = toHeaderList(headers);
-		this.meta = this.wire.readTarget(headers);
+		this.meta = meta;
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -275,16 +295,11 @@
 		if (meta?.isNotRun === true || status === misdirectedStatus) {
 			const outcome = status === misdirectedStatus ? AttemptOutcome.NotRun : AttemptOutcome.Full;
 			return {
-				...answered, outcome, isNotRun: true, reason: `target answered ${status}, not run${this.describeOrigin()}`,
+				...answered, outcome, isNotRun: true, reason: `target answered ${status}, not run`,
 			};
 		}
 
-		if (meta?.requestId !== this.req.requestId) {
-			this.controller?.abort(new Error('answer of another request'));
-			return this.withoutAnswer(AttemptOutcome.Broken, `answer of another request${this.describeOrigin()}`);
-		}
-
-		if (status < 300 && !meta.isSealed) {
+		if (status < 300 && meta?.isSealed !== true) {
 			return this.withoutAnswer(AttemptOutcome.Broken, 'answer without a seal');
 		}
 
@@ -297,13 +312,9 @@
 		};
 	}
 
-	/** Returns which request an answer names, if it is not this one, and on which connection it came. */
-	private describeOrigin(): string {
-		const named = this.meta?.requestId ?? '';
+	private describeForeignAnswer(status: number, named: string): string {
 		const {socket, sentRequests} = this.connection;
-		return named === this.req.requestId
-			? ''
-			: `; the answer names ${named === '' ? 'no request' : `request ${named}`}, local port ${socket?.localPort ?? 'unknown'}, request ${sentRequests} on the connection`;
+		return `answer of another request: ${status} names ${named === '' ? 'no request' : named}, local port ${socket?.localPort ?? 'unknown'}, request ${sentRequests} on the connection`;
 	}
 
 	private fail(outcome: AttemptOutcome, reason: string): void {
@@ -335,6 +346,14 @@
 	}
 }
 
+function recordRejection(rejectedIds: Set<string>, requestId: string): void {
+	rejectedIds.add(requestId);
+	if (rejectedIds.size > maxRejectedIds) {
+		const [oldest] = rejectedIds;
+		rejectedIds.delete(oldest);
+	}
+}
+
 function toHeaderList(headers: Record<string, string | string[] | undefined>): HeaderList {
 	const list: Array<readonly [string, string]> = [];
 	for (const name of Object.keys(headers)) {
--- a/packages/gateway/src/queue/tracked-client.ts
+++ b/packages/gateway/src/queue/tracked-client.ts
@@ -24,6 +24,8 @@
 	connectedAt: number;
 	/** Number of requests that were written to it. */
 	sentRequests: number;
+	/** Ids of the requests that the target rejected on it, which may be sent again. */
+	readonly rejectedIds: Set<string>;
 };
 
 /**
@@ -38,7 +40,7 @@
 	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. */
 	constructor(origin: string | URL, localAddress: string | undefined, onConnect: () => void) {
 		const state: ConnectionState = {
-			socket: undefined, hasFailed: false, connectedAt: Number.NEGATIVE_INFINITY, sentRequests: 0,
+			socket: undefined, hasFailed: false, connectedAt: Number.NEGATIVE_INFINITY, sentRequests: 0, rejectedIds: new Set(),
 		};
 		super(origin, {
 			connect(options, callback) {
@@ -49,6 +51,7 @@
 						state.socket = socket;
 						state.hasFailed = false;
 						state.sentRequests = 0;
+						state.rejectedIds.clear();
 						socket.on('error', () => {
 							state.hasFailed = true;
 						});
