Leader: records of unknown services say nothing of targets

Cause: findOwnerProcess took a record of another writer, with a service that no configuration names and the address of a live target, for the proof that the target's process had ended. The leader then renews and releases nothing.

Change: conclusions on processes are drawn from records of known services only, and another record with the address of an owner shows nothing as long as the owner's own record stands. Related, each by a test: a foreign record under the key of a target removed the target; foreign targets counted when an instance judges whether it is cut off, and got dispatch queues.

--- a/packages/gateway/src/cluster/direct-reader.ts
+++ b/packages/gateway/src/cluster/direct-reader.ts
@@ -3,7 +3,7 @@
 	FeedChange, OperatorEntry, OperatorFeed, TargetFeed,
 } from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import type {View} from '../view/index.js';
+import {isKnownService, type View} from '../view/index.js';
 import {OperatorLoop} from './operator-loop.js';
 import {TargetLoop} from './target-loop.js';
 
@@ -149,12 +149,15 @@
 
 	/** Returns the ids of the targets in the view that must get no more work by their records. */
 	private findLeft(): Set<string> {
-		const targets = [...this.options.view.targets.values()];
+		const {view} = this.options;
+		const targets = [...view.targets.values()];
 		const missing = targets.filter(({name}) => !this.records.has(name));
 		const mayHaveExpired = missing.length > targets.length * maxLeftShare;
 		const left = targets.filter(target => {
 			const record = this.records.get(target.name);
-			return record !== undefined && !isOlder(record, target) && (record.id !== target.id || record.phase !== TargetPhase.Ready);
+			// Another writer may have replaced the record of a target by one with a service that no configuration names.
+			const isOwn = record !== undefined && isKnownService(view, record.service);
+			return isOwn && !isOlder(record, target) && (record.id !== target.id || record.phase !== TargetPhase.Ready);
 		});
 		return new Set([...left, ...(mayHaveExpired ? [] : missing)].map(({id}) => id));
 	}
--- a/packages/gateway/src/cluster/feed-reader.ts
+++ b/packages/gateway/src/cluster/feed-reader.ts
@@ -7,7 +7,7 @@
 	FeedChange, OperatorEntry, OperatorFeed, TargetFeed,
 } from '../ports/index.js';
 import type {Telemetry} from '../telemetry/index.js';
-import {isSameSet, type View} from '../view/index.js';
+import {isKnownService, isSameSet, type View} from '../view/index.js';
 import {Evacuations} from './evacuations.js';
 import {OperatorLoop} from './operator-loop.js';
 import {TargetLoop} from './target-loop.js';
@@ -252,12 +252,18 @@
 	}
 
 	private applyTargetEntries(set: ReadonlyMap<string, TargetInfo>, removed: readonly string[], isFull: boolean): void {
-		const now = this.options.clock.now();
+		const {clock, telemetry} = this.options;
+		const now = clock.now();
 		for (const [name, target] of set) {
+			if (this.isForeign(name, target)) {
+				telemetry.info('news', 'Ignored a record with an unknown service in the place of a target.', {name, service: target.service, present: this.idsByName.get(name)});
+				continue;
+			}
+
 			this.pendingRemovals.delete(name);
 			if (this.records.isOutdated(target, isFull)) {
 				const {id, phase, recordSeq} = target;
-				this.options.telemetry.trace('news', 'Ignored an older record of a target.', {
+				telemetry.trace('news', 'Ignored an older record of a target.', {
 					target: id, phase, recordSeq, present: this.idsByName.get(name),
 				});
 			} else {
@@ -285,6 +291,13 @@
 		}
 	}
 
+	/** Returns whether a record may be another writer's: it replaces that of a target, and no configuration names its service. */
+	private isForeign(name: string, {service}: TargetInfo): boolean {
+		const {view} = this.options;
+		const present = view.targets.get(this.idsByName.get(name) ?? '');
+		return present !== undefined && present.service !== service && !isKnownService(view, service);
+	}
+
 	private applyTarget(name: string, target: TargetInfo, now: number): void {
 		const {view, telemetry} = this.options;
 		const formerId = this.idsByName.get(name);
--- a/packages/gateway/src/cluster/leader.ts
+++ b/packages/gateway/src/cluster/leader.ts
@@ -6,7 +6,7 @@
 	OwnershipMap, type EligibleOwner, type Service, type TargetInfo,
 } from '@bluebellyard/core';
 import {StaleAppendError} from '../ports/index.js';
-import type {NodeInfo} from '../view/index.js';
+import {isKnownService, type NodeInfo} from '../view/index.js';
 import {ClockStepDetector} from './clock-step-detector.js';
 import {CutOffInstances} from './cut-off-instances.js';
 import {FollowerSync} from './follower-sync.js';
@@ -149,7 +149,10 @@
 		this.cutOff.prune(this.followers.liveNodes());
 		this.suspects.tick(now);
 		for (const target of view.targets.values()) {
-			this.seenTargets.set(target.id, target);
+			// A record with a service that no configuration names may be another writer's, and tells nothing of any process.
+			if (isKnownService(view, target.service)) {
+				this.seenTargets.set(target.id, target);
+			}
 		}
 
 		const before = view.store.lastSeq;
@@ -307,7 +310,7 @@
 				this.confirmation.handleFailedWrite(err);
 			},
 			findTarget: owner => this.seenTargets.get(owner),
-			findProcess: owner => findOwnerProcess(owner, this.seenTargets),
+			findProcess: owner => findOwnerProcess(owner, this.seenTargets, this.options.view.targets),
 			inheritedLeaseEnd: () => this.confirmation.formerLeaseEnd,
 			inheritedArrivalEnd: () => this.confirmation.formerArrivalEnd,
 		}, inheritedMap ?? OwnershipMap.empty(), inheritedMap !== undefined);
--- a/packages/gateway/src/view/index.ts
+++ b/packages/gateway/src/view/index.ts
@@ -1,4 +1,5 @@
 export * from './delta-store.js';
+export * from './known-service.js';
 export * from './leader-config.js';
 export * from './queue-id.js';
 export * from './queue-weights.js';
--- a/packages/gateway/src/view/queue-weights.ts
+++ b/packages/gateway/src/view/queue-weights.ts
@@ -1,3 +1,4 @@
+import {isKnownService} from './known-service.js';
 import {sharedQueueId, targetQueueId} from './queue-id.js';
 import type {View} from './view.js';
 
@@ -12,10 +13,14 @@
 	readonly isLarge: boolean;
 };
 
-/** Returns all dispatch queues of the known targets, in the order of their first targets. */
+/** Returns all dispatch queues of the targets of known services, in the order of their first targets. */
 export function weighQueues(view: Pick<View, 'targets' | 'allServices' | 'largeServices'>): WeighedQueue[] {
 	const queues = new Map<string, WeighedQueue>();
 	for (const {id, service, domain, slots} of view.targets.values()) {
+		if (!isKnownService(view, service)) {
+			continue;
+		}
+
 		const isSharded = view.allServices.get(service)?.isSharded ?? false;
 		const queueId = isSharded ? targetQueueId(id) : sharedQueueId(service, domain);
 		const weight = (queues.get(queueId)?.weight ?? 0) + Math.max(1, slots);
--- a/packages/gateway/src/view/view.ts
+++ b/packages/gateway/src/view/view.ts
@@ -1,7 +1,6 @@
 /**
- * The replicated state of the deployment as an instance knows it: the active
- * configuration, targets, key owners and stewards. The leader writes it and
- * replicates it to all instances.
+ * The replicated state of the deployment as an instance knows it: the active configuration, targets, key owners and
+ * stewards. The leader writes it and replicates it to all instances.
  */
 import {
 	bodyLengthOf, HostRoutes, TargetPhase, type CallerLimits, type HostRoute, type Service, type Suspect, type TargetInfo, type Team,
@@ -9,6 +8,7 @@
 import type {GatewayConfig} from '../ports/index.js';
 import {DeltaStore, type Delta} from './delta-store.js';
 import {DirectReading} from './direct-reading.js';
+import {isKnownService} from './known-service.js';
 import {isConfigRow, LeaderConfig, toConfigRows} from './leader-config.js';
 import type {NodeInfo} from './node-info.js';
 import {TeamTable} from './team-table.js';
@@ -198,7 +198,7 @@
 	/** Returns whether a target may receive work. */
 	isUsable(target: TargetInfo): boolean {
 		const {evacuated, left} = this.direct;
-		return target.phase === TargetPhase.Ready && !left.has(target.id) && !this.isLeaving(target.id)
+		return target.phase === TargetPhase.Ready && isKnownService(this, target.service) && !left.has(target.id) && !this.isLeaving(target.id)
 			&& !evacuated.has(target.domain) && !this.evacuated.has(target.domain);
 	}
 
