Target control: releases and first grants use a connection each

Cause: answers to grants and releases name no call and share connections, so a second copy of an answer to a grant counted as the answer to a release. It also hid the refusal of a first grant, and an answer that was left over shifted all later ones on the connection by one.

Change: each release and each first grant of a leader has its own connection; only renewals keep theirs, whose answers are interchangeable.

--- a/packages/gateway/src/cluster/grant-sender.ts
+++ b/packages/gateway/src/cluster/grant-sender.ts
@@ -49,7 +49,7 @@
 		const formerSentAt = grant.lastSentAt;
 		grant.lastSentAt = sentAt;
 		try {
-			const reply = await this.grantParts(order, target);
+			const reply = await this.grantParts(order, target, grant.isFenced);
 			silentOwners.recordAnswer(range.owner);
 			if (reply === GrantReply.Accepted) {
 				recordAccepted(grant, sentAt, timing);
@@ -75,10 +75,10 @@
 	}
 
 	/** Grants all parts. Rejects if a part was not answered; with `UnsentError` only if none was sent. */
-	private async grantParts({range: {fence}, parts, handover}: GrantOrder, target: Parameters<OwnershipManagerOptions['control']['grant']>[0]): Promise<GrantReply> {
+	private async grantParts({range: {fence}, parts, handover}: GrantOrder, target: Parameters<OwnershipManagerOptions['control']['grant']>[0], isRenewal: boolean): Promise<GrantReply> {
 		const {control, timing} = this.options;
 		const results = await Promise.allSettled(parts.map(async ({from, to}) => control.grant(target, {
-			from, to, fence, leaseMs: timing.leaseMs, handover,
+			from, to, fence, leaseMs: timing.leaseMs, handover, isRenewal,
 		}, timing.transitMs)));
 		const errors = results.filter(result => result.status === 'rejected').map(({reason}) => reason as unknown);
 		if (errors.length > 0) {
--- a/packages/gateway/src/ports/target-control.ts
+++ b/packages/gateway/src/ports/target-control.ts
@@ -7,6 +7,8 @@
 	readonly leaseMs: number;
 	/** State that the previous owner handed over with the keys. */
 	readonly handover?: string;
+	/** Whether the target has accepted this grant before, so that another answer to it changes nothing. */
+	readonly isRenewal?: boolean;
 };
 
 /** The process that a request is for. Another process may have taken over its address. */
