Target client: giving up an answer without a length does not end the process

Callers: all requests of an instance lost their connections, as its process ended with an assertion of undici. It took one answer that has no length and ends with its connection, and whose request ran out of time, or whose caller left, in the middle of the body.

Cause: the socket was reset before the request was aborted. A reset from this side closes the socket without an error, which undici takes for the regular end of such an answer; it then completes the aborted request and throws.

Change: no reset once the head of an answer has arrived. The request has been delivered by then, so that there is nothing to discard.

--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -200,6 +200,8 @@
 	private controller: Dispatcher.DispatchController | undefined;
 	private isDone = false;
 	private isWritten = false;
+	/** Whether the head of the final answer has arrived. */
+	private hasBegun = false;
 	private status = 0;
 	private headers: HeaderList = [];
 	private meta: TargetHeaders | undefined;
@@ -245,6 +247,7 @@
 			return;
 		}
 
+		this.hasBegun = true;
 		const meta = this.wire.readTarget(headers);
 		if (meta.requestId !== this.req.requestId) {
 			// A target may send an answer twice; what a second copy states belongs to an earlier request.
@@ -320,8 +323,9 @@
 	private fail(outcome: AttemptOutcome, reason: string): void {
 		const isNotRun = !this.isWritten;
 		this.finish({...this.withoutAnswer(outcome, reason), isNotRun});
-		if (this.isWritten) {
-			// A reset discards the bytes in transit and makes the target stop working on the request.
+		if (this.isWritten && !this.hasBegun) {
+			// A reset discards the bytes in transit. Once an answer has begun, the request has arrived, and `undici` would
+			// take a reset from this side for the end of an answer without a length, and throw out of the event loop.
 			this.connection.socket?.resetAndDestroy();
 		}
 
