Bodies: the sum of all that a process holds is limited

Answers without end add up in the same way.

Cause: each body has a limit, their number has none.

Change: BodyBudget (core) counts the bodies that are being received and the request bodies that are held, 96 MB together. Beyond that the largest incomplete one is given up: an answer as one with an unknown outcome, a request with 503 and Retry-After, as it was certainly not run. The body of a request is read in a file of its own.

--- a/packages/core/src/bytes/index.ts
+++ b/packages/core/src/bytes/index.ts
@@ -1,1 +1,2 @@
+export * from './body-budget.js';
 export * from './body-buffer.js';
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -1,9 +1,9 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	BodyBuffer, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type Team,
+	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type Team,
 } from '@bluebellyard/core';
 import {
 	failure, hasReturned, type Dispatcher, type FailedResult, type Order, type OrderResult,
@@ -14,6 +14,7 @@
 import type {View} from '../view/index.js';
 import {Cancellation, listen, waitForPendingReads} from '../net/index.js';
 import type {OverloadCheck} from './overload-check.js';
+import {readBody} from './read-body.js';
 import {sendFailure, getHttpStatus} from './refusal.js';
 
 /** Largest header block that the parser accepts, in bytes; the configured limit is checked separately. */
@@ -58,6 +59,8 @@
 	readonly telemetry: Telemetry;
 	/** Admission check of this instance; undefined if it is off. */
 	readonly overload?: Pick<OverloadCheck, 'check'> | undefined;
+	/** Limits the bytes of all bodies held at once; unlimited if undefined. */
+	readonly bodies?: BodyBudget | undefined;
 	/** Called with the key of each request for a sharded service. */
 	readonly onKeyedRequest: (service: string, key: number, route: HostRoute) => void;
 };
@@ -67,10 +70,12 @@
 	private readonly server: Server;
 	private readonly splits = new Map<string, WeightedRoundRobin>();
 	private readonly ages = new RequestAgeEstimator();
+	private readonly bodies: BodyBudget;
 	private isStopping = false;
 	private openRequests = 0;
 
 	constructor(private readonly options: CallerServerOptions) {
+		this.bodies = options.bodies ?? new BodyBudget(Number.POSITIVE_INFINITY);
 		this.server = createServer({
 			maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true,
 		}, (req, res) => {
@@ -178,20 +183,30 @@
 
 	/** Reads the body of a request and runs it. */
 	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: Cancellation): Promise<Outcome> {
-		const {view, dispatcher, clock} = this.options;
+		const {view} = this.options;
 		const {signal} = abort;
-		const body = await readBody(req, view.limits.bodyBytes);
-		if (body === undefined) {
-			return {result: failure(signal.aborted ? ErrorKind.CallerDisconnectedBeforeSend : ErrorKind.BodyTooLarge, {reason: 'the request body exceeds the limit or could not be read'})};
+		const body = await readBody(req, view.limits.bodyBytes, this.bodies);
+		if (!body.isRead) {
+			return {result: signal.aborted ? failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'}) : body.failure};
 		}
 
+		try {
+			return await this.dispatch(req, {...accepted, body: body.bytes}, abort);
+		} finally {
+			body.release();
+		}
+	}
+
+	private async dispatch(req: IncomingMessage, accepted: AcceptedRequest & {readonly body: Buffer}, abort: Cancellation): Promise<Outcome> {
+		const {dispatcher, clock} = this.options;
+		const {signal} = abort;
 		// If the event loop lags, callers may have left before their request was read.
 		await waitForPendingReads();
 		if (signal.aborted) {
 			return {result: failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'})};
 		}
 
-		const order = this.toOrder(req, accepted, body);
+		const order = this.toOrder(req, accepted);
 		const result = await new Promise<OrderResult>(resolve => {
 			const timer = setTimeout(() => {
 				resolve(failure(ErrorKind.TargetTimeout, {isNotRun: false, reason: 'no result at the deadline'}));
@@ -205,7 +220,7 @@
 		return {result, hasReturned: hasReturned(order)};
 	}
 
-	private toOrder(req: IncomingMessage, {headers, route, admitted, arrivedAt}: AcceptedRequest, body: Buffer): Order {
+	private toOrder(req: IncomingMessage, {headers, route, admitted, arrivedAt, body}: AcceptedRequest & {readonly body: Buffer}): Order {
 		const {view, wire} = this.options;
 		const {team} = admitted;
 		const pairs = toPairs(req.rawHeaders);
@@ -335,43 +350,6 @@
 	return {target};
 }
 
-/** Reads the body of a request. Resolves to undefined if it exceeds the limit or the caller disconnects. */
-async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-	if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
-		return Buffer.alloc(0);
-	}
-
-	if (Number(req.headers['content-length']) > maxBytes) {
-		return undefined;
-	}
-
-	// Listeners cost less than an iterator, which also keeps the chunks that wait as objects.
-	return new Promise(resolve => {
-		const body = new BodyBuffer();
-		const collect = (chunk: Buffer) => {
-			body.append(chunk);
-			if (body.length > maxBytes) {
-				finish(undefined);
-			}
-		};
-
-		const finish = (bytes: Buffer | undefined) => {
-			req.removeListener('data', collect);
-			body.clear();
-			resolve(bytes);
-		};
-
-		req.on('data', collect);
-		req.once('end', () => {
-			finish(body.toBytes());
-		});
-		// The caller closed the connection, so no answer can be sent.
-		req.once('close', () => {
-			finish(undefined);
-		});
-	});
-}
-
 function toPairs(raw: readonly string[]): Array<readonly [string, string]> {
 	const pairs: Array<readonly [string, string]> = [];
 	for (let i = 0; i + 1 < raw.length; i += 2) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	ReservationMode, systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
+	BodyBudget, ReservationMode, systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {
 	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, receivesByte, TargetClient,
@@ -50,6 +50,9 @@
 /** Largest number of list entries per service in a report; each key takes two, itself and its expected run time. */
 const maxReportedEntries = 4000;
 
+/** Largest sum of the bodies of requests and answers that the process holds, in bytes: one of the largest size, and others beside it. */
+const maxHeldBytes = 96 * 1024 * 1024;
+
 /** Delay from the start of a stop until idle connections are closed, in milliseconds; by then the load balancer has noticed that the instance is not ready. */
 const closeIdleDelayMs = 2200;
 
@@ -115,7 +118,8 @@
 		const {self} = this;
 		const random = () => Math.random();
 		this.net = new PeerNet(async (op, message, signal, link) => this.handleCall(op as PeerOp, message, signal, link), clock, addr => this.isFar(addr));
-		this.client = new TargetClient(ports.wire, clock, cfg.targets['local-address']);
+		const bodies = new BodyBudget(maxHeldBytes);
+		this.client = new TargetClient(ports.wire, clock, cfg.targets['local-address'], bodies);
 		this.coordinator = new Coordinator({
 			...ports,
 			self,
@@ -223,6 +227,7 @@
 		this.callers = new CallerServer({
 			overload: this.overload,
 			view,
+			bodies,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
 			admission: new TeamAdmission({view, metrics: telemetry.metrics, limits: this.teamRates}),
--- a/packages/gateway/src/mocks/small-heap-server.ts
+++ b/packages/gateway/src/mocks/small-heap-server.ts
@@ -1,5 +1,5 @@
 /**
- * Worker of `small-chunks.test.ts`: a server for callers. Posts its port, then the length of the body of the first
+ * Worker of `body-memory.test.ts`: a server for callers. Posts its port, then the length of the body of the first
  * request that it has read.
  */
 import {parentPort} from 'node:worker_threads';
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -3,7 +3,9 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import {AttemptOutcome, BodyBuffer, type Clock} from '@bluebellyard/core';
+import {
+	AttemptOutcome, BodyBudget, BodyBuffer, type BudgetShare, type Clock,
+} from '@bluebellyard/core';
 import type {CancelSignal} from '../net/index.js';
 import type {HeaderList, TargetHeaders, Wire} from '../ports/index.js';
 import {TrackedClient, type ConnectionState} from './tracked-client.js';
@@ -107,10 +109,12 @@
 	/** Idle connections by address, the most recently used one last. */
 	private readonly idle = new Map<string, IdleConnection[]>();
 	private opened = 0;
+	private readonly bodies: BodyBudget;
 
-	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. */
-	constructor(wire: Wire, clock: Clock, localAddress?: string) {
+	/** `localAddress` is the IP address to connect from; the system selects one if it is undefined. Answers that are being received count towards `bodies`. */
+	constructor(wire: Wire, clock: Clock, localAddress?: string, bodies = new BodyBudget(Number.POSITIVE_INFINITY)) {
 		this.localAddress = localAddress;
+		this.bodies = bodies;
 		this.wire = wire;
 		this.clock = clock;
 	}
@@ -123,7 +127,7 @@
 	/** Sends a request and waits for the complete answer. Never rejects. */
 	async send(req: TargetRequest): Promise<TargetResult> {
 		const client = this.acquire(req);
-		const exchange = new Exchange(req, this.wire, client.connection);
+		const exchange = new Exchange(req, {wire: this.wire, connection: client.connection, bodies: this.bodies});
 		client.dispatch({
 			method: req.method,
 			path: req.path,
@@ -193,6 +197,12 @@
 	}
 }
 
+type ExchangeOptions = {
+	readonly wire: Wire;
+	readonly connection: ConnectionState;
+	readonly bodies: BodyBudget;
+};
+
 /** Handles the events of one request until it is answered, fails or is aborted. */
 class Exchange implements Dispatcher.DispatchHandler {
 	readonly result: Promise<TargetResult>;
@@ -206,10 +216,18 @@
 	private headers: HeaderList = [];
 	private meta: TargetHeaders | undefined;
 	private readonly body = new BodyBuffer();
+	private readonly share: BudgetShare;
+	private readonly wire: Wire;
+	private readonly connection: ConnectionState;
 	private readonly timer: NodeJS.Timeout;
 	private readonly onAbort: () => void;
 
-	constructor(private readonly req: TargetRequest, private readonly wire: Wire, private readonly connection: ConnectionState) {
+	constructor(private readonly req: TargetRequest, {wire, connection, bodies}: ExchangeOptions) {
+		this.wire = wire;
+		this.connection = connection;
+		this.share = bodies.open(() => {
+			this.fail(AttemptOutcome.Broken, 'the bodies of requests and answers take too much memory');
+		});
 		let resolve: (result: TargetResult) => void = () => undefined;
 		this.result = new Promise(done => {
 			resolve = done;
@@ -266,6 +284,7 @@
 		}
 
 		this.body.append(chunk);
+		this.share.update(this.body.length);
 		if (this.body.length > maxAnswerBytes) {
 			this.fail(AttemptOutcome.Broken, 'the answer is too large');
 		}
@@ -347,6 +366,7 @@
 		clearTimeout(this.timer);
 		this.req.signal.removeEventListener('abort', this.onAbort);
 		this.body.clear();
+		this.share.release();
 		this.resolve(result);
 	}
 }
