Links: after the loss of a link ask which calls had arrived

Cause: the sender knows that it has sent a call, not whether it arrived.

Change: links have names. After a loss the sender asks the other instance on a new link for the number of the last call that arrived; the other one closes the lost link before it answers. A request that must run once and did not arrive is handled as one that was not sent. Without an answer the outcome stays unknown.

--- a/packages/gateway/src/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/dispatch/dispatcher.test.ts
@@ -60,7 +60,7 @@
 }
 
 /** Runs an order on instance `e1` with the given steward and returns the orders that the dispatch queue of `e1` received. */
-async function runWith(steward: string | undefined, isReachable = true): Promise<Order[]> {
+async function runWith(steward: string | undefined, isReachable = true, err = new LinkError('refused', false)): Promise<Order[]> {
 	const view = new View();
 	for (const name of ['e1', 'e2']) {
 		view.store.set(`node/${name}`, node(name));
@@ -88,7 +88,7 @@
 		},
 		net: {
 			async exchange() {
-				throw new LinkError('refused', false);
+				throw err;
 			},
 			isUnreachable: () => !isReachable,
 		},
@@ -126,6 +126,15 @@
 	t.true(refused.skipsRateLimited);
 });
 
+// Guards against a caller that is told of an unknown outcome, and can't try again, although its request had reached nobody.
+test('a request that must run once and that its steward did not receive is run by this instance', async t => {
+	t.true(order.isOnce);
+	const [own] = await runWith('e2', true, new LinkError('no data received', true, async () => false));
+	t.true(own.skipsRateLimited);
+	t.deepEqual(await runWith('e2', true, new LinkError('no data received', true, async () => true)), []);
+	t.deepEqual(await runWith('e2', true, new LinkError('no data received', true)), []);
+});
+
 test('a request whose first attempt may have run is not refused as not run when its retry is', async t => {
 	for (const error of [ErrorKind.ConnectFailed, ErrorKind.DeadlineTooClose, ErrorKind.NoTarget]) {
 		// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -8,7 +8,7 @@
 import type {DispatchQueues} from '../queue/index.js';
 import type {CancelSignal} from '../net/index.js';
 import {
-	isUnsent, type LinkState, type Message, type PeerNet,
+	isUnsent, LinkError, type LinkState, type Message, type PeerNet,
 } from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
@@ -304,10 +304,12 @@
 				return failure(ErrorKind.CallerDisconnected, {isNotRun: false, reason: 'the caller left'});
 			}
 
+			// A request that must run once can't be tried again unless the steward certainly did not receive it.
+			const isUnreceived = isUnsent(err) || (order.isOnce && err instanceof LinkError && !(await err.wasReceived()));
 			telemetry.logRequest('Steward could not be reached.', {
-				id: order.requestId, instance: node.name, desk: queueId, isUnsent: isUnsent(err), err,
+				id: order.requestId, instance: node.name, desk: queueId, isUnsent: isUnsent(err), isUnreceived, err,
 			});
-			if (isUnsent(err)) {
+			if (isUnreceived) {
 				return queues.run(queueId, {...order, skipsRateLimited: true}, signal);
 			}
 
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -13,6 +13,8 @@
 	Cancel = 3,
 	Probe = 4,
 	ProbeReply = 5,
+	/** Names the link; the first frame of the side that opened it. */
+	Hello = 6,
 }
 
 type FrameHead = {
@@ -35,10 +37,15 @@
 export class LinkError extends Error {
 	override readonly name = 'LinkError';
 
-	/** `isSent` states whether the other side may have received the call. */
-	constructor(message: string, readonly isSent: boolean) {
+	/** `isSent` states whether the other side may have received the call; `ask` finds out whether it has. */
+	constructor(message: string, readonly isSent: boolean, private readonly ask?: () => Promise<boolean>) {
 		super(message);
 	}
+
+	/** Resolves to whether the other side has received the call, or may still receive it; also true if it can't be asked. */
+	async wasReceived(): Promise<boolean> {
+		return this.isSent && (await this.ask?.() ?? true);
+	}
 }
 
 /** Tells when a link is lost, also after a call that came over it has been answered. */
@@ -63,6 +70,16 @@
 	readonly reject: (err: LinkError) => void;
 };
 
+/** Options of a link. */
+export type PeerLinkOptions = {
+	/** Called once when the link is lost. */
+	readonly onDown: (link: PeerLink) => void;
+	/** Called when the other side has named the link, before any call is received. */
+	readonly onName?: (link: PeerLink) => void;
+	/** Asks the other side for the number of the last call that it received on the lost link; undefined if it does not know. It receives none afterwards. */
+	readonly countReceived?: () => Promise<number | undefined>;
+};
+
 /** One connection between two instances, which carries calls in both directions. */
 export class PeerLink implements LinkState, CheckedLink {
 	private readonly reader = new FrameReader();
@@ -77,12 +94,15 @@
 	/** Whether received data is checked for. */
 	private isChecked = false;
 	private isDown = false;
+	/** Name that the other side gave the link; undefined if this side opened it. */
+	private givenName: string | undefined;
+	private lastNumber = 0;
 
 	constructor(
 		private readonly socket: Socket,
 		private readonly handler: CallHandler,
 		private readonly checks: SilenceChecks,
-		private readonly onDown: () => void,
+		private readonly options: PeerLinkOptions,
 	) {
 		this.receivedAt = checks.clock.now();
 		socket.setNoDelay(true);
@@ -97,6 +117,21 @@
 		});
 	}
 
+	/** Name that the other side gave the link; undefined before. */
+	get name(): string | undefined {
+		return this.givenName;
+	}
+
+	/** Number of the last call received; 0 before. */
+	get lastReceived(): number {
+		return this.lastNumber;
+	}
+
+	/** Names the link to the other side. */
+	sendName(name: string): void {
+		this.write({k: FrameKind.Hello, b: name});
+	}
+
 	/** Sets whether sent messages are compressed. The side that accepted the connection follows the other one. */
 	setCompressed(isOn: boolean): void {
 		this.writer.isCompressed = isOn;
@@ -194,6 +229,10 @@
 		this.receivedAt = this.checks.clock.now();
 		try {
 			for (const message of this.reader.push(chunk)) {
+				if (this.isDown) {
+					return;
+				}
+
 				this.handleFrame(message.value as FrameHead, message.bytes);
 			}
 		} catch (err) {
@@ -205,6 +244,7 @@
 		const number = frame.n ?? 0;
 		switch (frame.k) {
 			case FrameKind.Call: {
+				this.lastNumber = number;
 				void this.run(number, frame.op ?? '', {value: frame.b, bytes});
 				break;
 			}
@@ -229,6 +269,12 @@
 			case FrameKind.ProbeReply: {
 				break;
 			}
+
+			case FrameKind.Hello: {
+				this.givenName = String(frame.b);
+				this.options.onName?.(this);
+				break;
+			}
 		}
 	}
 
@@ -271,8 +317,12 @@
 
 		this.isDown = true;
 		this.socket.destroy();
-		for (const call of this.openCalls.values()) {
-			call.reject(new LinkError(reason, true));
+		const {countReceived} = this.options;
+		for (const [number, call] of this.openCalls) {
+			call.reject(new LinkError(reason, true, countReceived && (async () => {
+				const received = await countReceived();
+				return received === undefined || received >= number;
+			})));
 		}
 
 		this.openCalls.clear();
@@ -285,7 +335,7 @@
 		}
 
 		this.downListeners.clear();
-		this.onDown();
+		this.options.onDown(this);
 	}
 }
 
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
@@ -15,6 +16,15 @@
 /** Time after a failed connection during which no new one is attempted, in milliseconds. */
 const reconnectDelayMs = 200;
 
+/** Operation that ends an incoming link, given its name, and replies with the number of the last call received on it. */
+const endLinkOp = 'end-link';
+
+/** Timeout of that operation, in milliseconds; a caller waits for it. */
+const endLinkTimeoutMs = 300;
+
+/** Largest number of lost links that are remembered; calls on older ones count as received. */
+const maxLostLinks = 512;
+
 type Outgoing = {
 	readonly link: Promise<PeerLink>;
 	failedAt: number | undefined;
@@ -24,6 +34,8 @@
 export class PeerNet {
 	private readonly outgoing = new Map<string, Outgoing>();
 	private readonly incoming = new Set<PeerLink>();
+	/** Number of the last call received on each lost incoming link, by its name. */
+	private readonly lost = new Map<string, number>();
 	private readonly server: Server;
 	private readonly checks: SilenceChecks;
 
@@ -74,10 +86,55 @@
 	}
 
 	private accept(socket: Socket): void {
-		const link: PeerLink = new PeerLink(socket, this.handler, this.checks, () => {
-			this.incoming.delete(link);
-		});
-		this.incoming.add(link);
+		this.incoming.add(new PeerLink(socket, async (op, message, signal, link) => op === endLinkOp
+			? {value: this.endLink(String(message.value)), bytes: noBytes}
+			: this.handler(op, message, signal, link), this.checks, {
+			onDown: link => {
+				this.incoming.delete(link);
+				this.recordLost(link);
+			},
+			onName: link => {
+				// The other side has been told that nothing was received on it.
+				if (this.lost.has(link.name ?? '')) {
+					link.close();
+				}
+			},
+		}));
+	}
+
+	/** Ends an incoming link, so that no further call on it is received. Returns the number of the last one; null if the link is not known. */
+
+	private endLink(name: string): number | null {
+		for (const link of this.incoming) {
+			if (link.name === name) {
+				link.close();
+			}
+		}
+
+		return this.lost.get(name) ?? null;
+	}
+
+	private recordLost({name, lastReceived}: PeerLink): void {
+		if (name === undefined || this.lost.has(name)) {
+			return;
+		}
+
+		this.lost.set(name, lastReceived);
+		if (this.lost.size > maxLostLinks) {
+			const [oldest] = this.lost.keys();
+			this.lost.delete(oldest);
+		}
+	}
+
+	/** Resolves to the number of the last call that the instance at an address received on a lost link; undefined if it does not know. */
+	private async countReceived(addr: string, name: string): Promise<number | undefined> {
+		try {
+			const reply = await this.call(addr, endLinkOp, name, {timeoutMs: endLinkTimeoutMs});
+			return typeof reply === 'number' ? reply : undefined;
+		} catch {
+			// The instance can't be reached, so that the calls may have been received.
+			return undefined;
+		}
 	}
 
 	private async link(addr: string): Promise<PeerLink> {
@@ -120,7 +177,17 @@
 			socket.once('connect', () => {
 				clearTimeout(timer);
 				socket.removeAllListeners('error');
-				resolve(new PeerLink(socket, this.handler, this.checks, onDown));
+				const name = randomUUID();
+				let received: Promise<number | undefined> | undefined;
+				const link = new PeerLink(socket, this.handler, this.checks, {
+					onDown,
+					countReceived: async () => {
+						received ??= this.countReceived(addr, name);
+						return received;
+					},
+				});
+				link.sendName(name);
+				resolve(link);
 			});
 		});
 	}
