Router: an answer counts only for the order that it names

Change: the id is compared first. Two tests (rejection and abort of another order) fail on the code before.

--- a/packages/router/src/work/target-executor.test.ts
+++ b/packages/router/src/work/target-executor.test.ts
@@ -94,6 +94,9 @@
 	['a chunked body without its end', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n'],
 	['a head without a body', 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n'],
 	['the answer to another order', formatRawAnswer('whole', ['x-order-id: other'])],
+	// Guards against an order that runs twice as the second copy of a rejection counted as its own.
+	['the rejection of another order', formatRawAnswer('no', ['x-order-id: other', 'x-not-run: shed'], 503)],
+	['the abort of another order', formatRawAnswer('no', ['x-order-id: other', 'x-aborted: timeout'], 504)],
 ];
 
 for (const [name, bytes] of partialAnswers) {
--- a/packages/router/src/work/target-executor.ts
+++ b/packages/router/src/work/target-executor.ts
@@ -276,6 +276,12 @@
 
 /** Throws when the answer belongs to another order, or reports that the order was not run or was aborted. */
 function checkAnswer(order: Order, answer: Answer): void {
+	// What the answer to another order states is not about this one.
+	const answeredId = headerText(answer.headers, 'x-order-id');
+	if (answeredId !== '' && answeredId !== order.id) {
+		throw new RequestError(ErrorKind.TruncatedAnswer, 'The answer carries the id of another order.');
+	}
+
 	const notRunReason = headerText(answer.headers, 'x-not-run');
 	if (notRunReason !== '') {
 		throw new RequestError(notRunReason === 'fenced' ? ErrorKind.TargetFenced : ErrorKind.TargetShed, notRunReason);
@@ -284,11 +290,6 @@
 	if (headerText(answer.headers, 'x-aborted') !== '') {
 		throw new RequestError(ErrorKind.TargetTimeout, 'The target aborted the order.');
 	}
-
-	const answeredId = headerText(answer.headers, 'x-order-id');
-	if (answeredId !== '' && answeredId !== order.id) {
-		throw new RequestError(ErrorKind.TruncatedAnswer, 'The answer carries the id of another order.');
-	}
 }
 
 /** Returns whether an error proves that the request did not run. */
