Callers' server: an answer is in flight until it is written

Cause: a request counted as answered when its answer was handed to the HTTP server, and Node.js closes connections with a complete but unwritten answer as idle, also in close of its HTTP server.

Change: an answer counts until its response is closed. A planned stop first stops accepting, and closes idle connections only while no answer is written.

--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -2,6 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {
 	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type Team,
 } from '@bluebellyard/core';
@@ -72,7 +73,9 @@
 	private readonly ages = new RequestAgeEstimator();
 	private readonly bodies: BodyBudget;
 	private isStopping = false;
-	private openRequests = 0;
+	private isClosingIdle = false;
+	/** Responses that are not written to their connections yet. */
+	private readonly open = new Set<ServerResponse>();
 
 	constructor(private readonly options: CallerServerOptions) {
 		this.bodies = options.bodies ?? new BodyBudget(Number.POSITIVE_INFINITY);
@@ -91,9 +94,9 @@
 		});
 	}
 
-	/** Number of requests that are not answered yet. */
+	/** Number of requests whose answers are not written yet; a caller that reads slowly keeps its answer in this process. */
 	get inFlight(): number {
-		return this.openRequests;
+		return this.open.size;
 	}
 
 	/** Starts to listen. Resolves to the port. */
@@ -106,10 +109,12 @@
 		this.isStopping = true;
 	}
 
-	/** Stops accepting connections and closes idle ones. */
+	/** Stops accepting connections, and closes idle ones as soon as no answer is being written. */
 	closeIdle(): void {
-		this.server.close();
-		this.server.closeIdleConnections();
+		this.isClosingIdle = true;
+		// The method of the HTTP server closes connections whose answer is complete but not written.
+		NetServer.prototype.close.call(this.server);
+		this.closeIdleConnections();
 	}
 
 	/** Closes all connections immediately. */
@@ -118,6 +123,13 @@
 		this.server.closeAllConnections();
 	}
 
+	private closeIdleConnections(): void {
+		const isWriting = [...this.open].some(res => res.writableEnded && !res.writableFinished);
+		if (!isWriting) {
+			this.server.closeIdleConnections();
+		}
+	}
+
 	private updateLimits(): void {
 		const {idleTimeoutMs, headerTimeoutMs} = this.options.view.limits;
 		this.server.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
@@ -134,11 +146,17 @@
 			}
 		};
 
-		res.once('close', abortUnfinished);
+		this.open.add(res);
+		res.once('close', () => {
+			this.open.delete(res);
+			abortUnfinished();
+			if (this.isClosingIdle) {
+				this.closeIdleConnections();
+			}
+		});
 		// A caller that closed its side of the connection has left, although the answer could still be written.
 		const {socket} = req;
 		socket.once('end', abortUnfinished);
-		this.openRequests += 1;
 		const headers = wire.readCaller(req.headers);
 		try {
 			const outcome = await this.answer(req, headers, arrivedAt, abort);
@@ -152,7 +170,6 @@
 			sendFailure(res, failure(ErrorKind.Internal, {isNotRun: false}));
 		} finally {
 			socket.removeListener('end', abortUnfinished);
-			this.openRequests -= 1;
 		}
 	}
 
