Links: no check of the names of links that were lost before

No link has the name of a lost one, so that the check never applied; its comment said otherwise. A link whose name did not arrive is not known to the other side, and its calls count as received. No change of behaviour; the tests of lost calls pass as before.

--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -74,8 +74,6 @@
 export type PeerLinkOptions = {
 	/** Called once when the link is lost. */
 	readonly onDown: (link: PeerLink) => void;
-	/** Called when the other side has named the link, before any call is received. */
-	readonly onName?: (link: PeerLink) => void;
 	/** Asks the other side for the number of the last call that it received on the lost link; undefined if it does not know. It receives none afterwards. */
 	readonly countReceived?: () => Promise<number | undefined>;
 };
@@ -272,7 +270,6 @@
 
 			case FrameKind.Hello: {
 				this.givenName = String(frame.b);
-				this.options.onName?.(this);
 				break;
 			}
 		}
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -93,16 +93,13 @@
 				this.incoming.delete(link);
 				this.recordLost(link);
 			},
-			onName: link => {
-				// The other side has been told that nothing was received on it.
-				if (this.lost.has(link.name ?? '')) {
-					link.close();
-				}
-			},
 		}));
 	}
 
-	/** Ends an incoming link, so that no further call on it is received. Returns the number of the last one; null if the link is not known. */
+	/**
+	 * Ends an incoming link, so that no further call on it is received. Returns the number of the last one; null if the link is
+	 * not known, as its name did not arrive or a former process had it.
+	 */
 
 	private endLink(name: string): number | null {
 		for (const link of this.incoming) {
