--- /dev/null
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -0,0 +1,82 @@
+import type {Socket} from 'node:net';
+
+/** What a connection of a caller is used for. */
+export enum ConnectionUse {
+	/** Nothing has arrived on it. */
+	Unused = 'unused',
+	/** All requests that arrived on it are answered. */
+	Idle = 'idle',
+	/** Part of a request has arrived. */
+	Receiving = 'receiving',
+	/** A request is not answered, or its answer not written. */
+	Busy = 'busy',
+}
+
+type Connection = {
+	/** Requests whose answers are not written yet. */
+	requests: number;
+	/** Bytes received by the end of the last request. */
+	handledBytes: number;
+};
+
+/** Open connections of callers. The HTTP server does not tell a connection on which nothing has arrived from one in the middle of a request. */
+export class CallerConnections {
+	private readonly connections = new Map<Socket, Connection>();
+
+	/** Adds a connection until it is closed. */
+	add(socket: Socket): void {
+		this.connections.set(socket, {requests: 0, handledBytes: 0});
+		socket.once('close', () => {
+			this.connections.delete(socket);
+		});
+	}
+
+	/** Records that the head of a request was read. */
+	recordRequest(socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (connection !== undefined) {
+			connection.requests += 1;
+		}
+	}
+
+	/** Records that an answer was written. */
+	recordAnswer(socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (connection !== undefined) {
+			connection.requests -= 1;
+			connection.handledBytes = socket.bytesRead;
+		}
+	}
+
+	/** Records that the rest of a request that is answered was read. */
+	recordRest(socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (connection?.requests === 0) {
+			connection.handledBytes = socket.bytesRead;
+		}
+	}
+
+	/** Returns the number of connections by use. */
+	count(): Record<ConnectionUse, number> {
+		const counts = {
+			[ConnectionUse.Unused]: 0, [ConnectionUse.Idle]: 0, [ConnectionUse.Receiving]: 0, [ConnectionUse.Busy]: 0,
+		};
+		for (const [socket, connection] of this.connections) {
+			counts[findUse(socket, connection)] += 1;
+		}
+
+		return counts;
+	}
+}
+
+function findUse({bytesRead}: Socket, {requests, handledBytes}: Connection): ConnectionUse {
+	if (requests > 0) {
+		return ConnectionUse.Busy;
+	}
+
+	if (bytesRead > handledBytes) {
+		return ConnectionUse.Receiving;
+	}
+
+	return bytesRead === 0 ? ConnectionUse.Unused : ConnectionUse.Idle;
+}
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -4,19 +4,22 @@
 } from 'node:http';
 import {Server as NetServer} from 'node:net';
 import {
-	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type Team,
+	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute,
 } from '@bluebellyard/core';
 import {
-	failure, hasReturned, type Dispatcher, type FailedResult, type Order, type OrderResult,
+	failure, hasReturned, type Dispatcher, type Order, type OrderResult,
 } from '../dispatch/index.js';
 import type {CallerHeaders, Wire} from '../ports/index.js';
 import type {AdmittedRequest, TeamAdmission} from '../teams/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {Cancellation, listen, waitForPendingReads} from '../net/index.js';
+import {CallerConnections, type ConnectionUse} from './caller-connections.js';
+import {OpenRequests, RequestPhase, type OpenRequest} from './open-requests.js';
 import type {OverloadCheck} from './overload-check.js';
 import {readBody} from './read-body.js';
-import {sendFailure, getHttpStatus} from './refusal.js';
+import {recordOutcome, type Outcome} from './record-outcome.js';
+import {sendFailure} from './refusal.js';
 
 /** Largest header block that the parser accepts, in bytes; the configured limit is checked separately. */
 const maxHeaderBytes = 65_536;
@@ -33,21 +36,12 @@
 /** Largest rest of a rejected request's body that is read and discarded so that its connection stays open, in bytes; a larger one costs more than a new connection. */
 const maxDiscardedBytes = 65_536;
 
-type Outcome = {
-	readonly result: OrderResult;
-	readonly route?: HostRoute;
-	/** Team of the caller. */
-	readonly team?: Team;
-	/** Whether the caller had been refused before, as far as the remaining time tells. */
-	readonly hasReturned?: boolean;
-};
-
 /** A request that may run, before its body is read. */
 type AcceptedRequest = {
 	readonly headers: CallerHeaders;
 	readonly route: HostRoute;
 	readonly admitted: AdmittedRequest;
-	readonly arrivedAt: number;
+	readonly open: OpenRequest;
 };
 
 /** Options of the server. */
@@ -74,8 +68,8 @@
 	private readonly bodies: BodyBudget;
 	private isStopping = false;
 	private isClosingIdle = false;
-	/** Responses that are not written to their connections yet. */
-	private readonly open = new Set<ServerResponse>();
+	private readonly requests = new OpenRequests();
+	private readonly connections = new CallerConnections();
 
 	constructor(private readonly options: CallerServerOptions) {
 		this.bodies = options.bodies ?? new BodyBudget(Number.POSITIVE_INFINITY);
@@ -88,6 +82,9 @@
 			res.writeContinue();
 			void this.serve(req, res);
 		});
+		this.server.on('connection', socket => {
+			this.connections.add(socket);
+		});
 		this.updateLimits();
 		options.view.onChange(() => {
 			this.updateLimits();
@@ -96,7 +93,12 @@
 
 	/** Number of requests whose answers are not written yet; a caller that reads slowly keeps its answer in this process. */
 	get inFlight(): number {
-		return this.open.size;
+		return this.requests.size;
+	}
+
+	/** Returns the number of connections by use. */
+	countConnections(): Record<ConnectionUse, number> {
+		return this.connections.count();
 	}
 
 	/** Starts to listen. Resolves to the port. */
@@ -117,6 +119,16 @@
 		this.closeIdleConnections();
 	}
 
+	/** Logs the requests that are not answered yet. */
+	logOpenRequests(msg: string): void {
+		const {clock, telemetry} = this.options;
+		for (const {id, route, phase, arrivedAt} of this.requests.list()) {
+			telemetry.logRequest(msg, {
+				id, route, phase, ageMs: Math.round(clock.now() - arrivedAt),
+			});
+		}
+	}
+
 	/** Closes all connections immediately. */
 	close(): void {
 		this.server.close();
@@ -124,8 +136,7 @@
 	}
 
 	private closeIdleConnections(): void {
-		const isWriting = [...this.open].some(res => res.writableEnded && !res.writableFinished);
-		if (!isWriting) {
+		if (this.requests.writing().length === 0) {
 			this.server.closeIdleConnections();
 		}
 	}
@@ -146,25 +157,27 @@
 			}
 		};
 
-		this.open.add(res);
+		const {socket} = req;
+		const headers = wire.readCaller(req.headers);
+		const open = this.requests.add(res, headers.requestId, arrivedAt);
+		this.connections.recordRequest(socket);
+		req.once('end', () => {
+			this.connections.recordRest(socket);
+		});
 		res.once('close', () => {
-			this.open.delete(res);
+			this.connections.recordAnswer(socket);
 			abortUnfinished();
 			if (this.isClosingIdle) {
 				this.closeIdleConnections();
 			}
 		});
 		// A caller that closed its side of the connection has left, although the answer could still be written.
-		const {socket} = req;
 		socket.once('end', abortUnfinished);
-		const headers = wire.readCaller(req.headers);
 		try {
-			const outcome = await this.answer(req, headers, arrivedAt, abort);
+			const outcome = await this.answer(req, headers, open, abort);
+			open.phase = RequestPhase.Writing;
 			this.send(res, req, outcome.result);
-			this.recordResult(headers, outcome, clock.now() - arrivedAt);
-			if (outcome.hasReturned === true) {
-				telemetry.metrics.returns.inc({result: describeReturn(outcome.result)});
-			}
+			recordOutcome(telemetry, outcome, {headers, tookMs: clock.now() - arrivedAt, version: this.options.view.configVersion});
 		} catch (err) {
 			telemetry.error('front', 'Request failed inside the gateway.', {id: headers.requestId, err});
 			sendFailure(res, failure(ErrorKind.Internal, {isNotRun: false}));
@@ -173,7 +186,7 @@
 		}
 	}
 
-	private async answer(req: IncomingMessage, headers: CallerHeaders, arrivedAt: number, abort: Cancellation): Promise<Outcome> {
+	private async answer(req: IncomingMessage, headers: CallerHeaders, open: OpenRequest, abort: Cancellation): Promise<Outcome> {
 		const {view, admission, clock} = this.options;
 		if (view.configVersion === undefined) {
 			return {result: failure(ErrorKind.NotReady, {retryAfterMs: startingRetryMs, reason: 'no configuration yet'})};
@@ -184,6 +197,7 @@
 			return {result: failure(ErrorKind.NoRoute, {reason: `version ${view.configVersion}`})};
 		}
 
+		open.route = route.name;
 		const admitted = admission.decide(route, headers.apiKey, clock.now());
 		const {team} = admitted;
 		if (!admitted.isAdmitted) {
@@ -192,7 +206,7 @@
 
 		const rejection = this.options.overload?.check(route, priorityOf(route, team), headers.callerTimeoutMs);
 		const outcome = rejection ?? await this.run(req, {
-			headers, route, admitted, arrivedAt,
+			headers, route, admitted, open,
 		}, abort);
 		admission.settle(admitted, outcome.result);
 		return {...outcome, route, team};
@@ -224,6 +238,7 @@
 		}
 
 		const order = this.toOrder(req, accepted);
+		accepted.open.phase = RequestPhase.Dispatched;
 		const result = await new Promise<OrderResult>(resolve => {
 			const timer = setTimeout(() => {
 				resolve(failure(ErrorKind.TargetTimeout, {isNotRun: false, reason: 'no result at the deadline'}));
@@ -237,7 +252,9 @@
 		return {result, hasReturned: hasReturned(order)};
 	}
 
-	private toOrder(req: IncomingMessage, {headers, route, admitted, arrivedAt, body}: AcceptedRequest & {readonly body: Buffer}): Order {
+	private toOrder(req: IncomingMessage, {
+		headers, route, admitted, open: {arrivedAt}, body,
+	}: AcceptedRequest & {readonly body: Buffer}): Order {
 		const {view, wire} = this.options;
 		const {team} = admitted;
 		const pairs = toPairs(req.rawHeaders);
@@ -316,42 +333,6 @@
 		res.writeHead(status, lines);
 		res.end(body);
 	}
-
-	private recordResult(headers: CallerHeaders, {route, team, result}: Outcome, tookMs: number): void {
-		const {telemetry} = this.options;
-		const fields = {
-			id: headers.requestId, route: route?.name, key: headers.key, tookMs: Math.round(tookMs), waitMs: Math.round(result.waitMs), target: result.target, version: this.options.view.configVersion,
-			...(team !== undefined && {team: team.name}),
-			...(result.noRetry !== undefined && {noRetry: result.noRetry}),
-		};
-		telemetry.metrics.latency.observe({route: route?.name ?? 'none'}, tookMs / 1000);
-		if (result.kind === 'answer') {
-			telemetry.metrics.requests.inc({result: `${Math.floor(result.answer.status / 100)}xx`});
-			if (result.answer.status < 400) {
-				telemetry.logSuccess(fields);
-			} else {
-				telemetry.logRequest('Target answered with an error.', {...fields, status: result.answer.status});
-			}
-
-			return;
-		}
-
-		telemetry.metrics.requests.inc({result: result.error});
-		telemetry.logRequest(result.isNotRun ? 'Request refused.' : 'Request failed with unknown outcome.', {
-			...fields, status: getHttpStatus(result), error: result.error, isNotRun: result.isNotRun, reason: result.reason, retryAfterMs: Math.round(result.retryAfterMs),
-			...(result.isReserved !== undefined && {isReserved: result.isReserved}),
-			...targetField(result),
-		});
-	}
-}
-
-/** Returns the label of the result of a request whose caller had been refused before. */
-function describeReturn(result: OrderResult): string {
-	if (result.kind === 'answer') {
-		return 'answered';
-	}
-
-	return result.isNotRun ? 'refused' : 'failed';
 }
 
 function isOverload(result: OrderResult): boolean {
@@ -363,10 +344,6 @@
 	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxDiscardedBytes;
 }
 
-function targetField({target}: FailedResult): {target: string | undefined} {
-	return {target};
-}
-
 function toPairs(raw: readonly string[]): Array<readonly [string, string]> {
 	const pairs: Array<readonly [string, string]> = [];
 	for (let i = 0; i + 1 < raw.length; i += 2) {
--- a/packages/gateway/src/front/index.ts
+++ b/packages/gateway/src/front/index.ts
@@ -1,3 +1,4 @@
+export * from './caller-connections.js';
 export * from './caller-server.js';
 export * from './explain-endpoint.js';
 export * from './overload-check.js';
--- /dev/null
+++ b/packages/gateway/src/front/open-requests.ts
@@ -0,0 +1,50 @@
+import type {ServerResponse} from 'node:http';
+
+/** What the answer to a request waits for. */
+export enum RequestPhase {
+	/** The rest of the request, or that the event loop reads what has arrived. */
+	Reading = 'reading',
+	/** The result of the dispatcher. */
+	Dispatched = 'dispatched',
+	/** The caller, who has not received all of it. */
+	Writing = 'writing',
+}
+
+/** A request whose answer is not written yet. */
+export type OpenRequest = {
+	readonly id: string;
+	/** Monotonic milliseconds. */
+	readonly arrivedAt: number;
+	route?: string;
+	phase: RequestPhase;
+};
+
+/** The requests whose answers are not written to their connections yet. */
+export class OpenRequests {
+	private readonly requests = new Map<ServerResponse, OpenRequest>();
+
+	/** Number of requests. */
+	get size(): number {
+		return this.requests.size;
+	}
+
+	/** Adds a request until its answer is written or its connection closed. */
+	add(res: ServerResponse, id: string, arrivedAt: number): OpenRequest {
+		const request: OpenRequest = {id, arrivedAt, phase: RequestPhase.Reading};
+		this.requests.set(res, request);
+		res.once('close', () => {
+			this.requests.delete(res);
+		});
+		return request;
+	}
+
+	/** Returns the responses whose answers are complete but not written. */
+	writing(): ServerResponse[] {
+		return [...this.requests.keys()].filter(res => res.writableEnded && !res.writableFinished);
+	}
+
+	/** Returns all requests, the oldest first. */
+	list(): OpenRequest[] {
+		return [...this.requests.values()];
+	}
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -288,10 +288,13 @@
 
 		this.isStopping = true;
 		const startedAt = this.clock.now();
-		this.telemetry.info('gateway', 'Stopping.', {inFlight: this.callers.inFlight, queued: this.queues.queued});
+		this.telemetry.info('gateway', 'Stopping.', {
+			inFlight: this.callers.inFlight, queued: this.queues.queued, graceMs: this.cfg.shutdown.grace, ...this.callers.countConnections(),
+		});
 		this.callers.beginStop();
 		this.coordinator.leave();
 		await sleep(closeIdleDelayMs);
+		this.telemetry.info('gateway', 'Closing idle connections of callers.', this.callers.countConnections());
 		this.callers.closeIdle();
 		const end = startedAt + this.cfg.shutdown.grace - stopReserveMs;
 		while (this.clock.now() < end && this.callers.inFlight + this.queues.inFlight + this.queues.queued > 0) {
@@ -299,7 +302,10 @@
 			await sleep(stopCheckIntervalMs);
 		}
 
-		this.telemetry.info('gateway', 'Stopped.', {unanswered: this.callers.inFlight, tookMs: Math.round(this.clock.now() - startedAt)});
+		this.callers.logOpenRequests('Request was not answered before the end of the stop.');
+		this.telemetry.info('gateway', 'Stopped.', {
+			unanswered: this.callers.inFlight, tookMs: Math.round(this.clock.now() - startedAt), ...this.callers.countConnections(),
+		});
 		await this.close();
 	}
 
