Stop: asking for a stop again does not end it

Callers lost requests that ran, on connections of any kind, when an instance got SIGTERM a second time during its stop: 8 of 58 with a second signal after 0.5 s, on; the process ended 36 ms after it.

Cause: Gateway.stop returned at once while a stop was running, and the process exits when stop returns.

Change: a stop is an object of its own, which begins once and is awaited by each call.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,10 +17,11 @@
 import {
 	Coordinator, PeerOp, type Report,
 } from './cluster/index.js';
-import {sleep, type CancelSignal} from './net/index.js';
+import type {CancelSignal} from './net/index.js';
 import {
 	noBytes, PeerNet, type LinkState, type Message,
 } from './peers/index.js';
+import {PlannedStop} from './planned-stop.js';
 import type {
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
@@ -53,15 +54,6 @@
 /** Largest sum of the bodies of requests and answers that the process holds, in bytes: one of the largest size, and others beside it. */
 const maxHeldBytes = 96 * 1024 * 1024;
 
-/** Delay from the start of a stop until idle connections are closed, in milliseconds; by then the load balancer has noticed that the instance is not ready. */
-const closeIdleDelayMs = 2200;
-
-/** Time before the end of the grace period at which the instance closes even with open requests, in milliseconds. */
-const stopReserveMs = 400;
-
-/** Interval between checks for open requests during a stop, in milliseconds. */
-const stopCheckIntervalMs = 50;
-
 /** Interval between updates of the gauges, in milliseconds. */
 const gaugeIntervalMs = 1000;
 
@@ -96,13 +88,13 @@
 	private readonly requestedKeys = new Map<string, number[]>();
 	private readonly self: NodeInfo;
 	private gauges: NodeJS.Timeout | undefined;
-	private isStopping = false;
+	private readonly plannedStop: PlannedStop;
 
 	constructor(
 		private readonly cfg: GatewaySettings,
 		ports: PlatformPorts,
 		private readonly telemetry: Telemetry,
-		private readonly clock: Clock = systemClock,
+		clock: Clock = systemClock,
 	) {
 		const {view} = this;
 		const peers = cfg.listen['peers-advertised'] ?? cfg.listen.peers;
@@ -237,6 +229,17 @@
 				this.recordKey(service, key, route);
 			},
 		});
+		this.plannedStop = new PlannedStop({
+			graceMs: cfg.shutdown.grace,
+			callers: this.callers,
+			queues: this.queues,
+			clock,
+			telemetry,
+			leave: () => {
+				this.coordinator.leave();
+			},
+			close: async () => this.close(),
+		});
 		this.health = new ProbeServer(async path => path === ports.healthPath
 			? {status: this.isReady ? 200 : 503, type: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
 			: undefined);
@@ -259,7 +262,7 @@
 
 	/** Whether this instance can serve callers. */
 	get isReady(): boolean {
-		return !this.isStopping && this.view.configVersion !== undefined && this.view.targets.size > 0;
+		return !this.plannedStop.hasBegun && this.view.configVersion !== undefined && this.view.targets.size > 0;
 	}
 
 	/** Opens all ports and joins the other instances. */
@@ -280,33 +283,9 @@
 		this.telemetry.info('gateway', 'Started.', {...this.self, callers: `${listen.callers.host}:${listen.callers.port}`});
 	}
 
-	/** Leaves the cluster, waits for open requests to end and closes, all within the grace period. */
+	/** Leaves the cluster, waits for open requests to end and closes, all within the grace period. Resolves at the end of the stop, also if it is called again. */
 	async stop(): Promise<void> {
-		if (this.isStopping) {
-			return;
-		}
-
-		this.isStopping = true;
-		const startedAt = this.clock.now();
-		this.telemetry.info('gateway', 'Stopping.', {
-			inFlight: this.callers.inFlight, queued: this.queues.queued, graceMs: this.cfg.shutdown.grace, ...this.callers.countConnections(),
-		});
-		this.callers.beginStop();
-		this.coordinator.leave();
-		await sleep(closeIdleDelayMs);
-		this.telemetry.info('gateway', 'Closing idle connections of callers.', this.callers.countConnections());
-		this.callers.closeIdle();
-		const end = startedAt + this.cfg.shutdown.grace - stopReserveMs;
-		while (this.clock.now() < end && this.callers.inFlight + this.queues.inFlight + this.queues.queued > 0) {
-			// eslint-disable-next-line no-await-in-loop
-			await sleep(stopCheckIntervalMs);
-		}
-
-		this.callers.logOpenRequests('Request was not answered before the end of the stop.');
-		this.telemetry.info('gateway', 'Stopped.', {
-			unanswered: this.callers.inFlight, tookMs: Math.round(this.clock.now() - startedAt), ...this.callers.countConnections(),
-		});
-		await this.close();
+		await this.plannedStop.run();
 	}
 
 	/** Closes all connections and ports immediately. */
@@ -358,7 +337,7 @@
 			crashes: this.guard.reports(),
 			leavingTargets: [...this.view.announcedLeaving].filter(target => this.view.targets.has(target)),
 			...(this.overload !== undefined && {delayMs: Math.round(this.overload.delayMs)}),
-			isLeaving: this.isStopping,
+			isLeaving: this.plannedStop.hasBegun,
 			isCutOff: this.paths.isCutOff,
 		};
 	}
--- /dev/null
+++ b/packages/gateway/src/planned-stop.ts
@@ -0,0 +1,77 @@
+import type {Clock} from '@bluebellyard/core';
+import type {CallerServer} from './front/index.js';
+import {sleep} from './net/index.js';
+import type {DispatchQueues} from './queue/index.js';
+import type {Telemetry} from './telemetry/index.js';
+
+/** Delay from the start of a stop until idle connections are closed, in milliseconds; by then the load balancer has noticed that the instance is not ready. */
+const closeIdleDelayMs = 2200;
+
+/** Time before the end of the grace period at which the instance closes even with open requests, in milliseconds. */
+const stopReserveMs = 400;
+
+/** Interval between checks for open requests during a stop, in milliseconds. */
+const stopCheckIntervalMs = 50;
+
+/** Options of a planned stop. */
+export type PlannedStopOptions = {
+	/** Time from the request to stop until the process may be killed, in milliseconds. */
+	readonly graceMs: number;
+	readonly callers: Pick<CallerServer, 'beginStop' | 'closeIdle' | 'countConnections' | 'inFlight' | 'logOpenRequests'>;
+	readonly queues: Pick<DispatchQueues, 'inFlight' | 'queued'>;
+	readonly clock: Clock;
+	readonly telemetry: Telemetry;
+	/** Leaves the cluster. */
+	readonly leave: () => void;
+	/** Closes all connections and ports. */
+	readonly close: () => Promise<void>;
+};
+
+/** The stop of an instance, from the request to stop until everything is closed. */
+export class PlannedStop {
+	private readonly options: PlannedStopOptions;
+	private isBegun = false;
+	private ended: Promise<void> | undefined;
+
+	constructor(options: PlannedStopOptions) {
+		this.options = options;
+	}
+
+	/** Whether the stop was asked for. */
+	get hasBegun(): boolean {
+		return this.isBegun;
+	}
+
+	/** Leaves the cluster, waits for open requests to end and closes, all within the grace period. Resolves at the end of the stop, also if it is called again. */
+	async run(): Promise<void> {
+		this.isBegun = true;
+		this.ended ??= this.runOnce();
+		return this.ended;
+	}
+
+	private async runOnce(): Promise<void> {
+		const {
+			callers, queues, clock, telemetry, graceMs, leave, close,
+		} = this.options;
+		const startedAt = clock.now();
+		telemetry.info('gateway', 'Stopping.', {
+			inFlight: callers.inFlight, queued: queues.queued, graceMs, ...callers.countConnections(),
+		});
+		callers.beginStop();
+		leave();
+		await sleep(closeIdleDelayMs);
+		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
+		callers.closeIdle();
+		const end = startedAt + graceMs - stopReserveMs;
+		while (clock.now() < end && callers.inFlight + queues.inFlight + queues.queued > 0) {
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(stopCheckIntervalMs);
+		}
+
+		callers.logOpenRequests('Request was not answered before the end of the stop.');
+		telemetry.info('gateway', 'Stopped.', {
+			unanswered: callers.inFlight, tookMs: Math.round(clock.now() - startedAt), ...callers.countConnections(),
+		});
+		await close();
+	}
+}
