Stop: an answer that is read slowly keeps no other connection open

Cause: closeIdleConnections of Node.js closes a connection whose answer is complete but not written, so it was not called while there was one.

Change: idle connections are found and closed by the server's own account, where a connection is busy until its answer is written.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -25,7 +25,7 @@
 	handledBytes: number;
 };
 
-/** Open connections of callers. The HTTP server does not tell a connection on which nothing has arrived from one in the middle of a request. */
+/** Open connections of callers. The HTTP server takes a connection on which nothing has arrived for one in the middle of a request, and one whose answer is complete but not written for an idle one. */
 export class CallerConnections {
 	private readonly connections = new Map<Socket, Connection>();
 	private readonly clock: Clock;
@@ -67,11 +67,12 @@
 		}
 	}
 
-	/** Closes the connections on which nothing has arrived, unless they were opened just now. */
-	closeUnused(): void {
+	/** Closes idle connections, and unused ones that were not opened just now. */
+	closeIdle(): void {
 		const now = this.clock.now();
 		for (const [socket, connection] of this.connections) {
-			if (findUse(socket, connection) === ConnectionUse.Unused && now - connection.openedAt >= firstRequestMs) {
+			const use = findUse(socket, connection);
+			if (use === ConnectionUse.Idle || (use === ConnectionUse.Unused && now - connection.openedAt >= firstRequestMs)) {
 				socket.destroy();
 			}
 		}
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -115,13 +115,13 @@
 		this.isStopping = true;
 	}
 
-	/** Stops accepting connections, and from now on closes idle ones while no answer is being written. */
+	/** Stops accepting connections, and from now on closes idle ones. */
 	closeIdle(): void {
-		// The method of the HTTP server closes connections whose answer is complete but not written.
+		// The method of the HTTP server also closes connections whose answer is complete but not written.
 		NetServer.prototype.close.call(this.server);
-		this.closeIdleConnections();
+		this.connections.closeIdle();
 		this.closeTimer ??= setInterval(() => {
-			this.closeIdleConnections();
+			this.connections.closeIdle();
 		}, closeIntervalMs);
 	}
 
@@ -142,13 +142,6 @@
 		this.server.closeAllConnections();
 	}
 
-	private closeIdleConnections(): void {
-		if (this.requests.writing().length === 0) {
-			this.server.closeIdleConnections();
-			this.connections.closeUnused();
-		}
-	}
-
 	private updateLimits(): void {
 		const {idleTimeoutMs, headerTimeoutMs} = this.options.view.limits;
 		this.server.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
--- a/packages/gateway/src/front/open-requests.ts
+++ b/packages/gateway/src/front/open-requests.ts
@@ -38,11 +38,6 @@
 		return request;
 	}
 
-	/** Returns the responses whose answers are complete but not written. */
-	writing(): ServerResponse[] {
-		return [...this.requests.keys()].filter(res => res.writableEnded && !res.writableFinished);
-	}
-
 	/** Returns all requests, the oldest first. */
 	list(): OpenRequest[] {
 		return [...this.requests.values()];
