Callers' server: a connection with a request that waits to be read is not idle

Cause: timers run before reads, so that what arrived during the delay is not known when the timer closes the connection.

Change: both wait until what has arrived is read, and close the connections that are idle then. In a stop the port is closed after that, too, so that connections that wait to be accepted are.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -67,6 +67,14 @@
 		}
 	}
 
+	/** Closes a connection if it is idle. */
+	closeIfIdle(socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (connection !== undefined && findUse(socket, connection) === ConnectionUse.Idle) {
+			socket.destroy();
+		}
+	}
+
 	/** Closes idle connections, and unused ones that were not opened just now. */
 	closeIdle(): void {
 		const now = this.clock.now();
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -2,7 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {
 	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute,
 } from '@bluebellyard/core';
@@ -89,6 +89,10 @@
 		this.server.on('connection', socket => {
 			this.connections.add(socket);
 		});
+		// Without a listener, the server closes a connection at its idle timeout although a request may wait to be read.
+		this.server.on('timeout', (socket: Socket) => {
+			void this.closeIfIdle(socket);
+		});
 		this.updateLimits();
 		options.view.onChange(() => {
 			this.updateLimits();
@@ -116,12 +120,13 @@
 	}
 
 	/** Stops accepting connections, and from now on closes idle ones. */
-	closeIdle(): void {
+	async closeIdle(): Promise<void> {
+		await waitForPendingReads();
 		// The method of the HTTP server also closes connections whose answer is complete but not written.
 		NetServer.prototype.close.call(this.server);
 		this.connections.closeIdle();
 		this.closeTimer ??= setInterval(() => {
-			this.connections.closeIdle();
+			void this.closeIdleConnections();
 		}, closeIntervalMs);
 	}
 
@@ -142,6 +147,16 @@
 		this.server.closeAllConnections();
 	}
 
+	private async closeIdleConnections(): Promise<void> {
+		await waitForPendingReads();
+		this.connections.closeIdle();
+	}
+
+	private async closeIfIdle(socket: Socket): Promise<void> {
+		await waitForPendingReads();
+		this.connections.closeIfIdle(socket);
+	}
+
 	private updateLimits(): void {
 		const {idleTimeoutMs, headerTimeoutMs} = this.options.view.limits;
 		this.server.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
--- a/packages/gateway/src/front/close-idle.test.ts
+++ b/packages/gateway/src/front/close-idle.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
 import test, {type ExecutionContext} from 'ava';
 import {ErrorKind, systemClock} from '@bluebellyard/core';
@@ -16,6 +16,9 @@
 /** Time in which connections that are closed at once are closed, in milliseconds. */
 const closeMs = 1500;
 
+/** Time after which the server closes an idle connection, in milliseconds: that of the configuration, the slack of the server and that of Node.js. */
+const idleTimeoutMs = 3000;
+
 /** Worker script: sends a request, and on the same connection another one when it is told to; stores the status of the second answer, -1 if the connection ends without one. */
 const caller = `
 const {workerData: {port, flag}} = require('node:worker_threads');
@@ -32,6 +35,7 @@
 	Atomics.wait(flag, 0, 1);
 	socket.on('data', data => {
 		status = Number(data.toString().slice(9, 12));
+		socket.end();
 	});
 	send('r2', () => store(3));
 });
@@ -87,7 +91,7 @@
 	const {server, port} = await startServer(t);
 	const unused = await openConnection(t, port);
 	await sleep(100);
-	server.closeIdle();
+	await server.closeIdle();
 	t.true(await isClosed(unused));
 });
 
@@ -100,30 +104,48 @@
 	sendRequest(idle, '/');
 	await once(idle, 'data');
 	await sleep(100);
-	server.closeIdle();
+	await server.closeIdle();
 	t.true(await isClosed(idle));
 	t.is(server.inFlight, 1);
 });
 
-test('a request that waits to be read is answered before its connection is closed as idle', async t => {
-	const {server, port} = await startServer(t);
+/** Starts a caller whose first request is answered; resolves to the function that blocks this thread until the second one is sent, and for `blockMs` at least, as if the process were short of processor time. */
+async function startBlockingCaller(port: number): Promise<{readonly block: (blockMs: number) => void; readonly status: Promise<number>}> {
 	const flag = new Int32Array(new SharedArrayBuffer(4));
 	const worker = new Worker(caller, {eval: true, workerData: {port, flag}});
-	const closed = once(worker, 'exit');
+	const status = once(worker, 'exit').then(() => Atomics.load(flag, 0));
 	while (Atomics.load(flag, 0) !== 1) {
 		// eslint-disable-next-line no-await-in-loop
 		await sleep(10);
 	}
 
+	return {
+		status, block(blockMs) {
+			const pause = new Int32Array(new SharedArrayBuffer(4));
+			Atomics.store(flag, 0, 2);
+			Atomics.notify(flag, 0);
+			Atomics.wait(flag, 0, 2, 5000);
+			Atomics.wait(pause, 0, 0, blockMs);
+		},
+	};
+}
+
+test('a request that waits to be read is answered before its connection is closed as idle', async t => {
+	const {server, port} = await startServer(t);
+	const {block, status} = await startBlockingCaller(port);
 	await sleep(100);
-	Atomics.store(flag, 0, 2);
-	Atomics.notify(flag, 0);
-	// Blocks this thread until the request is sent, as if the process were short of processor time.
-	Atomics.wait(flag, 0, 2, 5000);
-	t.is(Atomics.load(flag, 0), 3);
-	server.closeIdle();
-	await closed;
-	t.is(Atomics.load(flag, 0), 200);
+	block(0);
+	await server.closeIdle();
+	t.is(await status, 200);
+});
+
+test('a request that waits to be read is answered although the idle timeout of its connection has passed', async t => {
+	const {port} = await startServer(t);
+	const {block, status} = await startBlockingCaller(port);
+	await sleep(idleTimeoutMs - 300);
+	await nextTurn();
+	block(600);
+	t.is(await status, 200);
 });
 
 test('a connection on which part of a request has arrived is not idle', async t => {
@@ -132,7 +154,7 @@
 	const socket = await openConnection(t, port);
 	socket.write('GET / HTTP/1.1\r\nHost: a.exa');
 	await sleep(100);
-	server.closeIdle();
+	await server.closeIdle();
 	await sleep(100);
 	socket.write('mple\r\nId: r1\r\n\r\n');
 	const [answer] = await once(socket, 'data') as [Buffer];
--- a/packages/gateway/src/front/slow-reader.test.ts
+++ b/packages/gateway/src/front/slow-reader.test.ts
@@ -39,7 +39,7 @@
 	reader.write('GET / HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n');
 	await sleep(300);
 	t.is(server.inFlight, 1);
-	server.closeIdle();
+	await server.closeIdle();
 	await sleep(100);
 	let received = 0;
 	reader.on('data', (chunk: Buffer) => {
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -61,7 +61,7 @@
 		leave();
 		await sleep(closeIdleDelayMs);
 		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
-		callers.closeIdle();
+		await callers.closeIdle();
 		const end = startedAt + graceMs - stopReserveMs;
 		while (clock.now() < end && callers.inFlight + queues.inFlight + queues.queued > 0) {
 			// eslint-disable-next-line no-await-in-loop
