Callers' server: an early answer does not reset the connection

A caller that reads only after it has sent its whole body never saw a rejection that came before: the connection was reset under it. In a stop each rejection of a request whose body is on its way would be lost so; the fault is as old as early rejections, and no matter of a stop.

Cause: the answer closes the connection, and a connection that is closed with unread data is reset.

Change: a failure that is the last answer on its connection ends when the rest of the request was read, after 1 s, or when the rest is larger than 64 KB, whichever is first. The answer itself is written at once. Connections that stay open are as before.

--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -19,7 +19,7 @@
 import type {OverloadCheck} from './overload-check.js';
 import {readBody} from './read-body.js';
 import {recordOutcome, type Outcome} from './record-outcome.js';
-import {sendFailure} from './refusal.js';
+import {maxRestBytes, sendFailure} from './refusal.js';
 
 /** Largest header block that the parser accepts, in bytes; the configured limit is checked separately. */
 const maxHeaderBytes = 65_536;
@@ -36,9 +36,6 @@
 /** Interval at which connections that have become idle are closed during a stop, in milliseconds. */
 const closeIntervalMs = 50;
 
-/** Largest rest of a rejected request's body that is read and discarded so that its connection stays open, in bytes; a larger one costs more than a new connection. */
-const maxDiscardedBytes = 65_536;
-
 /** A request that may run, before its body is read. */
 type AcceptedRequest = {
 	readonly headers: CallerHeaders;
@@ -193,7 +190,7 @@
 			recordOutcome(telemetry, outcome, {headers, tookMs: clock.now() - arrivedAt, version: this.options.view.configVersion});
 		} catch (err) {
 			telemetry.error('front', 'Request failed inside the gateway.', {id: headers.requestId, err});
-			sendFailure(res, failure(ErrorKind.Internal, {isNotRun: false}));
+			sendFailure(req, res, failure(ErrorKind.Internal, {isNotRun: false}));
 		} finally {
 			socket.removeListener('end', abortUnfinished);
 		}
@@ -312,17 +309,13 @@
 	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
 		const isLast = this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)));
 		if (result.kind === 'failure') {
-			if (isLast) {
-				res.setHeader('connection', 'close');
-			}
-
 			if (result.error === ErrorKind.UnknownKey) {
 				for (const [name, value] of this.options.wire.toChallenge()) {
 					res.setHeader(name, value);
 				}
 			}
 
-			sendFailure(res, result);
+			sendFailure(req, res, result, isLast);
 			return;
 		}
 
@@ -354,7 +347,7 @@
 
 /** Returns whether the body of a request is known to be small; the server discards it after the answer. */
 function hasSmallBody({headers}: IncomingMessage): boolean {
-	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxDiscardedBytes;
+	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxRestBytes;
 }
 
 function toPairs(raw: readonly string[]): Array<readonly [string, string]> {
--- a/packages/gateway/src/front/refusal.ts
+++ b/packages/gateway/src/front/refusal.ts
@@ -1,4 +1,5 @@
-import type {ServerResponse} from 'node:http';
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {answerTable, ErrorKind} from '@bluebellyard/core';
 import type {FailedResult} from '../dispatch/index.js';
 
@@ -10,6 +11,12 @@
 
 const msPerSecond = 1000;
 
+/** Longest time for which the rest of a rejected request is read, in milliseconds; a caller has usually sent it by then. */
+const maxRestMs = 1000;
+
+/** Largest rest of a rejected request that is read, in bytes; a larger one costs more than a new connection. */
+export const maxRestBytes = 65_536;
+
 /** Returns the status of a failure. Only a request that certainly has not run gets a status which states so. */
 export function getHttpStatus({error, isNotRun}: Pick<FailedResult, 'error' | 'isNotRun'>): number {
 	const {status} = answerTable[error];
@@ -20,8 +27,8 @@
 	return status === 504 ? status : unknownStatus;
 }
 
-/** Answers a request that no target answered, or closes the connection if the caller left or the headers were sent. */
-export function sendFailure(res: ServerResponse, result: Pick<FailedResult, 'error' | 'isNotRun' | 'retryAfterMs'>): void {
+/** Answers a request that no target answered, or closes the connection if the caller left or the headers were sent. `isLast` states that the connection is closed after the answer. */
+export function sendFailure(req: IncomingMessage, res: ServerResponse, result: Pick<FailedResult, 'error' | 'isNotRun' | 'retryAfterMs'>, isLast = false): void {
 	if (result.error === ErrorKind.CallerDisconnected || result.error === ErrorKind.CallerDisconnectedBeforeSend || res.headersSent) {
 		res.destroy();
 		return;
@@ -34,6 +41,35 @@
 		headers['retry-after'] = (Math.max(50, result.retryAfterMs) / msPerSecond).toFixed(2);
 	}
 
+	if (isLast) {
+		headers.connection = 'close';
+	}
+
 	res.writeHead(status, headers);
-	res.end(body);
+	if (req.complete || !isLast) {
+		res.end(body);
+		return;
+	}
+
+	res.write(body);
+	endAfterRest(req, res);
+}
+
+/** Ends an answer when the rest of its request was read: the end closes the connection, and closing it with unread data would reset it before the caller has read the answer. */
+function endAfterRest(req: IncomingMessage, res: ServerResponse): void {
+	let bytes = 0;
+	const end = () => {
+		clearTimeout(timer);
+		res.end();
+	};
+
+	const timer = setTimeout(end, maxRestMs);
+	req.on('data', (chunk: Buffer) => {
+		bytes += chunk.length;
+		if (bytes > maxRestBytes) {
+			end();
+		}
+	});
+	req.once('end', end);
+	req.once('close', end);
 }
