Stop: requests that can't be answered before its end are rejected unrun

Requests that were read late in a stop were passed on to a target and cut when the process ended; callers saw a closed connection and could not send once-only ones again.

Cause: nothing in a stop asked whether a request that had just been read, or had waited, could still be answered before the end of the grace period.

Change: StopSchedule (core) tells. It is asked when the head of a request was read, all along while its body arrives, when the body is whole, before each attempt, when an order has waited in a dispatch queue, and when another instance forwards an order.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,4 +14,5 @@
 export * from './routing/index.js';
 export * from './rules/index.js';
 export * from './state/index.js';
+export * from './stop/index.js';
 export * from './teams/index.js';
--- /dev/null
+++ b/packages/core/src/stop/index.ts
@@ -0,0 +1,1 @@
+export * from './stop-schedule.js';
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -3,7 +3,7 @@
  * instance or on the steward's, and decides whether a failed request is retried.
  */
 import {
-	ErrorKind, type BalancingMode, type Clock, type DomainCandidate,
+	ErrorKind, type BalancingMode, type Clock, type DomainCandidate, type StopSchedule,
 } from '@bluebellyard/core';
 import type {DispatchQueues} from '../queue/index.js';
 import type {CancelSignal} from '../net/index.js';
@@ -54,6 +54,8 @@
 	/** Returns a random number from 0 to 1. */
 	readonly random: () => number;
 	readonly guard: CrashGuard;
+	/** The time that is left to the process; undefined if it is not limited. */
+	readonly stop?: Pick<StopSchedule, 'canAnswer'>;
 	/** How domains are selected for requests to services that are not sharded. */
 	readonly balancing: BalancingMode;
 	/** Returns whether queues reserve capacity for callers that they reject. */
@@ -124,9 +126,11 @@
 		const {dx: token, desk: queueId} = wire;
 		const isSteward = this.options.view.findSteward(queueId) === this.options.self.name;
 		const order = decodeOrder(wire, bytes, {now: this.options.clock.now(), skipsRateLimited: !isSteward});
-		const result = await this.permits.run({
-			queueId, order, token: isSteward ? token : undefined, signal, link,
-		});
+		const result = this.options.stop?.canAnswer(order) === false
+			? failure(ErrorKind.NotSteward, {reason: 'the steward ends before the request can be answered'})
+			: await this.permits.run({
+				queueId, order, token: isSteward ? token : undefined, signal, link,
+			});
 		return encodeReply(isSteward ? this.withLoad(result, queueId, order) : result);
 	}
 
@@ -261,6 +265,10 @@
 	/** Sends an order to the steward of a dispatch queue. An order that an instance gives back unsent goes to another one; this costs no retry budget. */
 	private async send(queueId: string, order: Order, signal: CancelSignal): Promise<OrderResult> {
 		for (let returns = 0; ; returns += 1) {
+			if (this.options.stop?.canAnswer(order) === false) {
+				return failure(ErrorKind.Stopping, {reason: 'the process ends before the request can be answered'});
+			}
+
 			const {node, isSteward} = this.router.select(queueId);
 			// Where the order goes depends on whether it was given back.
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {
-	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute,
+	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type StopSchedule,
 } from '@bluebellyard/core';
 import {
 	failure, hasReturned, type Dispatcher, type Order, type OrderResult,
@@ -33,8 +33,8 @@
 /** Retry delay reported while this instance has no configuration, in milliseconds. */
 const startingRetryMs = 400;
 
-/** Interval at which connections that have become idle are closed during a stop, in milliseconds. */
-const closeIntervalMs = 50;
+/** Interval at which a stop rejects requests that have become too late, and closes connections that have become idle, in milliseconds. */
+const stopIntervalMs = 50;
 
 /** A request that may run, before its body is read. */
 type AcceptedRequest = {
@@ -56,6 +56,8 @@
 	readonly overload?: Pick<OverloadCheck, 'check'> | undefined;
 	/** Limits the bytes of all bodies held at once; unlimited if undefined. */
 	readonly bodies?: BodyBudget | undefined;
+	/** The time that is left to the process; undefined if it is not limited. */
+	readonly stop?: Pick<StopSchedule, 'canAnswer' | 'limitDeadline'>;
 	/** Called with the key of each request for a sharded service. */
 	readonly onKeyedRequest: (service: string, key: number, route: HostRoute) => void;
 };
@@ -69,7 +71,8 @@
 	private isStopping = false;
 	private readonly requests = new OpenRequests();
 	private readonly connections: CallerConnections;
-	private closeTimer: NodeJS.Timeout | undefined;
+	private stopTimer: NodeJS.Timeout | undefined;
+	private isClosingIdle = false;
 
 	constructor(private readonly options: CallerServerOptions) {
 		this.connections = new CallerConnections(options.clock);
@@ -111,20 +114,26 @@
 		return listen(this.server, host, port);
 	}
 
-	/** Closes the connection with each answer from now on, so that callers connect to other instances. */
+	/** From now on closes the connection with each answer, so that callers connect to other instances, and rejects requests that can't be answered before the process ends. */
 	beginStop(): void {
 		this.isStopping = true;
+		this.requests.rejectLate();
+		this.stopTimer ??= setInterval(() => {
+			this.requests.rejectLate();
+			if (this.isClosingIdle) {
+				void this.closeIdleConnections();
+			}
+		}, stopIntervalMs);
 	}
 
-	/** Stops accepting connections, and from now on closes idle ones. */
+	/** Stops accepting connections, and from now on closes idle ones. Begins the stop if that was not done. */
 	async closeIdle(): Promise<void> {
+		this.beginStop();
 		await waitForPendingReads();
 		// The method of the HTTP server also closes connections whose answer is complete but not written.
 		NetServer.prototype.close.call(this.server);
 		this.connections.closeIdle();
-		this.closeTimer ??= setInterval(() => {
-			void this.closeIdleConnections();
-		}, closeIntervalMs);
+		this.isClosingIdle = true;
 	}
 
 	/** Logs the requests that are not answered yet. */
@@ -139,7 +148,7 @@
 
 	/** Closes all connections immediately. */
 	close(): void {
-		clearInterval(this.closeTimer);
+		clearInterval(this.stopTimer);
 		this.server.close();
 		this.server.closeAllConnections();
 	}
@@ -214,7 +223,8 @@
 			return {route, team, result: admitted.result};
 		}
 
-		const rejection = this.options.overload?.check(route, priorityOf(route, team), headers.callerTimeoutMs);
+		open.isTooLate = () => !this.canAnswer(route, headers, open);
+		const rejection = this.rejectTooLate(open) ?? this.options.overload?.check(route, priorityOf(route, team), headers.callerTimeoutMs);
 		const outcome = rejection ?? await this.run(req, {
 			headers, route, admitted, open,
 		}, abort);
@@ -226,7 +236,7 @@
 	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: Cancellation): Promise<Outcome> {
 		const {view} = this.options;
 		const {signal} = abort;
-		const body = await readBody(req, view.limits.bodyBytes, this.bodies);
+		const body = await readBody(req, {maxBytes: view.limits.bodyBytes, budget: this.bodies, tooLate: accepted.open.tooLate});
 		if (!body.isRead) {
 			return {result: signal.aborted ? failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'}) : body.failure};
 		}
@@ -247,6 +257,11 @@
 			return {result: failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'})};
 		}
 
+		const rejection = this.rejectTooLate(accepted.open);
+		if (rejection !== undefined) {
+			return rejection;
+		}
+
 		const order = this.toOrder(req, accepted);
 		accepted.open.phase = RequestPhase.Dispatched;
 		const result = await new Promise<OrderResult>(resolve => {
@@ -262,6 +277,16 @@
 		return {result, hasReturned: hasReturned(order)};
 	}
 
+	private rejectTooLate({isTooLate}: OpenRequest): Outcome | undefined {
+		return isTooLate?.() === true ? {result: failure(ErrorKind.Stopping, {reason: 'the process ends before the request can be answered'})} : undefined;
+	}
+
+	private canAnswer(route: HostRoute, headers: CallerHeaders, {arrivedAt}: OpenRequest): boolean {
+		return this.options.stop?.canAnswer({
+			route: route.name, objectiveMs: route.objectiveMs, deadline: arrivedAt + toTimeout(route, headers), isOnce: route.repeat === Repeat.Once,
+		}) ?? true;
+	}
+
 	private toOrder(req: IncomingMessage, {
 		headers, route, admitted, open: {arrivedAt}, body,
 	}: AcceptedRequest & {readonly body: Buffer}): Order {
@@ -271,7 +296,7 @@
 		// The configuration may have changed while the body was read.
 		const hasTeams = admitted.hasTeams || view.hasTeams;
 		const service = this.getSplit(route.name).next(route.services);
-		const timeoutMs = Math.min(headers.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
+		const deadline = arrivedAt + toTimeout(route, headers);
 		const ageMs = headers.callerTimeoutMs === undefined ? 0 : this.ages.estimate(route.name, headers.callerTimeoutMs);
 		if (headers.key !== undefined && view.allServices.get(service)?.isSharded === true) {
 			this.options.onKeyedRequest(service, headers.key, route);
@@ -292,7 +317,7 @@
 			objectiveMs: route.objectiveMs,
 			arrivedAt,
 			objectiveAt: arrivedAt + route.objectiveMs - ageMs,
-			deadline: arrivedAt + timeoutMs,
+			deadline: this.options.stop?.limitDeadline(deadline) ?? deadline,
 			excluded: [],
 			skipsRateLimited: false,
 			mode: RunMode.Usual,
@@ -341,6 +366,11 @@
 	}
 }
 
+/** Returns the time for which a request may take, in milliseconds. */
+function toTimeout({timeoutMs}: HostRoute, {callerTimeoutMs}: CallerHeaders): number {
+	return Math.min(callerTimeoutMs ?? timeoutMs, timeoutMs);
+}
+
 function isOverload(result: OrderResult): boolean {
 	return result.kind === 'failure' && result.error === ErrorKind.InstanceBusy;
 }
--- a/packages/gateway/src/front/open-requests.ts
+++ b/packages/gateway/src/front/open-requests.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {Cancellation} from '../net/index.js';
 
 /** What the answer to a request waits for. */
 export enum RequestPhase {
@@ -17,6 +18,10 @@
 	readonly arrivedAt: number;
 	route?: string;
 	phase: RequestPhase;
+	/** Whether it can't be answered before the process ends; undefined until its route is known. */
+	isTooLate?: () => boolean;
+	/** Aborts when it is too late to read the rest of the request. */
+	readonly tooLate: Cancellation;
 };
 
 /** The requests whose answers are not written to their connections yet. */
@@ -30,7 +35,9 @@
 
 	/** Adds a request until its answer is written or its connection closed. */
 	add(res: ServerResponse, id: string, arrivedAt: number): OpenRequest {
-		const request: OpenRequest = {id, arrivedAt, phase: RequestPhase.Reading};
+		const request: OpenRequest = {
+			id, arrivedAt, phase: RequestPhase.Reading, tooLate: new Cancellation(),
+		};
 		this.requests.set(res, request);
 		res.once('close', () => {
 			this.requests.delete(res);
@@ -38,6 +45,15 @@
 		return request;
 	}
 
+	/** Stops reading requests that can't be answered before the process ends. */
+	rejectLate(): void {
+		for (const {phase, isTooLate, tooLate} of this.requests.values()) {
+			if (phase === RequestPhase.Reading && isTooLate?.() === true) {
+				tooLate.abort();
+			}
+		}
+	}
+
 	/** Returns all requests, the oldest first. */
 	list(): OpenRequest[] {
 		return [...this.requests.values()];
--- a/packages/gateway/src/front/read-body.ts
+++ b/packages/gateway/src/front/read-body.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import {BodyBuffer, ErrorKind, type BodyBudget} from '@bluebellyard/core';
 import {failure, type FailedResult} from '../dispatch/index.js';
+import type {CancelSignal} from '../net/index.js';
 
 /** Retry delay reported when the bodies of other requests take all memory for them, in milliseconds. */
 const memoryRetryMs = 1000;
@@ -17,8 +18,17 @@
 	readonly failure: FailedResult;
 };
 
-/** Reads the body of a request. It counts towards `budget` until it is released. */
-export async function readBody(req: IncomingMessage, maxBytes: number, budget: BodyBudget): Promise<RequestBody> {
+/** Options of `readBody`. */
+export type ReadBodyOptions = {
+	readonly maxBytes: number;
+	/** The body counts towards it until it is released. */
+	readonly budget: BodyBudget;
+	/** Aborts when the request can't be answered any more before the process ends. */
+	readonly tooLate: CancelSignal;
+};
+
+/** Reads the body of a request. */
+export async function readBody(req: IncomingMessage, {maxBytes, budget, tooLate}: ReadBodyOptions): Promise<RequestBody> {
 	const {'content-length': length, 'transfer-encoding': encoding} = req.headers;
 	if (length === undefined && encoding === undefined) {
 		return {isRead: true, bytes: Buffer.alloc(0), release: () => undefined};
@@ -33,6 +43,7 @@
 	return new Promise(resolve => {
 		const body = new BodyBuffer();
 		const stop = (reason: FailedResult) => {
+			tooLate.removeEventListener('abort', stopTooLate);
 			req.removeListener('data', collect);
 			body.clear();
 			share.release();
@@ -54,9 +65,15 @@
 			stop(failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the connection was closed before the request body was read'}));
 		};
 
+		const stopTooLate = () => {
+			stop(failure(ErrorKind.Stopping, {reason: 'the request body is not read in time'}));
+		};
+
+		tooLate.addEventListener('abort', stopTooLate);
 		req.on('data', collect);
 		req.once('close', stopClosed);
 		req.once('end', () => {
+			tooLate.removeEventListener('abort', stopTooLate);
 			req.removeListener('close', stopClosed);
 			share.complete();
 			resolve({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	BodyBudget, ReservationMode, systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
+	BodyBudget, ReservationMode, StopSchedule, systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
 } from '@bluebellyard/core';
 import {
 	DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, receivesByte, TargetClient,
@@ -136,6 +136,7 @@
 			sendUse: async message => this.coordinator.leaderChannel.reportTeamUse(message),
 		});
 		this.guard = new CrashGuard(view, clock);
+		const stop = new StopSchedule(clock, (route, objectiveMs) => this.queues.estimateWorkMs(route, objectiveMs));
 		this.paths = new PathChecker({
 			selfName: name,
 			view,
@@ -166,6 +167,7 @@
 			},
 			isRefused: async addr => isConnectionRefused(addr, cfg.targets['local-address']),
 			guard: this.guard,
+			stop,
 			onCrash: report => {
 				this.guard.recordCrash(report);
 				this.coordinator.leaderChannel.report(PeerOp.Crash, report);
@@ -196,6 +198,7 @@
 			random,
 			retryBudget: instances => toBudget(cfg, instances),
 			guard: this.guard,
+			stop,
 			balancing: cfg.balancing.mode,
 			isReserving: () => cfg.admission.reservations === ReservationMode.On,
 			isReleased: () => this.paths.isReleased,
@@ -220,6 +223,7 @@
 			overload: this.overload,
 			view,
 			bodies,
+			stop,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
 			admission: new TeamAdmission({view, metrics: telemetry.metrics, limits: this.teamRates}),
@@ -230,6 +234,7 @@
 			},
 		});
 		this.plannedStop = new PlannedStop({
+			schedule: stop,
 			graceMs: cfg.shutdown.grace,
 			callers: this.callers,
 			queues: this.queues,
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@bluebellyard/core';
+import type {Clock, StopSchedule} from '@bluebellyard/core';
 import type {CallerServer} from './front/index.js';
 import {sleep} from './net/index.js';
 import type {DispatchQueues} from './queue/index.js';
@@ -7,9 +7,6 @@
 /** Delay from the start of a stop until idle connections are closed, in milliseconds; by then the load balancer has noticed that the instance is not ready. */
 const closeIdleDelayMs = 2200;
 
-/** Time before the end of the grace period at which the instance closes even with open requests, in milliseconds. */
-const stopReserveMs = 400;
-
 /** Interval between checks for open requests during a stop, in milliseconds. */
 const stopCheckIntervalMs = 50;
 
@@ -17,6 +14,7 @@
 export type PlannedStopOptions = {
 	/** Time from the request to stop until the process may be killed, in milliseconds. */
 	readonly graceMs: number;
+	readonly schedule: StopSchedule;
 	readonly callers: Pick<CallerServer, 'beginStop' | 'closeIdle' | 'countConnections' | 'inFlight' | 'logOpenRequests'>;
 	readonly queues: Pick<DispatchQueues, 'inFlight' | 'queued'>;
 	readonly clock: Clock;
@@ -51,19 +49,19 @@
 
 	private async runOnce(): Promise<void> {
 		const {
-			callers, queues, clock, telemetry, graceMs, leave, close,
+			schedule, callers, queues, clock, telemetry, graceMs, leave, close,
 		} = this.options;
 		const startedAt = clock.now();
 		telemetry.info('gateway', 'Stopping.', {
 			inFlight: callers.inFlight, queued: queues.queued, graceMs, ...callers.countConnections(),
 		});
+		schedule.begin(graceMs);
 		callers.beginStop();
 		leave();
 		await sleep(closeIdleDelayMs);
 		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
 		await callers.closeIdle();
-		const end = startedAt + graceMs - stopReserveMs;
-		while (clock.now() < end && callers.inFlight + queues.inFlight + queues.queued > 0) {
+		while (clock.now() < schedule.endsAt && callers.inFlight + queues.inFlight + queues.queued > 0) {
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(stopCheckIntervalMs);
 		}
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -5,11 +5,12 @@
  * only while it knows no steward or can't reach it.
  */
 import {
-	ErrorKind, AttemptOutcome, AdmissionQueue, Reservations, RunMode, type Clock, type TargetLimiter, type TargetInfo, type WorkEstimator, type QueueLoad, type QueuedRequest, type QueueDecision,
+	ErrorKind, AttemptOutcome, AdmissionQueue, Reservations, RunMode,
+	type Clock, type TargetLimiter, type TargetInfo, type StopSchedule, type WorkEstimator, type QueueLoad, type QueuedRequest, type QueueDecision,
 } from '@bluebellyard/core';
 import type {CrashGuard} from '../dispatch/crash-guard.js';
 import {
-	failure, hasReturned, toTargetRequest, type Order, type OrderResult,
+	failure, hasReturned, toTargetRequest, type FailedResult, type Order, type OrderResult,
 } from '../dispatch/order.js';
 import type {CancelSignal} from '../net/index.js';
 import type {Telemetry} from '../telemetry/index.js';
@@ -48,6 +49,8 @@
 	readonly tracker: ConditionTracker;
 	readonly crashes: CrashDetector;
 	readonly guard: Pick<CrashGuard, 'findSuspect'>;
+	/** The time that is left to the process; undefined if it is not limited. */
+	readonly stop?: Pick<StopSchedule, 'canAnswer'>;
 	/** Returns whether this instance is the steward of the queue. */
 	readonly isSteward: () => boolean;
 	/** Returns whether the queue reserves capacity for callers that it rejects. */
@@ -275,8 +278,9 @@
 
 		const {order, signal, queuedAt} = pending;
 		const waitMs = startedAt - queuedAt;
-		if (order.mode === RunMode.Usual && this.options.guard.findSuspect(order) !== undefined) {
-			this.settle(request.id, failure(ErrorKind.CrashSuspect, {retryAfterMs: refusalRetryMs, waitMs, reason: 'targets ended under the same request while it waited'}));
+		const obstacle = this.findObstacle(order, waitMs);
+		if (obstacle !== undefined) {
+			this.settle(request.id, obstacle);
 			this.applyDecision(this.admission.finish(limiter, AttemptOutcome.Cancelled, 1, startedAt));
 			return;
 		}
@@ -319,6 +323,16 @@
 		this.applyDecision(decision);
 	}
 
+	/** Returns why an order that has waited is not sent; undefined if it is. */
+	private findObstacle(order: Order, waitMs: number): FailedResult | undefined {
+		const {guard, stop} = this.options;
+		if (order.mode === RunMode.Usual && guard.findSuspect(order) !== undefined) {
+			return failure(ErrorKind.CrashSuspect, {retryAfterMs: refusalRetryMs, waitMs, reason: 'targets ended under the same request while it waited'});
+		}
+
+		return stop?.canAnswer(order) === false ? failure(ErrorKind.NotSteward, {retryAfterMs: refusalRetryMs, waitMs, reason: 'the process ends before the request can be answered'}) : undefined;
+	}
+
 	private recordFeedback(order: Order, limiter: TargetLimiter, result: TargetResult, tookMs: number): void {
 		const {meta} = result;
 		if (meta?.load !== undefined) {
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -1,5 +1,5 @@
 import {
-	WorkEstimator, type Clock, type ConditionReport, type QueueLoad, type ReportedCrash,
+	WorkEstimator, type Clock, type ConditionReport, type QueueLoad, type ReportedCrash, type StopSchedule,
 } from '@bluebellyard/core';
 import type {CrashGuard} from '../dispatch/crash-guard.js';
 import type {Order, OrderResult} from '../dispatch/order.js';
@@ -37,6 +37,8 @@
 	/** Called when a target answers that was reported before. */
 	readonly onAlive: (target: string) => void;
 	readonly guard: CrashGuard;
+	/** The time that is left to the process; undefined if it is not limited. */
+	readonly stop?: Pick<StopSchedule, 'canAnswer'>;
 	readonly paths: Pick<PathChecker, 'watch' | 'isReleased' | 'settle'>;
 };
 
