Stop: what is open at its end is answered

Requests that still ran, waited or were being read when a stop ended saw their connection closed; nothing told their callers whether they had run.

Cause: at the end of the grace period all connections were closed at once.

It also waits for connections on which part of a request has arrived, not only for requests. Orders are built in a file of their own, as the server's grew too long.

Evidence: 'requests that run when a stop ends are answered' failed before (no answer) and passes.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -34,6 +34,11 @@
 		this.clock = clock;
 	}
 
+	/** Number of open connections. */
+	get size(): number {
+		return this.connections.size;
+	}
+
 	/** Adds a connection until it is closed. */
 	add(socket: Socket): void {
 		this.connections.set(socket, {openedAt: this.clock.now(), requests: 0, handledBytes: 0});
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -4,18 +4,19 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {
-	BodyBudget, RequestAgeEstimator, ErrorKind, priorityOf, Repeat, RunMode, WeightedRoundRobin, type Clock, type HostRoute, type StopSchedule,
+	BodyBudget, ErrorKind, priorityOf, Repeat, type Clock, type HostRoute, type StopSchedule,
 } from '@bluebellyard/core';
 import {
-	failure, hasReturned, type Dispatcher, type Order, type OrderResult,
+	failure, hasReturned, type Dispatcher, type OrderResult,
 } from '../dispatch/index.js';
 import type {CallerHeaders, Wire} from '../ports/index.js';
-import type {AdmittedRequest, TeamAdmission} from '../teams/index.js';
+import type {TeamAdmission} from '../teams/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import type {View} from '../view/index.js';
 import {Cancellation, listen, waitForPendingReads} from '../net/index.js';
 import {CallerConnections, type ConnectionUse} from './caller-connections.js';
 import {OpenRequests, RequestPhase, type OpenRequest} from './open-requests.js';
+import {OrderBuilder, toTimeout, type AcceptedRequest} from './order-builder.js';
 import type {OverloadCheck} from './overload-check.js';
 import {readBody} from './read-body.js';
 import {recordOutcome, type Outcome} from './record-outcome.js';
@@ -36,14 +37,6 @@
 /** Interval at which a stop rejects requests that have become too late, and closes connections that have become idle, in milliseconds. */
 const stopIntervalMs = 50;
 
-/** A request that may run, before its body is read. */
-type AcceptedRequest = {
-	readonly headers: CallerHeaders;
-	readonly route: HostRoute;
-	readonly admitted: AdmittedRequest;
-	readonly open: OpenRequest;
-};
-
 /** Options of the server. */
 export type CallerServerOptions = {
 	readonly view: View;
@@ -65,8 +58,7 @@
 /** HTTP server for the requests of callers. */
 export class CallerServer {
 	private readonly server: Server;
-	private readonly splits = new Map<string, WeightedRoundRobin>();
-	private readonly ages = new RequestAgeEstimator();
+	private readonly orders: OrderBuilder;
 	private readonly bodies: BodyBudget;
 	private isStopping = false;
 	private readonly requests = new OpenRequests();
@@ -75,6 +67,7 @@
 	private isClosingIdle = false;
 
 	constructor(private readonly options: CallerServerOptions) {
+		this.orders = new OrderBuilder(options);
 		this.connections = new CallerConnections(options.clock);
 		this.bodies = options.bodies ?? new BodyBudget(Number.POSITIVE_INFINITY);
 		this.server = createServer({
@@ -104,6 +97,11 @@
 		return this.requests.size;
 	}
 
+	/** Number of open connections. */
+	get connectionCount(): number {
+		return this.connections.size;
+	}
+
 	/** Returns the number of connections by use. */
 	countConnections(): Record<ConnectionUse, number> {
 		return this.connections.count();
@@ -136,6 +134,11 @@
 		this.isClosingIdle = true;
 	}
 
+	/** Answers all requests that are not answered yet: with 503 if they were not run, else with 502. */
+	giveUp(): void {
+		this.requests.giveUp();
+	}
+
 	/** Logs the requests that are not answered yet. */
 	logOpenRequests(msg: string): void {
 		const {clock, telemetry} = this.options;
@@ -262,16 +265,22 @@
 			return rejection;
 		}
 
-		const order = this.toOrder(req, accepted);
+		const order = this.orders.build(req, accepted);
 		accepted.open.phase = RequestPhase.Dispatched;
 		const result = await new Promise<OrderResult>(resolve => {
 			const timer = setTimeout(() => {
 				resolve(failure(ErrorKind.TargetTimeout, {isNotRun: false, reason: 'no result at the deadline'}));
 				abort.abort();
 			}, Math.max(1, order.deadline - clock.now() + answerSlackMs));
+			let isGivenUp = false;
+			accepted.open.giveUp = () => {
+				isGivenUp = true;
+				abort.abort();
+			};
+
 			void dispatcher.run(order, accepted.route.maxTargets, signal).then(outcome => {
 				clearTimeout(timer);
-				resolve(outcome);
+				resolve(isGivenUp ? toStopped(outcome) : outcome);
 			});
 		});
 		return {result, hasReturned: hasReturned(order)};
@@ -287,50 +296,6 @@
 		}) ?? true;
 	}
 
-	private toOrder(req: IncomingMessage, {
-		headers, route, admitted, open: {arrivedAt}, body,
-	}: AcceptedRequest & {readonly body: Buffer}): Order {
-		const {view, wire} = this.options;
-		const {team} = admitted;
-		const pairs = toPairs(req.rawHeaders);
-		// The configuration may have changed while the body was read.
-		const hasTeams = admitted.hasTeams || view.hasTeams;
-		const service = this.getSplit(route.name).next(route.services);
-		const deadline = arrivedAt + toTimeout(route, headers);
-		const ageMs = headers.callerTimeoutMs === undefined ? 0 : this.ages.estimate(route.name, headers.callerTimeoutMs);
-		if (headers.key !== undefined && view.allServices.get(service)?.isSharded === true) {
-			this.options.onKeyedRequest(service, headers.key, route);
-		}
-
-		return {
-			requestId: headers.requestId,
-			method: req.method ?? 'GET',
-			path: req.url ?? '/',
-			headers: hasTeams ? wire.withoutCredentials(pairs) : pairs,
-			body,
-			route: route.name,
-			service,
-			key: headers.key,
-			priority: priorityOf(route, team),
-			team: team?.name,
-			isOnce: route.repeat === Repeat.Once,
-			objectiveMs: route.objectiveMs,
-			arrivedAt,
-			objectiveAt: arrivedAt + route.objectiveMs - ageMs,
-			deadline: this.options.stop?.limitDeadline(deadline) ?? deadline,
-			excluded: [],
-			skipsRateLimited: false,
-			mode: RunMode.Usual,
-			isRetry: headers.callerTimeoutMs !== undefined && this.ages.isRetry(route.name, headers.callerTimeoutMs),
-		};
-	}
-
-	private getSplit(route: string): WeightedRoundRobin {
-		const split = this.splits.get(route) ?? new WeightedRoundRobin();
-		this.splits.set(route, split);
-		return split;
-	}
-
 	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
 		const isLast = this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)));
 		if (result.kind === 'failure') {
@@ -366,9 +331,13 @@
 	}
 }
 
-/** Returns the time for which a request may take, in milliseconds. */
-function toTimeout({timeoutMs}: HostRoute, {callerTimeoutMs}: CallerHeaders): number {
-	return Math.min(callerTimeoutMs ?? timeoutMs, timeoutMs);
+/** Returns the result of an order that was given up at the end of a stop. */
+function toStopped(result: OrderResult): OrderResult {
+	if (result.kind === 'answer') {
+		return result;
+	}
+
+	return {...result, error: ErrorKind.Stopping, reason: 'the process ends before the target has answered'};
 }
 
 function isOverload(result: OrderResult): boolean {
@@ -379,12 +348,3 @@
 function hasSmallBody({headers}: IncomingMessage): boolean {
 	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxRestBytes;
 }
-
-function toPairs(raw: readonly string[]): Array<readonly [string, string]> {
-	const pairs: Array<readonly [string, string]> = [];
-	for (let i = 0; i + 1 < raw.length; i += 2) {
-		pairs.push([raw[i], raw[i + 1]]);
-	}
-
-	return pairs;
-}
--- a/packages/gateway/src/front/open-requests.ts
+++ b/packages/gateway/src/front/open-requests.ts
@@ -22,6 +22,8 @@
 	isTooLate?: () => boolean;
 	/** Aborts when it is too late to read the rest of the request. */
 	readonly tooLate: Cancellation;
+	/** Gives up the run of the request and answers what is known of it; undefined unless it is dispatched. */
+	giveUp?: () => void;
 };
 
 /** The requests whose answers are not written to their connections yet. */
@@ -54,6 +56,17 @@
 		}
 	}
 
+	/** Ends all requests with an answer: those that are being read were not run, what is known of the others decides. */
+	giveUp(): void {
+		for (const {phase, tooLate, giveUp} of this.requests.values()) {
+			if (phase === RequestPhase.Reading) {
+				tooLate.abort();
+			} else {
+				giveUp?.();
+			}
+		}
+	}
+
 	/** Returns all requests, the oldest first. */
 	list(): OpenRequest[] {
 		return [...this.requests.values()];
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -10,12 +10,15 @@
 /** Interval between checks for open requests during a stop, in milliseconds. */
 const stopCheckIntervalMs = 50;
 
+/** Longest time for which the last answers are written, in milliseconds; shorter than the reserve of the schedule. */
+const lastAnswersMs = 200;
+
 /** Options of a planned stop. */
 export type PlannedStopOptions = {
 	/** Time from the request to stop until the process may be killed, in milliseconds. */
 	readonly graceMs: number;
 	readonly schedule: StopSchedule;
-	readonly callers: Pick<CallerServer, 'beginStop' | 'closeIdle' | 'countConnections' | 'inFlight' | 'logOpenRequests'>;
+	readonly callers: Pick<CallerServer, 'beginStop' | 'closeIdle' | 'connectionCount' | 'countConnections' | 'giveUp' | 'inFlight' | 'logOpenRequests'>;
 	readonly queues: Pick<DispatchQueues, 'inFlight' | 'queued'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -61,15 +64,22 @@
 		await sleep(closeIdleDelayMs);
 		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
 		await callers.closeIdle();
-		while (clock.now() < schedule.endsAt && callers.inFlight + queues.inFlight + queues.queued > 0) {
-			// eslint-disable-next-line no-await-in-loop
-			await sleep(stopCheckIntervalMs);
-		}
-
+		await this.waitUntil(schedule.endsAt, () => callers.connectionCount + queues.inFlight + queues.queued === 0);
+		callers.logOpenRequests('Request is given up at the end of the stop.');
+		callers.giveUp();
+		await this.waitUntil(schedule.endsAt + lastAnswersMs, () => callers.inFlight === 0);
 		callers.logOpenRequests('Request was not answered before the end of the stop.');
 		telemetry.info('gateway', 'Stopped.', {
 			unanswered: callers.inFlight, tookMs: Math.round(clock.now() - startedAt), ...callers.countConnections(),
 		});
 		await close();
 	}
+
+	/** Resolves when a condition is met, or at a time in monotonic milliseconds. */
+	private async waitUntil(end: number, isMet: () => boolean): Promise<void> {
+		while (this.options.clock.now() < end && !isMet()) {
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(stopCheckIntervalMs);
+		}
+	}
 }
