--- a/packages/core/src/stop/stop-schedule.test.ts
+++ b/packages/core/src/stop/stop-schedule.test.ts
@@ -46,3 +46,12 @@
 	t.true(stop.limitDeadline(clock.now() + 60_000) < stop.endsAt);
 	t.is(stop.limitDeadline(clock.now() + 100), clock.now() + 100);
 });
+
+test('a request with a deadline that a stop has moved is not passed on without the time for its work', t => {
+	const {clock, stop} = createSchedule(400);
+	stop.begin(graceMs);
+	const deadline = stop.limitDeadline(clock.now() + 60_000);
+	t.true(stop.canAnswer(createRequest(deadline, false)));
+	clock.advance(5000);
+	t.false(stop.canAnswer(createRequest(deadline, false)));
+});
