Callers' server: pipelined requests run one after the other

Callers that send a request before the answer to an earlier one has arrived lost requests that ran: an answer that closes the connection, each one in a stop and early rejections at any time, took the answers behind it along. When such a connection broke, requests behind the first one were counted as open for good, and kept a stop up.

Cause: requests of one connection ran beside each other, and an answer was made the last one without regard to those that had been passed on.

Change: a request starts when those before it on its connection are answered. Requests behind the last answer are dropped with the connection, none of them started, and so is what arrives after it.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -19,8 +19,10 @@
 type Connection = {
 	/** Monotonic milliseconds. */
 	readonly openedAt: number;
-	/** Requests whose answers are not written yet. */
+	/** Requests whose answers are not written yet, waiting ones included. */
 	requests: number;
+	/** Start requests that wait until those before them are answered. */
+	readonly waiting: Array<() => void>;
 	/** Bytes received by the end of the last request. */
 	handledBytes: number;
 };
@@ -41,17 +43,29 @@
 
 	/** Adds a connection until it is closed. */
 	add(socket: Socket): void {
-		this.connections.set(socket, {openedAt: this.clock.now(), requests: 0, handledBytes: 0});
+		this.connections.set(socket, {
+			openedAt: this.clock.now(), requests: 0, waiting: [], handledBytes: 0,
+		});
 		socket.once('close', () => {
 			this.connections.delete(socket);
 		});
 	}
 
-	/** Records that the head of a request was read. */
-	recordRequest(socket: Socket): void {
+	/**
+	 * Calls `start` when the requests that were read before on the connection are answered. An answer may close the
+	 * connection; requests behind it are dropped, none of them started.
+	 */
+	startInTurn(socket: Socket, start: () => void): void {
 		const connection = this.connections.get(socket);
-		if (connection !== undefined) {
-			connection.requests += 1;
+		if (connection === undefined || socket.writableEnded) {
+			return;
+		}
+
+		connection.requests += 1;
+		if (connection.requests === 1) {
+			start();
+		} else {
+			connection.waiting.push(start);
 		}
 	}
 
@@ -61,6 +75,9 @@
 		if (connection !== undefined) {
 			connection.requests -= 1;
 			connection.handledBytes = socket.bytesRead;
+			if (!socket.writableEnded) {
+				connection.waiting.shift()?.();
+			}
 		}
 	}
 
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -73,11 +73,10 @@
 		this.server = createServer({
 			maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true,
 		}, (req, res) => {
-			void this.serve(req, res);
+			this.receive(req, res);
 		});
 		this.server.on('checkContinue', (req, res) => {
-			res.writeContinue();
-			void this.serve(req, res);
+			this.receive(req, res, true);
 		});
 		this.server.on('connection', socket => {
 			this.connections.add(socket);
@@ -172,9 +171,19 @@
 		this.server.headersTimeout = headerTimeoutMs + idleSlackMs;
 	}
 
-	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	private receive(req: IncomingMessage, res: ServerResponse, expectsContinue = false): void {
+		const arrivedAt = this.options.clock.now();
+		this.connections.startInTurn(req.socket, () => {
+			if (expectsContinue) {
+				res.writeContinue();
+			}
+
+			void this.serve(req, res, arrivedAt);
+		});
+	}
+
+	private async serve(req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
 		const {clock, wire, telemetry} = this.options;
-		const arrivedAt = clock.now();
 		const abort = new Cancellation();
 		const abortUnfinished = () => {
 			if (!res.writableFinished) {
@@ -185,7 +194,6 @@
 		const {socket} = req;
 		const headers = wire.readCaller(req.headers);
 		const open = this.requests.add(res, headers.requestId, arrivedAt);
-		this.connections.recordRequest(socket);
 		req.once('end', () => {
 			this.connections.recordRest(socket);
 		});
