Callers' server: bytes that begin no request do not keep a connection for good

An empty line after a request, which some clients send, kept its connection open for good.

Cause: Node.js ends the idle timeout of a connection when any bytes arrive, and starts another one only with an answer; and the listener for the idle timeout closed only connections that were idle by what had arrived.

Change: a connection has a timeout at any time, which closes it when what was pending is read, nothing more has arrived, and no request is unanswered. Connections on which nothing ever arrived are closed by it, too.

Evidence: the test failed before (open after 9 s) and passes; that of a request that waits to be read at the idle timeout passes as before.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@bluebellyard/core';
+import {waitForPendingReads} from '../net/index.js';
 
 /** What a connection of a caller is used for. */
 export enum ConnectionUse {
@@ -89,10 +90,11 @@
 		}
 	}
 
-	/** Closes a connection if it is idle. */
-	closeIfIdle(socket: Socket): void {
-		const connection = this.connections.get(socket);
-		if (connection !== undefined && findUse(socket, connection) === ConnectionUse.Idle) {
+	/** Closes a connection on which nothing arrives any more, unless a request is not answered. */
+	async closeIfSilent(socket: Socket): Promise<void> {
+		const {bytesRead} = socket;
+		await waitForPendingReads();
+		if (socket.bytesRead === bytesRead && this.connections.get(socket)?.requests === 0) {
 			socket.destroy();
 		}
 	}
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -83,7 +83,7 @@
 		});
 		// Without a listener, the server closes a connection at its idle timeout although a request may wait to be read.
 		this.server.on('timeout', (socket: Socket) => {
-			void this.closeIfIdle(socket);
+			void this.connections.closeIfSilent(socket);
 		});
 		this.updateLimits();
 		options.view.onChange(() => {
@@ -160,14 +160,11 @@
 		this.connections.closeIdle();
 	}
 
-	private async closeIfIdle(socket: Socket): Promise<void> {
-		await waitForPendingReads();
-		this.connections.closeIfIdle(socket);
-	}
-
 	private updateLimits(): void {
 		const {idleTimeoutMs, headerTimeoutMs} = this.options.view.limits;
 		this.server.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
+		// Replaces the idle timeout, which has a slack of its own, when bytes arrive that begin no request.
+		this.server.timeout = idleTimeoutMs + (2 * idleSlackMs);
 		this.server.headersTimeout = headerTimeoutMs + idleSlackMs;
 	}
 
