Stop: last answers are written also after a late or short stop

Two kinds of callers still got nothing, or 502, at the end of a stop: with a grace period below 2.7 s, or an event loop that was late by 0.2 s, the process closed before the last answers were written; and an answer of a target that had arrived, but was not read yet, was replaced by 502.

Cause: the time for the last answers was counted from the planned end, not from the moment at which requests are given up, and timers run before reads.

Change: it is counted from that moment, what has arrived is read first, and idle connections are closed at the latest when half of the time is over.

--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -1,6 +1,6 @@
 import type {Clock, StopSchedule} from '@bluebellyard/core';
 import type {CallerServer} from './front/index.js';
-import {sleep} from './net/index.js';
+import {sleep, waitForPendingReads} from './net/index.js';
 import type {DispatchQueues} from './queue/index.js';
 import type {Telemetry} from './telemetry/index.js';
 
@@ -10,7 +10,7 @@
 /** Interval between checks for open requests during a stop, in milliseconds. */
 const stopCheckIntervalMs = 50;
 
-/** Longest time for which the last answers are written, in milliseconds; shorter than the reserve of the schedule. */
+/** Longest time for which the last answers are written, in milliseconds; shorter than what the schedule leaves until the end of the grace period. */
 const lastAnswersMs = 200;
 
 /** Options of a planned stop. */
@@ -61,13 +61,16 @@
 		schedule.begin(graceMs);
 		callers.beginStop();
 		leave();
-		await sleep(closeIdleDelayMs);
+		// A short grace period leaves time for the answers of requests that arrive before idle connections are closed.
+		await sleep(Math.min(closeIdleDelayMs, (schedule.endsAt - startedAt) / 2));
 		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
 		await callers.closeIdle();
 		await this.waitUntil(schedule.endsAt, () => callers.connectionCount + queues.inFlight + queues.queued === 0);
+		// Answers of targets may have arrived while the event loop was late.
+		await waitForPendingReads();
 		callers.logOpenRequests('Request is given up at the end of the stop.');
 		callers.giveUp();
-		await this.waitUntil(schedule.endsAt + lastAnswersMs, () => callers.inFlight === 0);
+		await this.waitUntil(clock.now() + lastAnswersMs, () => callers.inFlight === 0);
 		callers.logOpenRequests('Request was not answered before the end of the stop.');
 		telemetry.info('gateway', 'Stopped.', {
 			unanswered: callers.inFlight, tookMs: Math.round(clock.now() - startedAt), ...callers.countConnections(),
