Stop: a moved deadline does not count as time enough

A request that may be repeated and whose deadline a stop had moved before its end was passed on after a wait in a queue even when the time for its work was over; its target could only answer that the deadline had passed.

Cause: the moved deadline lies before the end by definition.

Change: a deadline at the limit counts as one beyond it, so that the time for the work is asked for.

--- a/packages/core/src/stop/stop-schedule.ts
+++ b/packages/core/src/stop/stop-schedule.ts
@@ -48,7 +48,8 @@
 	 */
 	canAnswer({route, objectiveMs, deadline, isOnce}: DueRequest): boolean {
 		const answerBy = this.endsAtMs - answerSlackMs;
-		return deadline <= answerBy || (!isOnce && this.clock.now() + (maxWorkRatio * this.estimateWorkMs(route, objectiveMs)) <= answerBy);
+		// A deadline that `limitDeadline` has moved leaves no time beyond it.
+		return deadline < answerBy || (!isOnce && this.clock.now() + (maxWorkRatio * this.estimateWorkMs(route, objectiveMs)) <= answerBy);
 	}
 
 	/** Returns the time until which a request may run, given its deadline; both in monotonic milliseconds. */
