Stop: orders that wait and can't be answered are rejected at once

Requests with long deadlines that waited for a target when a stop began were held until its end, 5.5 s; those that waited in the queue of another instance then got 502, although none had run.

Cause: an order was only asked whether it can still be answered when its turn had come, and an order at another instance can't be asked at all.

Change: the stop asks the orders that wait, at its begin and every 50 ms. An instance takes back those that it forwarded by a call to their stewards, which give back what still waits and let run what was sent.

--- a/packages/gateway/src/cluster/coordinator.ts
+++ b/packages/gateway/src/cluster/coordinator.ts
@@ -164,7 +164,8 @@
 			}
 
 			case PeerOp.Request:
-			case PeerOp.RequestEnd: {
+			case PeerOp.RequestEnd:
+			case PeerOp.RequestWithdrawal: {
 				return undefined;
 			}
 
--- a/packages/gateway/src/cluster/messages.ts
+++ b/packages/gateway/src/cluster/messages.ts
@@ -44,6 +44,8 @@
 	Request = 'work',
 	/** The end of a request that this instance permitted the sender to send to the target itself. */
 	RequestEnd = 'work-end',
+	/** The sender of a request for a dispatch queue of this instance takes it back if it still waits. */
+	RequestWithdrawal = 'work-withdrawal',
 }
 
 /** Identifies a state of the view: the state at one leader after one of its changes. */
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -8,7 +8,7 @@
 import type {DispatchQueues} from '../queue/index.js';
 import type {CancelSignal} from '../net/index.js';
 import {
-	isUnsent, LinkError, type LinkState, type Message, type PeerNet,
+	isUnsent, LinkError, noBytes, type LinkState, type Message, type PeerNet,
 } from '../peers/index.js';
 import type {Telemetry} from '../telemetry/index.js';
 import {
@@ -28,7 +28,7 @@
 import {maxAttempts, RetryDecider, type RetryDeciderOptions} from './retry-decider.js';
 import {SelectorSwitch} from './selector-switch.js';
 import {TrialRunner, type TrialRunnerOptions} from './trial-runner.js';
-import {decodeOrder, type WireOrder} from './wire-order.js';
+import {decodeOrder, type WireOrder, type WireWithdrawal} from './wire-order.js';
 import {
 	decodeEnd, encodeEndReply, encodeReply, type DirectPermit,
 } from './wire-permit.js';
@@ -47,7 +47,7 @@
 export type DispatcherOptions = {
 	readonly self: NodeInfo;
 	readonly view: View;
-	readonly queues: Pick<DispatchQueues, 'run' | 'estimateWorkMs' | 'load'>;
+	readonly queues: Pick<DispatchQueues, 'run' | 'estimateWorkMs' | 'load'> & Partial<Pick<DispatchQueues, 'releaseLate' | 'withdraw'>>;
 	readonly net: Pick<PeerNet, 'exchange' | 'isUnreachable'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -134,6 +134,19 @@
 		return encodeReply(isSteward ? this.withLoad(result, queueId, order) : result);
 	}
 
+	/** Ends orders that wait, here or at their steward, and can't be answered before the process ends. */
+	rejectLate(): void {
+		this.options.queues.releaseLate?.();
+		this.forwarder.withdraw(order => this.options.stop?.canAnswer(order) === false);
+	}
+
+	/** Gives back an order of another instance that waits in a dispatch queue of this one. */
+	withdrawForPeer({value}: Message): Message {
+		const {desk, id} = value as WireWithdrawal;
+		this.options.queues.withdraw?.(desk, id);
+		return {value: true, bytes: noBytes};
+	}
+
 	/** Records the end of an order that another instance sent with a permit of this one. */
 	async endForPeer(message: Message): Promise<Message> {
 		const {token, result} = decodeEnd(message);
--- a/packages/gateway/src/dispatch/order-forwarder.ts
+++ b/packages/gateway/src/dispatch/order-forwarder.ts
@@ -4,7 +4,7 @@
 } from '@bluebellyard/core';
 import {PeerOp} from '../cluster/index.js';
 import type {CancelSignal} from '../net/index.js';
-import {type Message, type PeerNet} from '../peers/index.js';
+import {noBytes, type Message, type PeerNet} from '../peers/index.js';
 import {
 	ConnectionFault, errorByOutcome, type PathChecker, type TargetClient, type TargetResult,
 } from '../queue/index.js';
@@ -13,7 +13,7 @@
 import {
 	failure, toTargetRequest, type Order, type OrderResult,
 } from './order.js';
-import {encodeOrder} from './wire-order.js';
+import {encodeOrder, type WireWithdrawal} from './wire-order.js';
 import {
 	decodePermit, encodeEnd, type DirectPermit, type PermittedTarget,
 } from './wire-permit.js';
@@ -28,6 +28,9 @@
 /** Time for which nothing is sent directly after a target was not reached, in milliseconds: by then an instance that is cut off has found it out. */
 const pauseMs = 2000;
 
+/** Timeout for taking an order back, in milliseconds; its result tells whether it was. */
+const withdrawalTimeoutMs = 500;
+
 /** Retry delay reported with a failed attempt, in milliseconds. */
 const refusalRetryMs = 100;
 
@@ -65,6 +68,8 @@
 export class OrderForwarder {
 	private readonly options: OrderForwarderOptions;
 	private nextToken = 1;
+	/** Orders that were forwarded and whose result has not arrived, with the steward that has them. */
+	private readonly forwarded = new Map<Order, Pick<ForwardTo, 'addr' | 'queueId'>>();
 	/** Time until which nothing is sent directly. */
 	private pausedUntil = Number.NEGATIVE_INFINITY;
 
@@ -97,6 +102,19 @@
 		return permit === undefined ? decodeResult(reply) : this.usePermit(order, permit, {...to, token, sentAt}, direct);
 	}
 
+	/** Asks the stewards for the selected orders that still wait there. They give these back as if they were not the steward. */
+	withdraw(isSelected: (order: Order) => boolean): void {
+		for (const [order, {addr, queueId}] of this.forwarded) {
+			if (order.requestId !== '' && isSelected(order)) {
+				this.forwarded.delete(order);
+				const value: WireWithdrawal = {desk: queueId, id: order.requestId};
+				this.options.net.exchange(addr, PeerOp.RequestWithdrawal, {value, bytes: noBytes}, {timeoutMs: withdrawalTimeoutMs}).catch((err: unknown) => {
+					this.options.telemetry.logRequest('A request could not be withdrawn from its steward.', {id: order.requestId, desk: queueId, err});
+				});
+			}
+		}
+	}
+
 	/** Returns whether an order can be sent directly: its response may be large, and nothing speaks against running it twice or against the way to the target. */
 	private maySendDirectly({route, isOnce, mode}: Order, {paths}: DirectPath): boolean {
 		const {view, clock} = this.options;
@@ -210,7 +228,12 @@
 		const now = clock.now();
 		const wire = {...encodeOrder(order, queueId, now), ...(token !== undefined && {dx: token})};
 		const timeoutMs = Math.max(1, Math.ceil(order.deadline - now + forwardSlackMs));
-		return net.exchange(addr, PeerOp.Request, {value: wire, bytes: order.body}, {signal, timeoutMs});
+		this.forwarded.set(order, {addr, queueId});
+		try {
+			return await net.exchange(addr, PeerOp.Request, {value: wire, bytes: order.body}, {signal, timeoutMs});
+		} finally {
+			this.forwarded.delete(order);
+		}
 	}
 }
 
--- a/packages/gateway/src/dispatch/wire-order.ts
+++ b/packages/gateway/src/dispatch/wire-order.ts
@@ -40,6 +40,9 @@
 	readonly dx?: string;
 };
 
+/** Takes back an order that waits in a dispatch queue of another instance. */
+export type WireWithdrawal = Pick<WireOrder, 'desk' | 'id'>;
+
 /** Encodes an order for the dispatch queue of another instance. */
 export function encodeOrder(order: Order, queueId: string, now: number): WireOrder {
 	return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -237,6 +237,7 @@
 			schedule: stop,
 			graceMs: cfg.shutdown.grace,
 			callers: this.callers,
+			dispatcher: this.dispatcher,
 			queues: this.queues,
 			clock,
 			telemetry,
@@ -317,6 +318,10 @@
 			return this.dispatcher.runForPeer(message, signal, link);
 		}
 
+		if (op === PeerOp.RequestWithdrawal) {
+			return this.dispatcher.withdrawForPeer(message);
+		}
+
 		return op === PeerOp.RequestEnd
 			? this.dispatcher.endForPeer(message)
 			: {value: this.coordinator.handle(op, message), bytes: noBytes};
--- a/packages/gateway/src/planned-stop.test.ts
+++ b/packages/gateway/src/planned-stop.test.ts
@@ -18,6 +18,11 @@
 		const stop = new PlannedStop({
 			graceMs,
 			schedule: new StopSchedule(systemClock, () => 100),
+			dispatcher: {
+				rejectLate() {
+					// Nothing waits.
+				},
+			},
 			queues: {inFlight: 0, queued: 0},
 			clock: systemClock,
 			telemetry: new Telemetry(systemClock),
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -1,4 +1,5 @@
 import type {Clock, StopSchedule} from '@bluebellyard/core';
+import type {Dispatcher} from './dispatch/index.js';
 import type {CallerServer} from './front/index.js';
 import {sleep, waitForPendingReads} from './net/index.js';
 import type {DispatchQueues} from './queue/index.js';
@@ -7,7 +8,7 @@
 /** Delay from the start of a stop until idle connections are closed, in milliseconds; by then the load balancer has noticed that the instance is not ready. */
 const closeIdleDelayMs = 2200;
 
-/** Interval between checks for open requests during a stop, in milliseconds. */
+/** Interval between checks of requests during a stop, in milliseconds: whether any is open, and whether those that wait can still be answered. */
 const stopCheckIntervalMs = 50;
 
 /** Longest time for which the last answers are written, in milliseconds; shorter than what the schedule leaves until the end of the grace period. */
@@ -19,6 +20,7 @@
 	readonly graceMs: number;
 	readonly schedule: StopSchedule;
 	readonly callers: Pick<CallerServer, 'beginStop' | 'closeIdle' | 'connectionCount' | 'countConnections' | 'giveUp' | 'inFlight' | 'logOpenRequests'>;
+	readonly dispatcher: Pick<Dispatcher, 'rejectLate'>;
 	readonly queues: Pick<DispatchQueues, 'inFlight' | 'queued'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
@@ -52,7 +54,7 @@
 
 	private async runOnce(): Promise<void> {
 		const {
-			schedule, callers, queues, clock, telemetry, graceMs, leave, close,
+			schedule, callers, dispatcher, queues, clock, telemetry, graceMs, leave, close,
 		} = this.options;
 		const startedAt = clock.now();
 		telemetry.info('gateway', 'Stopping.', {
@@ -60,12 +62,17 @@
 		});
 		schedule.begin(graceMs);
 		callers.beginStop();
+		dispatcher.rejectLate();
+		const rejections = setInterval(() => {
+			dispatcher.rejectLate();
+		}, stopCheckIntervalMs);
 		leave();
 		// A short grace period leaves time for the answers of requests that arrive before idle connections are closed.
 		await sleep(Math.min(closeIdleDelayMs, (schedule.endsAt - startedAt) / 2));
 		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
 		await callers.closeIdle();
 		await this.waitUntil(schedule.endsAt, () => callers.connectionCount + queues.inFlight + queues.queued === 0);
+		clearInterval(rejections);
 		// Answers of targets may have arrived while the event loop was late.
 		await waitForPendingReads();
 		callers.logOpenRequests('Request is given up at the end of the stop.');
--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -204,10 +204,10 @@
 		});
 	}
 
-	/** Gives back the orders that wait, as another instance runs the queue. */
-	release(): void {
-		for (const [id] of this.pending) {
-			if (this.admission.cancel(id)) {
+	/** Gives back orders that wait, as another instance runs the queue or they can't be answered here: all, or those selected. */
+	release(isSelected: (order: Order) => boolean = () => true): void {
+		for (const [id, {order}] of this.pending) {
+			if (isSelected(order) && this.admission.cancel(id)) {
 				this.settle(id, failure(ErrorKind.NotSteward, {retryAfterMs: refusalRetryMs, reason: releaseReason}));
 			}
 		}
--- a/packages/gateway/src/queue/dispatch-queues.ts
+++ b/packages/gateway/src/queue/dispatch-queues.ts
@@ -120,6 +120,18 @@
 		}
 	}
 
+	/** Gives back the orders that wait and can't be answered before the process ends. */
+	releaseLate(): void {
+		for (const queue of this.queues.values()) {
+			queue.release(order => this.options.stop?.canAnswer(order) === false);
+		}
+	}
+
+	/** Gives back an order of another instance if it waits; one that was sent to a target goes on. */
+	withdraw(id: string, requestId: string): void {
+		this.queues.get(id)?.release(order => order.requestId === requestId);
+	}
+
 	private getQueue(id: string): DispatchQueue {
 		const known = this.queues.get(id);
 		if (known !== undefined) {
