Settings: a pipe or a large file does not block the instance

What callers saw: no answers from an instance whose settings file was replaced by a pipe, until the pipe was written to, and delayed ones after a SIGHUP or change with a large file.

Cause: the check read and parsed whatever was at the path without a limit, blocking the event loop.

The start reads any file as before.

--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -2,6 +2,7 @@
  * Settings of the gateway: an INI file that is validated completely before the gateway starts.
  */
 import {readFileSync} from 'node:fs';
+import {readFile, stat} from 'node:fs/promises';
 import {BalancingMode, ReservationMode} from '@bluebellyard/core';
 import {parse} from 'ini';
 import VError from 'verror';
@@ -32,6 +33,9 @@
 	}
 }
 
+/** Largest settings file that a running instance checks, in bytes; parsing blocks the event loop. */
+const maxCheckedBytes = 65_536;
+
 const addressPattern = /^(?<host>\d{1,3}(?:\.\d{1,3}){3}):(?<port>\d{1,5})$/v;
 const maxPort = 65_535;
 
@@ -135,8 +139,30 @@
 	try {
 		text = readFileSync(path, 'utf8');
 	} catch (err) {
-		throw new GatewaySettingsError(`cannot read settings file ${path}`, err instanceof Error ? err : new Error(String(err)));
+		throw toReadError(path, err);
 	}
 
 	return parseSettings(text);
 }
+
+/** Checks a settings file while the instance serves callers, without blocking the event loop for long. Rejects with a `GatewaySettingsError` if the file is not a regular one, is too large, or can't be read or is invalid. */
+export async function checkSettings(path: string): Promise<void> {
+	let text: string;
+	try {
+		// Opening a pipe would wait for its writer.
+		const file = await stat(path);
+		if (!file.isFile() || file.size > maxCheckedBytes) {
+			throw new Error(`not a regular file of at most ${maxCheckedBytes} bytes`);
+		}
+
+		text = await readFile(path, 'utf8');
+	} catch (err) {
+		throw toReadError(path, err);
+	}
+
+	parseSettings(text);
+}
+
+function toReadError(path: string, err: unknown): GatewaySettingsError {
+	return new GatewaySettingsError(`cannot read settings file ${path}`, err instanceof Error ? err : new Error(String(err)));
+}
