Links: a stop can answer the calls of other instances before it closes

What callers would see: a request that another instance forwarded to the one that stops ends as lost, although it was answered, or as one that may have run, although it was never read.

Cause: the connections between instances are destroyed at the end of a stop. Replies that are not sent yet are dropped with them. Calls that arrived but were not read count as received, as the process that could be asked is gone.

Change: PeerNet.stop tells the other side which call is the last one that is run, answers those up to it and ends the connections when the replies are written, at the latest after a time that is passed in. Later calls are unsent for the other side, so that it runs them elsewhere; further ones open a new connection. A side that does not know the frame ignores it. Nothing is written on an ended connection, since that destroys it. PeerLink.end, which nothing used, gives way to this. The planned stop does not call it yet.

--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -15,6 +15,8 @@
 	ProbeReply = 5,
 	/** Names the link; the first frame of the side that opened it. */
 	Hello = 6,
+	/** The sender runs no further calls: `n` is the number of the last one that it runs. */
+	Stop = 7,
 }
 
 type FrameHead = {
@@ -72,6 +74,8 @@
 
 /** Options of a link. */
 export type PeerLinkOptions = {
+	/** Called when the other side runs no further calls. */
+	readonly onStop?: (link: PeerLink) => void;
 	/** Called once when the link is lost. */
 	readonly onDown: (link: PeerLink) => void;
 	/** Asks the other side for the number of the last call that it received on the lost link; undefined if it does not know. It receives none afterwards. */
@@ -92,6 +96,10 @@
 	/** Whether received data is checked for. */
 	private isChecked = false;
 	private isDown = false;
+	/** Whether this side runs no further calls. */
+	private isStopped = false;
+	/** Whether the other side runs no further calls. */
+	private isOtherStopped = false;
 	/** Name that the other side gave the link; undefined if this side opened it. */
 	private givenName: string | undefined;
 	private lastNumber = 0;
@@ -137,8 +145,9 @@
 
 	/** Calls an operation of the other side. Rejects with a `LinkError`. */
 	async call(op: string, {value, bytes}: Message, {signal, timeoutMs}: CallOptions = {}): Promise<Message> {
-		if (this.isDown || signal?.aborted === true) {
-			throw new LinkError(this.isDown ? 'connection closed' : 'call cancelled', false);
+		const isClosed = this.isDown || this.isOtherStopped || this.socket.writableEnded;
+		if (isClosed || signal?.aborted === true) {
+			throw new LinkError(isClosed ? 'connection closed' : 'call cancelled', false);
 		}
 
 		const number = this.nextNumber++;
@@ -196,9 +205,15 @@
 		this.shutDown('closed');
 	}
 
-	/** Closes the connection after the pending replies are written. */
-	end(): void {
-		this.socket.end();
+	/** Runs no further calls, and closes the connection when the running ones are answered and all replies are written. */
+	stop(): void {
+		if (this.isStopped || this.isDown) {
+			return;
+		}
+
+		this.isStopped = true;
+		this.write({k: FrameKind.Stop, n: this.lastNumber});
+		this.endIfAnswered();
 	}
 
 	/** Probes the other side, or closes the connection, if nothing was received for too long while calls are open. Returns whether calls are open. */
@@ -242,6 +257,10 @@
 		const number = frame.n ?? 0;
 		switch (frame.k) {
 			case FrameKind.Call: {
+				if (this.isStopped) {
+					break;
+				}
+
 				this.lastNumber = number;
 				void this.run(number, frame.op ?? '', {value: frame.b, bytes});
 				break;
@@ -272,6 +291,11 @@
 				this.givenName = String(frame.b);
 				break;
 			}
+
+			case FrameKind.Stop: {
+				this.handleStop(number);
+				break;
+			}
 		}
 	}
 
@@ -290,11 +314,33 @@
 			this.write({k: FrameKind.Reply, n: number, b: value}, bytes);
 		} finally {
 			this.runningCalls.delete(number);
+			this.endIfAnswered();
+		}
+	}
+
+	private endIfAnswered(): void {
+		if (this.isStopped && this.runningCalls.size === 0) {
+			// What the other side still sends is read: a connection that is closed with unread data is reset, and the replies are lost.
+			this.socket.end();
 		}
 	}
 
+	/** Rejects the calls that the other side does not run. */
+	private handleStop(lastNumber: number): void {
+		this.isOtherStopped = true;
+		for (const [number, call] of this.openCalls) {
+			if (number > lastNumber) {
+				this.openCalls.delete(number);
+				call.reject(new LinkError('the other side stops', false));
+			}
+		}
+
+		this.options.onStop?.(this);
+	}
+
 	private write(head: FrameHead, bytes: Buffer = noBytes): void {
-		if (!this.isDown) {
+		// A write after the end destroys the connection with the replies that are not sent yet.
+		if (!this.isDown && !this.socket.writableEnded) {
 			this.socket.write(this.writer.encode({value: head, bytes}));
 		}
 	}
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -3,7 +3,7 @@
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
 import type {Clock} from '@bluebellyard/core';
-import {listen} from '../net/index.js';
+import {listen, sleep} from '../net/index.js';
 import {noBytes, type Message} from './frames.js';
 import {
 	LinkError, PeerLink, type CallHandler, type CallOptions,
@@ -71,7 +71,21 @@
 		return failedAt !== undefined && this.clock.now() - failedAt < reconnectDelayMs;
 	}
 
-	/** Closes the server and all connections. */
+	/**
+	 * Accepts no further calls, and closes each connection of another instance when its calls are answered and the replies
+	 * are written. Resolves when they are closed, at the latest after `timeoutMs`; then all connections are closed.
+	 */
+	async stop(timeoutMs: number): Promise<void> {
+		this.server.close();
+		const closed = Promise.all([...this.incoming].map(async link => new Promise<void>(resolve => {
+			link.whenDown(resolve);
+			link.stop();
+		})));
+		await Promise.race([closed, sleep(timeoutMs)]);
+		this.close();
+	}
+
+	/** Closes the server and all connections immediately. */
 	close(): void {
 		this.server.close();
 		for (const {link} of this.outgoing.values()) {
@@ -142,6 +156,7 @@
 
 		const entry: Outgoing = {
 			link: this.open(addr, () => {
+				// Further calls open a new connection.
 				if (this.outgoing.get(addr) === entry) {
 					this.outgoing.delete(addr);
 				}
@@ -155,7 +170,7 @@
 		return entry.link;
 	}
 
-	private async open(addr: string, onDown: () => void): Promise<PeerLink> {
+	private async open(addr: string, onUnusable: () => void): Promise<PeerLink> {
 		const colon = addr.lastIndexOf(':');
 		const socket = connect({host: addr.slice(0, colon), port: Number(addr.slice(colon + 1))});
 		return new Promise((resolve, reject) => {
@@ -177,7 +192,8 @@
 				const name = randomUUID();
 				let received: Promise<number | undefined> | undefined;
 				const link = new PeerLink(socket, this.handler, this.checks, {
-					onDown,
+					onStop: onUnusable,
+					onDown: onUnusable,
 					countReceived: async () => {
 						received ??= this.countReceived(addr, name);
 						return received;
