Router: a second signal does not cut running requests

Callers of a router instance that got SIGTERM or SIGINT a second time during its stop lost the requests that it had passed on: the connection was closed without an answer, and the request may have run.

Cause: the handler of signals called process.exit when a stop was running. Supervisors send a signal more than once, and an interrupt at a terminal reaches a process twice when its parent passes it on.

Change: each signal is logged, and a repeated one changes nothing. The stop has bounds of its own (15 s for the handover, 15 s for requests in flight); SIGKILL ends the process at once.

--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -38,9 +38,10 @@
 
 function handleSignals(instance: Instance): void {
 	let isStopping = false;
-	const stop = () => {
+	const stop = (signal: NodeJS.Signals) => {
+		logger.info('Signal to stop.', {signal, isStopping});
 		if (isStopping) {
-			process.exit(ExitCode.Failure);
+			return;
 		}
 
 		isStopping = true;
