Router: connections are idle by what has arrived on them

Callers of an instance that stops saw three things, half a second after the signal or later:

- an answer that was complete but not written to a slow caller was cut;
- a request that had arrived but was not read, as the process was short of processor time, was cut with its connection;
- connections on which nothing had arrived stayed open until the end of the stop, and requests that came on them then were cut there.

Cause: a stop closed the connections that Node.js counts as idle. That goes by the state of the parser when a timer fires, and timers run before reads; a connection counts as idle as soon as its answer is given to the server, and as busy until its first request is read. A request counted as answered when its answer was given to the server, so the stop did not wait for it either.

Change: the server tracks its connections. One is idle when no answer on it is open and nothing has arrived since the last request; what has arrived is read before that is decided. A request is in flight until its answer is written or its connection closed.

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -9,6 +9,7 @@
 import {
 	headerText, forwardableHeaders, type Answer, type Order,
 } from '../work/index.js';
+import {Connections} from './connections.js';
 import {listen, closeServer} from './listen.js';
 import {readBody} from './read-body.js';
 import {sendRefusal, toRequestError} from './refusal.js';
@@ -30,6 +31,7 @@
 /** HTTP server for the requests of callers. */
 export class CallerServer {
 	private readonly server: Server;
+	private readonly connections: Connections;
 	private isStopping = false;
 	private inFlight = 0;
 	private onIdle: (() => void) | undefined;
@@ -44,6 +46,7 @@
 		}, (req, res) => {
 			void this.serve(req, res);
 		});
+		this.connections = new Connections(this.server);
 	}
 
 	/** Starts to listen; resolves to the address with the port that was bound. */
@@ -58,9 +61,9 @@
 		NetServer.prototype.close.call(this.server);
 	}
 
-	/** Closes idle connections and waits for the requests in flight. */
+	/** Closes idle connections and waits until the requests in flight are answered. */
 	async drain(): Promise<void> {
-		this.server.closeIdleConnections();
+		await this.connections.closeIdle();
 		if (this.inFlight > 0) {
 			await new Promise<void>(resolve => {
 				this.onIdle = resolve;
@@ -76,7 +79,7 @@
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {counters} = this.options;
 		counters.count(Counter.Requests);
-		this.inFlight += 1;
+		this.track(req, res);
 		if (this.isStopping) {
 			res.setHeader('connection', 'close');
 		}
@@ -90,12 +93,20 @@
 			counters.countRefusal(error.kind);
 			this.closeIfBodyUnread(req, res);
 			sendRefusal(res, error);
-		} finally {
+		}
+	}
+
+	/** Counts a request as in flight until its answer is written or its connection closed. */
+	private track({socket}: IncomingMessage, res: ServerResponse): void {
+		this.inFlight += 1;
+		this.connections.recordRequest(socket);
+		res.once('close', () => {
+			this.connections.recordAnswer(socket);
 			this.inFlight -= 1;
 			if (this.inFlight === 0) {
 				this.onIdle?.();
 			}
-		}
+		});
 	}
 
 	private async answer(req: IncomingMessage, res: ServerResponse): Promise<Answer> {
@@ -115,6 +126,7 @@
 		const {route, pool, key} = match;
 		const requestId = readRequestId(req, route.repeat);
 		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: limits.bodyTimeout});
+		this.connections.recordBody(req.socket);
 		const callerTimeoutMs = readCallerTimeout(req, pool.timeout);
 		const abort = new AbortController();
 		res.once('close', () => {
