Router: a stop runs no request that it has no time for

During a stop each request that was read was passed on with its whole deadline, up to the moment at which all connections were cut. Callers saw connections that closed without an answer, also of requests whose body was still on its way, and some of the requests had run.

Cause: nothing asked whether a request could be answered in the time that the process had left. The wait for callers ended with the first moment without a request; what arrived later, on a connection on which a part of a request had come before, was passed on and cut a second later. A request that other instances ran was waited for in the time of the handover only.

Change: during a stop the deadline of a request is not after the end of the stop, so queues refuse what can't be answered by then. After the handover, requests that are new or have not arrived completely are refused at once as not run (stopping), and the wait covers all requests of callers. The times of a stop are a parameter of the instance; their values are as before.

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -28,12 +28,23 @@
 	readonly isReady: () => boolean;
 };
 
+/** A request whose answer is not written yet. */
+type OpenRequest = {
+	readonly abort: AbortController;
+	/** Whether it was given to the router. */
+	isPassedOn: boolean;
+};
+
 /** HTTP server for the requests of callers. */
 export class CallerServer {
 	private readonly server: Server;
 	private readonly connections: Connections;
+	private readonly open = new Set<OpenRequest>();
 	private isStopping = false;
-	private inFlight = 0;
+	/** Whether requests are refused that are not passed on yet. */
+	private isRefusing = false;
+	/** Time after which no request can be answered. */
+	private endsAt = Infinity;
 	private onIdle: (() => void) | undefined;
 
 	constructor(private readonly options: CallerServerOptions) {
@@ -54,9 +65,15 @@
 		return listen(this.server, addr);
 	}
 
-	/** Stops accepting connections; requests on open ones are still answered, with `connection: close`. */
-	beginStop(): void {
+	/** Number of requests whose answers are not written yet. */
+	get inFlight(): number {
+		return this.open.size;
+	}
+
+	/** Stops accepting connections; requests on open ones that can be answered by `endsAt` still are, with `connection: close`. */
+	beginStop(endsAt = Infinity): void {
 		this.isStopping = true;
+		this.endsAt = endsAt;
 		// The method of the HTTP server would close idle connections, on which requests may be on their way.
 		NetServer.prototype.close.call(this.server);
 	}
@@ -71,6 +88,16 @@
 		}
 	}
 
+	/** Refuses new requests and those that have not arrived completely, as no time is left to run them. */
+	refuseNew(): void {
+		this.isRefusing = true;
+		for (const {abort, isPassedOn} of this.open) {
+			if (!isPassedOn) {
+				abort.abort();
+			}
+		}
+	}
+
 	/** Closes the server and all connections. */
 	async stop(): Promise<void> {
 		await closeServer(this.server);
@@ -79,13 +106,13 @@
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {counters} = this.options;
 		counters.count(Counter.Requests);
-		this.track(req, res);
+		const request = this.track(req, res);
 		if (this.isStopping) {
 			res.setHeader('connection', 'close');
 		}
 
 		try {
-			const answer = await this.answer(req, res);
+			const answer = await this.answer(req, res, request);
 			counters.count(Counter.Answers);
 			this.send(res, answer);
 		} catch (err) {
@@ -96,26 +123,29 @@
 		}
 	}
 
-	/** Counts a request as in flight until its answer is written or its connection closed. */
-	private track({socket}: IncomingMessage, res: ServerResponse): void {
-		this.inFlight += 1;
+	/** Adds a request until its answer is written or its connection closed. */
+	private track({socket}: IncomingMessage, res: ServerResponse): OpenRequest {
+		const request = {abort: new AbortController(), isPassedOn: false};
+		this.open.add(request);
 		this.connections.recordRequest(socket);
 		res.once('close', () => {
 			this.connections.recordAnswer(socket);
-			this.inFlight -= 1;
+			this.open.delete(request);
 			if (this.inFlight === 0) {
 				this.onIdle?.();
 			}
 		});
+		return request;
 	}
 
-	private async answer(req: IncomingMessage, res: ServerResponse): Promise<Answer> {
+	private async answer(req: IncomingMessage, res: ServerResponse, request: OpenRequest): Promise<Answer> {
 		const {router, limits, now, isReady} = this.options;
 		if (!isReady()) {
 			throw new RequestError(ErrorKind.NotReady);
 		}
 
 		const arrivedAt = now();
+		this.checkTimeLeft();
 		const method = req.method!;
 		const path = req.url!;
 		const match = router.match(method, path);
@@ -125,10 +155,12 @@
 
 		const {route, pool, key} = match;
 		const requestId = readRequestId(req, route.repeat);
-		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: limits.bodyTimeout});
+		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: limits.bodyTimeout, signal: request.abort.signal});
+		this.checkTimeLeft();
 		this.connections.recordBody(req.socket);
 		const callerTimeoutMs = readCallerTimeout(req, pool.timeout);
-		const abort = new AbortController();
+		request.isPassedOn = true;
+		const {abort} = request;
 		res.once('close', () => {
 			// After a complete answer there is nothing to abort, so the cost of aborting is avoided.
 			if (!res.writableFinished) {
@@ -147,12 +179,19 @@
 			requestId,
 			repeat: route.repeat,
 			caller: headerText(req.headers, 'x-caller') || (req.socket.remoteAddress ?? ''),
-			deadline: arrivedAt + Math.min(callerTimeoutMs, pool.timeout),
+			deadline: Math.min(arrivedAt + Math.min(callerTimeoutMs, pool.timeout), this.endsAt),
 			signal: abort.signal,
 		};
 		return router.run(order);
 	}
 
+	/** Throws when a request can no longer be run and answered before the end of the stop. */
+	private checkTimeLeft(): void {
+		if (this.isRefusing || this.options.now() >= this.endsAt) {
+			throw new RequestError(ErrorKind.Stopping);
+		}
+	}
+
 	private send(res: ServerResponse, answer: Answer): void {
 		if (this.isStopping) {
 			res.setHeader('connection', 'close');
--- a/packages/router/src/entry/read-body.ts
+++ b/packages/router/src/entry/read-body.ts
@@ -9,6 +9,8 @@
 	readonly maxBytes: number;
 	/** Time within which the body must arrive, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Aborted when the instance stops before the body has arrived. */
+	readonly signal?: AbortSignal;
 };
 
 /** Returns whether the headers of a request announce a body. */
@@ -17,7 +19,7 @@
 	return req.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
 }
 
-/** Reads the complete body; rejects with a `RequestError` when it is too large, arrives too slowly or is truncated. */
+/** Reads the complete body; rejects with a `RequestError` when it is too large, arrives too slowly or is truncated, or when the instance stops. */
 export async function readBody(req: IncomingMessage, limits: BodyLimits): Promise<Buffer> {
 	if (!hasBody(req)) {
 		return emptyBody;
@@ -32,8 +34,15 @@
 		const timer = setTimeout(() => {
 			finish(new RequestError(ErrorKind.CallerTimeout));
 		}, limits.timeoutMs);
+		const {signal} = limits;
+		const onAbort = () => {
+			finish(new RequestError(ErrorKind.Stopping));
+		};
+
+		signal?.addEventListener('abort', onAbort, {once: true});
 		const finish = (err?: RequestError) => {
 			clearTimeout(timer);
+			signal?.removeEventListener('abort', onAbort);
 			req.removeAllListeners('data');
 			if (err === undefined) {
 				resolve(body.toBytes());
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -18,17 +18,20 @@
 import type {RequestRecord__Output} from './peer/generated/bluebellyard/RequestRecord.js';
 import {readTlsFiles, type Settings} from './settings/index.js';
 
-/** Longest time for the handover, and again for requests in flight, when the process stops. */
-const stopTimeoutMs = 15_000;
-
 /** Interval between two reports of the gauges. */
 const gaugeIntervalMs = 1000;
 
-/** Time for which a stopping process keeps answering its successors' queries for known request ids. */
-const lingerMs = 1000;
+/** Times of a planned stop, in milliseconds. */
+export type StopTimes = {
+	/** Time from the start of a stop in which callers may send one more request on each kept connection; the answer closes it. */
+	readonly keptConnectionsMs: number;
+	/** Longest time for the handover, and again for requests in flight. */
+	readonly timeoutMs: number;
+	/** Time for which a stopping process keeps answering its successors' queries for known request ids. */
+	readonly lingerMs: number;
+};
 
-/** Time from the start of a stop in which callers may send one more request on each kept connection, in milliseconds; the answer closes it. */
-const keptConnectionsMs = 500;
+const defaultStopTimes: StopTimes = {keptConnectionsMs: 500, timeoutMs: 15_000, lingerMs: 1000};
 
 /** Exclusive upper bound of the seeds that the random generator accepts. */
 const seedUpperBound = 0x7F_FF_FF_FF;
@@ -48,7 +51,7 @@
 	private readonly guard: PeerAtMostOnceGuard;
 	private isClosed = false;
 
-	constructor(private readonly cfg: Settings) {
+	constructor(private readonly cfg: Settings, private readonly stopTimes = defaultStopTimes) {
 		const now = () => systemClock.now();
 		const tls = readTlsFiles(cfg.tls);
 		const seed = randomInt(seedUpperBound);
@@ -123,13 +126,15 @@
 
 	/** Stops gracefully: drains the caller connections, hands everything over, waits for requests in flight and closes. */
 	async stop(): Promise<void> {
+		const {keptConnectionsMs, timeoutMs, lingerMs} = this.stopTimes;
 		logger.info('Stopping.');
-		this.callerServer.beginStop();
+		this.callerServer.beginStop(systemClock.now() + keptConnectionsMs + timeoutMs);
 		await sleep(keptConnectionsMs);
 		const drained = this.callerServer.drain();
 		const idsHandedOver = await this.guard.handOverBackups();
 		this.host.leave(idsHandedOver, await this.guard.handOverOwnIds(), this.guard.copiesHolder);
-		await Promise.race([Promise.all([drained, this.host.left]), sleep(stopTimeoutMs)]);
+		await Promise.race([Promise.all([drained, this.host.left]), sleep(timeoutMs)]);
+		this.callerServer.refuseNew();
 		await this.waitUntilIdle();
 		await sleep(lingerMs);
 		await this.close();
@@ -163,10 +168,10 @@
 		logger.info('TLS files reloaded.');
 	}
 
-	/** Waits until no order is in progress here, for at most `stopTimeoutMs`. */
+	/** Waits until no order is in progress here and no request of a caller in flight, for at most `timeoutMs`. */
 	private async waitUntilIdle(): Promise<void> {
-		const deadline = systemClock.now() + stopTimeoutMs;
-		while (this.host.executors.pendingCount > 0 && systemClock.now() < deadline) {
+		const deadline = systemClock.now() + this.stopTimes.timeoutMs;
+		while (this.host.executors.pendingCount + this.callerServer.inFlight > 0 && systemClock.now() < deadline) {
 			// Orders end without further action here.
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(idleCheckIntervalMs);
