Router: requests that run at the end of a stop are answered

A caller whose request was still running, queued or on its way through another instance at the end of a stop got no answer: the connection was closed. Callers of a refusal during a stop were told that the connection stays open.

Cause: the end of a stop closed all connections, whatever was open on them; only answers of targets carried 'connection: close', refusals did not.

Change: at the end the requests that are left are aborted as if their callers had disconnected, and the callers are told what that shows: 503 stopping, not run, for one that no target had been sent, 502 connection-lost, which may have run, for others. A log line has their number. Refusals during a stop close the connection.

Evidence: 'a request that runs at the end of a stop is answered' got no answer on the code before and passes.

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -18,6 +18,12 @@
 /** Maximum length of an idempotency key, in characters. */
 const maxRequestIdLength = 200;
 
+/** Kinds that callers are told when the end of a stop has aborted a request, by those of disconnected callers. */
+const endedKinds: Readonly<Partial<Record<ErrorKind, ErrorKind>>> = {
+	[ErrorKind.CallerDisconnected]: ErrorKind.ConnectionLost,
+	[ErrorKind.CallerDisconnectedBeforeSend]: ErrorKind.Stopping,
+};
+
 /** Dependencies of `CallerServer`. */
 export type CallerServerOptions = {
 	readonly router: Pick<RequestRouter, 'match' | 'findShard' | 'run'>;
@@ -98,6 +104,14 @@
 		}
 	}
 
+	/** Ends the requests that are still running; their callers are told whether they may have run. */
+	endOpen(): void {
+		this.refuseNew();
+		for (const {abort} of this.open) {
+			abort.abort();
+		}
+	}
+
 	/** Closes the server and all connections. */
 	async stop(): Promise<void> {
 		await closeServer(this.server);
@@ -116,9 +130,9 @@
 			counters.count(Counter.Answers);
 			this.send(res, answer);
 		} catch (err) {
-			const error = toRequestError(err);
+			const error = this.toAnsweredError(req, toRequestError(err));
 			counters.countRefusal(error.kind);
-			this.closeIfBodyUnread(req, res);
+			this.closeIfLast(req, res);
 			sendRefusal(res, error);
 		}
 	}
@@ -138,6 +152,12 @@
 		return request;
 	}
 
+	/** Converts the error of a request that the end of a stop aborted to one that its caller is told. */
+	private toAnsweredError({socket}: IncomingMessage, err: RequestError): RequestError {
+		const kind = endedKinds[err.kind];
+		return kind === undefined || !this.isRefusing || socket.destroyed ? err : new RequestError(kind, 'The instance stopped.');
+	}
+
 	private async answer(req: IncomingMessage, res: ServerResponse, request: OpenRequest): Promise<Answer> {
 		const {router, limits, now, isReady} = this.options;
 		if (!isReady()) {
@@ -201,9 +221,9 @@
 		res.end(answer.body);
 	}
 
-	/** Closes the connection when the body was not read completely; the rest of it would be parsed as the next request. */
-	private closeIfBodyUnread(req: IncomingMessage, res: ServerResponse): void {
-		if (!req.complete && !res.headersSent) {
+	/** Closes the connection during a stop, or when the body was not read completely; the rest of it would be parsed as the next request. */
+	private closeIfLast(req: IncomingMessage, res: ServerResponse): void {
+		if ((this.isStopping || !req.complete) && !res.headersSent) {
 			res.setHeader('connection', 'close');
 		}
 	}
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -136,6 +136,11 @@
 		await Promise.race([Promise.all([drained, this.host.left]), sleep(timeoutMs)]);
 		this.callerServer.refuseNew();
 		await this.waitUntilIdle();
+		if (this.callerServer.inFlight > 0) {
+			logger.warn('Requests were not answered before the end of the stop.', {requests: this.callerServer.inFlight});
+			this.callerServer.endOpen();
+		}
+
 		await sleep(lingerMs);
 		await this.close();
 		logger.info('Stopped.');
--- a/packages/router/src/late-requests.test.ts
+++ b/packages/router/src/late-requests.test.ts
@@ -4,7 +4,7 @@
 import {OrderEnd, ServiceShape} from '@bluebellyard/standins';
 import test, {type ExecutionContext} from 'ava';
 import {Instance} from './instance.js';
-import {TestCluster, waitUntilServed} from './mocks/test-cluster.js';
+import {TestCluster, waitUntil, waitUntilServed} from './mocks/test-cluster.js';
 import {parseSettings} from './settings/index.js';
 
 const rules = 'pool p keyed shards=8 slots=4 fenced=yes timeout=30s # Selam\nroute GET,POST /k/{key} p # Selam\n';
@@ -49,6 +49,14 @@
 	t.regex(await answer, /^HTTP\/1.1 503 .*x-outcome: not-run.*x-reason: stopping/sv);
 });
 
+test('a request that runs at the end of a stop is answered', async t => {
+	const {leaving, addr, running} = await startCluster(t);
+	const {answer} = await begin(t, addr, 'GET /k/1 HTTP/1.1\r\nHost: a.example\r\n\r\n');
+	await waitUntil(() => running() === 1, () => `${running()} run`);
+	await leaving.stop();
+	t.regex(await answer, /^HTTP\/1.1 502 .*x-outcome: unknown/sv);
+});
+
 test('a request that arrives when the others have been answered is refused as not run', async t => {
 	const {leaving, addr, running} = await startCluster(t, 1500);
 	const {socket, answer} = await begin(t, addr, 'GET /k/1 HTTP/1.1\r\nHost: a.exa');
