Router: a refusal before the end of a body reaches its caller

A caller that reads only after it has sent its whole request never saw a refusal that was sent earlier, for a missing or malformed header, a route that does not exist or a body over the limit: its connection was reset while it sent. This is no matter of a stop, but a stop refuses requests whose body is on its way.

Cause: such a refusal closed its connection at once; the kernel resets a connection that is closed with unread data, and data that arrives later resets it, too. The caller's kernel then drops the answer that it had received.

Change: the refusal is sent at once, and its connection is closed when the rest of the body has been discarded, within the limits for bodies (size and time).

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -12,7 +12,7 @@
 import {Connections} from './connections.js';
 import {listen, closeServer} from './listen.js';
 import {readBody} from './read-body.js';
-import {sendRefusal, toRequestError} from './refusal.js';
+import {sendEarlyRefusal, sendRefusal, toRequestError} from './refusal.js';
 import type {RequestRouter} from './request-router.js';
 
 /** Maximum length of an idempotency key, in characters. */
@@ -132,8 +132,7 @@
 		} catch (err) {
 			const error = this.toAnsweredError(req, toRequestError(err));
 			counters.countRefusal(error.kind);
-			this.closeIfLast(req, res);
-			sendRefusal(res, error);
+			await this.refuse(req, res, error);
 		}
 	}
 
@@ -221,11 +220,18 @@
 		res.end(answer.body);
 	}
 
-	/** Closes the connection during a stop, or when the body was not read completely; the rest of it would be parsed as the next request. */
-	private closeIfLast(req: IncomingMessage, res: ServerResponse): void {
-		if ((this.isStopping || !req.complete) && !res.headersSent) {
+	private async refuse(req: IncomingMessage, res: ServerResponse, err: RequestError): Promise<void> {
+		if (!req.complete) {
+			const {body, bodyTimeout} = this.options.limits;
+			await sendEarlyRefusal(req, res, err, {maxBytes: body, timeoutMs: bodyTimeout});
+			return;
+		}
+
+		if (this.isStopping && !res.headersSent) {
 			res.setHeader('connection', 'close');
 		}
+
+		sendRefusal(res, err);
 	}
 }
 
--- a/packages/router/src/entry/read-body.ts
+++ b/packages/router/src/entry/read-body.ts
@@ -65,3 +65,25 @@
 		});
 	});
 }
+
+/** Discards the rest of the body; resolves when it has ended, exceeds the limits or its connection is closed. */
+export async function discardBody(req: IncomingMessage, limits: BodyLimits): Promise<void> {
+	return new Promise(resolve => {
+		let receivedBytes = 0;
+		const finish = () => {
+			clearTimeout(timer);
+			resolve();
+		};
+
+		const timer = setTimeout(finish, limits.timeoutMs);
+		req.on('data', (chunk: Buffer) => {
+			receivedBytes += chunk.length;
+			if (receivedBytes > limits.maxBytes) {
+				finish();
+			}
+		});
+		req.once('end', finish);
+		req.once('close', finish);
+		req.resume();
+	});
+}
--- a/packages/router/src/entry/refusal.ts
+++ b/packages/router/src/entry/refusal.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {ErrorKind, RequestError} from '@bluebellyard/core';
+import {discardBody, type BodyLimits} from './read-body.js';
 
 /** Kinds that get no answer because the caller has disconnected. */
 const unansweredKinds = new Set([ErrorKind.CallerDisconnected, ErrorKind.CallerDisconnectedBeforeSend]);
@@ -17,6 +18,27 @@
 		return;
 	}
 
+	res.end(prepareRefusal(res, err));
+}
+
+/**
+ * Sends a refusal at once and closes the connection after the body of the request has been discarded.
+ * Otherwise the connection would be reset while the caller still sends, and the answer lost.
+ */
+export async function sendEarlyRefusal(req: IncomingMessage, res: ServerResponse, err: RequestError, limits: BodyLimits): Promise<void> {
+	if (unansweredKinds.has(err.kind) || res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	res.setHeader('connection', 'close');
+	res.write(prepareRefusal(res, err));
+	await discardBody(req, limits);
+	res.end();
+}
+
+/** Sets the status and headers of a refusal; returns its body. */
+function prepareRefusal(res: ServerResponse, err: RequestError): string {
 	const {status, outcome, retryAfter, text} = err.answer;
 	res.statusCode = status;
 	res.setHeader('x-outcome', outcome);
@@ -28,5 +50,5 @@
 	const body = JSON.stringify({error: err.kind, outcome, message: text});
 	res.setHeader('content-type', 'application/json');
 	res.setHeader('content-length', Buffer.byteLength(body));
-	res.end(body);
+	return body;
 }
