Router: a request that was aborted before is not sent

A request whose caller had disconnected while the backup of its id was stored, or between two attempts at targets, was sent to a target nevertheless, or waited for a slot until its deadline. At the end of a stop such a request would get no answer, as it does not end when it is aborted.

Cause: the abort of a request is an event; an executor or exchange that begins after it never hears of it.

Change: both refuse a request that is aborted already, as not sent.

Evidence: aborted-order.test.ts got the answer of the target on the code before and passes.

--- a/packages/router/src/work/exchange.ts
+++ b/packages/router/src/work/exchange.ts
@@ -24,6 +24,10 @@
  * its kind is `ConnectFailed` only if no byte of the request was written.
  */
 export async function exchange(pool: Dispatcher, req: Exchange): Promise<Answer> {
+	if (req.signal.aborted) {
+		throw new RequestError(ErrorKind.CallerDisconnectedBeforeSend);
+	}
+
 	return new Promise((resolve, reject) => {
 		const handler = new ExchangeHandler(req, resolve, reject);
 		pool.dispatch({
--- a/packages/router/src/work/target-executor.ts
+++ b/packages/router/src/work/target-executor.ts
@@ -66,6 +66,10 @@
 		}
 
 		this.checkOpen(order.shard);
+		if (order.signal.aborted) {
+			throw new RequestError(ErrorKind.CallerDisconnectedBeforeSend);
+		}
+
 		const result = this.admission.offer(order, this.options.now());
 		switch (result.kind) {
 			case AdmissionKind.Start: {
