Router: a request that waits to be read keeps its connection

A request on a kept connection was reset when it had arrived but was not read at the time at which the connection counted as unused for too long, as on a machine that is short of processor time. Its caller can't tell whether it ran.

Cause: Node.js closes a connection in a timer, and the timers of a turn of the event loop run before its reads.

Change: when a connection times out, what has arrived is read first; it is closed if nothing had.

--- a/packages/router/src/entry/connections.ts
+++ b/packages/router/src/entry/connections.ts
@@ -21,6 +21,10 @@
 		server.on('secureConnection' in server ? 'secureConnection' : 'connection', (socket: Socket) => {
 			this.add(socket);
 		});
+		// With a listener, the server leaves the closing of connections that time out to it.
+		server.on('timeout', (socket: Socket) => {
+			void this.closeTimedOut(socket);
+		});
 	}
 
 	/** Records that the head of a request was read. */
@@ -58,6 +62,16 @@
 		}
 	}
 
+	/** Closes a connection unless data has arrived that the server had not read when it timed out. */
+	private async closeTimedOut(socket: Socket): Promise<void> {
+		const {bytesRead} = socket;
+		await readArrived();
+		const isBusy = (this.connections.get(socket)?.requests ?? 0) > 0;
+		if (!isBusy && socket.bytesRead === bytesRead) {
+			socket.destroy();
+		}
+	}
+
 	private add(socket: Socket): void {
 		this.connections.set(socket, {requests: 0, handledBytes: socket.bytesRead});
 		socket.once('close', () => {
