Router: a stop serves connections that wait to be accepted

A caller whose connection was established but not accepted when a stop began was reset, with the request that it had sent; on a machine that is short of processor time there are such connections at each stop. Its caller can't tell whether the request ran.

Cause: the port was closed in the same turn of the event loop in which the signal was handled; the kernel resets the connections that wait there.

Change: the port is closed two turns later, when these are accepted.

Evidence: 'a connection that waits to be accepted when a stop begins is served' failed on the code before and passes.

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -9,7 +9,7 @@
 import {
 	headerText, forwardableHeaders, type Answer, type Order,
 } from '../work/index.js';
-import {Connections} from './connections.js';
+import {Connections, readArrived} from './connections.js';
 import {listen, closeServer} from './listen.js';
 import {readBody} from './read-body.js';
 import {sendEarlyRefusal, sendRefusal, toRequestError} from './refusal.js';
@@ -80,8 +80,7 @@
 	beginStop(endsAt = Infinity): void {
 		this.isStopping = true;
 		this.endsAt = endsAt;
-		// The method of the HTTP server would close idle connections, on which requests may be on their way.
-		NetServer.prototype.close.call(this.server);
+		void this.closePort();
 	}
 
 	/** Closes idle connections and waits until the requests in flight are answered. */
@@ -117,6 +116,13 @@
 		await closeServer(this.server);
 	}
 
+	/** Closes the port when the connections that wait there are accepted; they would be reset. */
+	private async closePort(): Promise<void> {
+		await readArrived();
+		// The method of the HTTP server would close idle connections, on which requests may be on their way.
+		NetServer.prototype.close.call(this.server);
+	}
+
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {counters} = this.options;
 		counters.count(Counter.Requests);
--- a/packages/router/src/entry/unread-request.test.ts
+++ b/packages/router/src/entry/unread-request.test.ts
@@ -45,3 +45,12 @@
 	socket.resume();
 	t.truthy(await Promise.race([closed, sleep(5000)]));
 });
+
+test.serial('a connection that waits to be accepted when a stop begins is served', async t => {
+	const {server, port} = await startServer(t);
+	const caller = new BlockedCaller(t, port, false);
+	await caller.open();
+	caller.sendNextWhileBlocked();
+	server.beginStop();
+	t.is(await caller.status(), 200);
+});
