Router: orders of other instances are answered when a steward stops

At the end of its stop an instance reset the connections of other instances. An order that waited there to be read, or whose answer was not complete, got lost, and the caller at the other instance was told that it may have run. Others send such orders as long as they have not read that the targets have moved.

Cause: the server for orders of other instances had no stop of its own; all of its connections were closed at once.

Change: in the last second of a stop each answer closes its connection. Then the port is closed, connections without an order are closed, going by what has arrived, and the others are answered. Both servers track their connections and requests in the same way.

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -2,14 +2,13 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
 import {ErrorKind, Repeat, RequestError} from '@bluebellyard/core';
 import {Counter, type Counters} from '../metrics/index.js';
 import type {Address, LimitSettings} from '../settings/index.js';
 import {
 	headerText, forwardableHeaders, type Answer, type Order,
 } from '../work/index.js';
-import {Connections, readArrived} from './connections.js';
+import {Connections} from './connections.js';
 import {listen, closeServer} from './listen.js';
 import {readBody} from './read-body.js';
 import {sendEarlyRefusal, sendRefusal, toRequestError} from './refusal.js';
@@ -51,7 +50,6 @@
 	private isRefusing = false;
 	/** Time after which no request can be answered. */
 	private endsAt = Infinity;
-	private onIdle: (() => void) | undefined;
 
 	constructor(private readonly options: CallerServerOptions) {
 		const {limits} = options;
@@ -73,24 +71,19 @@
 
 	/** Number of requests whose answers are not written yet. */
 	get inFlight(): number {
-		return this.open.size;
+		return this.connections.inFlight;
 	}
 
 	/** Stops accepting connections; requests on open ones that can be answered by `endsAt` still are, with `connection: close`. */
 	beginStop(endsAt = Infinity): void {
 		this.isStopping = true;
 		this.endsAt = endsAt;
-		void this.closePort();
+		void this.connections.closePort();
 	}
 
 	/** Closes idle connections and waits until the requests in flight are answered. */
 	async drain(): Promise<void> {
-		await this.connections.closeIdle();
-		if (this.inFlight > 0) {
-			await new Promise<void>(resolve => {
-				this.onIdle = resolve;
-			});
-		}
+		await this.connections.drain();
 	}
 
 	/** Refuses new requests and those that have not arrived completely, as no time is left to run them. */
@@ -116,13 +109,6 @@
 		await closeServer(this.server);
 	}
 
-	/** Closes the port when the connections that wait there are accepted; they would be reset. */
-	private async closePort(): Promise<void> {
-		await readArrived();
-		// The method of the HTTP server would close idle connections, on which requests may be on their way.
-		NetServer.prototype.close.call(this.server);
-	}
-
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {counters} = this.options;
 		counters.count(Counter.Requests);
@@ -143,16 +129,12 @@
 	}
 
 	/** Adds a request until its answer is written or its connection closed. */
-	private track({socket}: IncomingMessage, res: ServerResponse): OpenRequest {
+	private track(req: IncomingMessage, res: ServerResponse): OpenRequest {
 		const request = {abort: new AbortController(), isPassedOn: false};
 		this.open.add(request);
-		this.connections.recordRequest(socket);
+		this.connections.recordRequest(req, res);
 		res.once('close', () => {
-			this.connections.recordAnswer(socket);
 			this.open.delete(request);
-			if (this.inFlight === 0) {
-				this.onIdle?.();
-			}
 		});
 		return request;
 	}
--- a/packages/router/src/entry/connections.ts
+++ b/packages/router/src/entry/connections.ts
@@ -1,6 +1,7 @@
-import type {Server} from 'node:http';
-import type {Socket} from 'node:net';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {Server as TlsServer} from 'node:tls';
 
 type Connection = {
 	/** Requests whose answers are not written yet. */
@@ -15,10 +16,12 @@
  */
 export class Connections {
 	private readonly connections = new Map<Socket, Connection>();
+	private requestCount = 0;
+	private onIdle: (() => void) | undefined;
 
 	/** Tracks the connections of `server`, and closes those that its timeout finds idle. */
-	constructor(server: Server) {
-		server.on('secureConnection' in server ? 'secureConnection' : 'connection', (socket: Socket) => {
+	constructor(private readonly server: Server) {
+		server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => {
 			this.add(socket);
 		});
 		// With a listener, the server leaves the closing of connections that time out to it.
@@ -27,13 +30,24 @@
 		});
 	}
 
-	/** Records that the head of a request was read. */
-	recordRequest(socket: Socket): void {
-		const connection = this.connections.get(socket);
-		if (connection !== undefined) {
-			connection.requests += 1;
-			connection.handledBytes = socket.bytesRead;
-		}
+	/** Number of requests whose answers are not written yet. */
+	get inFlight(): number {
+		return this.requestCount;
+	}
+
+	/** Records that the head of a request was read; it is in flight until its answer is written or its connection closed. */
+	recordRequest({socket}: IncomingMessage, res: ServerResponse): void {
+		const connection = this.connections.get(socket) ?? this.add(socket);
+		connection.requests += 1;
+		connection.handledBytes = socket.bytesRead;
+		this.requestCount += 1;
+		res.once('close', () => {
+			connection.requests -= 1;
+			this.requestCount -= 1;
+			if (this.requestCount === 0) {
+				this.onIdle?.();
+			}
+		});
 	}
 
 	/** Records that the body of a request was read. */
@@ -44,16 +58,25 @@
 		}
 	}
 
-	/** Records that an answer was written, or its connection closed. */
-	recordAnswer(socket: Socket): void {
-		const connection = this.connections.get(socket);
-		if (connection !== undefined) {
-			connection.requests -= 1;
+	/** Closes the port when the connections that wait there are accepted; they would be reset. */
+	async closePort(): Promise<void> {
+		await readArrived();
+		// The method of the HTTP server would close idle connections, on which requests may be on their way.
+		NetServer.prototype.close.call(this.server);
+	}
+
+	/** Closes idle connections and waits until the requests in flight are answered. */
+	async drain(): Promise<void> {
+		await this.closeIdle();
+		if (this.requestCount > 0) {
+			await new Promise<void>(resolve => {
+				this.onIdle = resolve;
+			});
 		}
 	}
 
 	/** Closes the connections on which no request has arrived that is not answered, also those that were not used. */
-	async closeIdle(): Promise<void> {
+	private async closeIdle(): Promise<void> {
 		await readArrived();
 		for (const [socket, {requests, handledBytes}] of this.connections) {
 			if (requests === 0 && socket.bytesRead === handledBytes) {
@@ -72,16 +95,18 @@
 		}
 	}
 
-	private add(socket: Socket): void {
-		this.connections.set(socket, {requests: 0, handledBytes: socket.bytesRead});
+	private add(socket: Socket): Connection {
+		const connection = {requests: 0, handledBytes: socket.bytesRead};
+		this.connections.set(socket, connection);
 		socket.once('close', () => {
 			this.connections.delete(socket);
 		});
+		return connection;
 	}
 }
 
 /** Resolves after everything that has arrived was read: reads of one turn of the event loop come after its timers. */
-export async function readArrived(): Promise<void> {
+async function readArrived(): Promise<void> {
 	await nextTurn();
 	await nextTurn();
 }
--- a/packages/router/src/entry/internal-server.ts
+++ b/packages/router/src/entry/internal-server.ts
@@ -7,6 +7,7 @@
 import {
 	headerText, forwardableHeaders, type Answer, type Order,
 } from '../work/index.js';
+import {Connections} from './connections.js';
 import {internalHeaders, formatLoad} from './forwarder.js';
 import {closeServer, listen} from './listen.js';
 import {readBody} from './read-body.js';
@@ -27,6 +28,8 @@
 /** HTTP server for orders that other instances forward to this one as the steward of their targets. */
 export class InternalServer {
 	private readonly server: Server | TlsServer;
+	private readonly connections: Connections;
+	private isStopping = false;
 
 	constructor(private readonly options: InternalServerOptions) {
 		const {tls, limits} = options;
@@ -40,6 +43,7 @@
 			: createTlsServer({
 				...common, ...tls, requestCert: true, rejectUnauthorized: true,
 			}, serve);
+		this.connections = new Connections(this.server);
 	}
 
 	/** Starts to listen; resolves to the address with the port that was bound. */
@@ -54,6 +58,18 @@
 		}
 	}
 
+	/** Lets each answer close its connection, so that no order is on its way when the server is closed. */
+	beginStop(): void {
+		this.isStopping = true;
+	}
+
+	/** Stops accepting connections, closes idle ones and waits until the orders in flight are answered. */
+	async drain(): Promise<void> {
+		this.beginStop();
+		await this.connections.closePort();
+		await this.connections.drain();
+	}
+
 	/** Closes the server and all connections. */
 	async stop(): Promise<void> {
 		await closeServer(this.server);
@@ -61,15 +77,16 @@
 
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const target = headerText(req.headers, internalHeaders.target);
+		this.connections.recordRequest(req, res);
 		try {
 			const answer = await this.answer(req, res, target);
-			this.setLoadHeader(res, target);
+			this.prepareAnswer(res, target);
 			res.writeHead(answer.status, {...forwardableHeaders(answer.headers), 'content-length': answer.body.length});
 			res.end(answer.body);
 		} catch (err) {
 			const error = toRequestError(err);
 			if (!res.headersSent) {
-				this.setLoadHeader(res, target);
+				this.prepareAnswer(res, target);
 				res.setHeader(internalHeaders.reason, error.kind);
 			}
 
@@ -88,6 +105,7 @@
 		}
 
 		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: remainingMs});
+		this.connections.recordBody(req.socket);
 		const abort = new AbortController();
 		res.once('close', () => {
 			// After a complete answer there is nothing to abort, so the cost of aborting is avoided.
@@ -114,7 +132,11 @@
 		return stewardExecutor.handle(target, order);
 	}
 
-	private setLoadHeader(res: ServerResponse, target: string): void {
+	private prepareAnswer(res: ServerResponse, target: string): void {
+		if (this.isStopping) {
+			res.setHeader('connection', 'close');
+		}
+
 		const load = this.options.stewardExecutor.load(target);
 		if (load !== undefined) {
 			res.setHeader(internalHeaders.load, formatLoad(load));
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -141,7 +141,9 @@
 			this.callerServer.endOpen();
 		}
 
+		this.internalServer.beginStop();
 		await sleep(lingerMs);
+		await Promise.race([this.internalServer.drain(), sleep(timeoutMs)]);
 		await this.close();
 		logger.info('Stopped.');
 	}
