--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -2,21 +2,27 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
 import {ErrorKind, Repeat, RequestError} from '@bluebellyard/core';
 import {Counter, type Counters} from '../metrics/index.js';
 import type {Address, LimitSettings} from '../settings/index.js';
 import {
 	headerText, forwardableHeaders, type Answer, type Order,
 } from '../work/index.js';
+import {Connections} from './connections.js';
 import {listen, closeServer} from './listen.js';
 import {readBody} from './read-body.js';
-import {sendRefusal, toRequestError} from './refusal.js';
+import {sendEarlyRefusal, sendRefusal, toRequestError} from './refusal.js';
 import type {RequestRouter} from './request-router.js';
 
 /** Maximum length of an idempotency key, in characters. */
 const maxRequestIdLength = 200;
 
+/** Kinds that callers are told when the end of a stop has aborted a request, by those of disconnected callers. */
+const endedKinds: Readonly<Partial<Record<ErrorKind, ErrorKind>>> = {
+	[ErrorKind.CallerDisconnected]: ErrorKind.ConnectionLost,
+	[ErrorKind.CallerDisconnectedBeforeSend]: ErrorKind.Stopping,
+};
+
 /** Dependencies of `CallerServer`. */
 export type CallerServerOptions = {
 	readonly router: Pick<RequestRouter, 'match' | 'findShard' | 'run'>;
@@ -27,12 +33,23 @@
 	readonly isReady: () => boolean;
 };
 
+/** A request whose answer is not written yet. */
+type OpenRequest = {
+	readonly abort: AbortController;
+	/** Whether it was given to the router. */
+	isPassedOn: boolean;
+};
+
 /** HTTP server for the requests of callers. */
 export class CallerServer {
 	private readonly server: Server;
+	private readonly connections: Connections;
+	private readonly open = new Set<OpenRequest>();
 	private isStopping = false;
-	private inFlight = 0;
-	private onIdle: (() => void) | undefined;
+	/** Whether requests are refused that are not passed on yet. */
+	private isRefusing = false;
+	/** Time after which no request can be answered. */
+	private endsAt = Infinity;
 
 	constructor(private readonly options: CallerServerOptions) {
 		const {limits} = options;
@@ -44,6 +61,7 @@
 		}, (req, res) => {
 			void this.serve(req, res);
 		});
+		this.connections = new Connections(this.server);
 	}
 
 	/** Starts to listen; resolves to the address with the port that was bound. */
@@ -51,20 +69,38 @@
 		return listen(this.server, addr);
 	}
 
-	/** Stops accepting connections; requests on open ones are still answered, with `connection: close`. */
-	beginStop(): void {
+	/** Number of requests whose answers are not written yet. */
+	get inFlight(): number {
+		return this.connections.inFlight;
+	}
+
+	/** Stops accepting connections; requests on open ones that can be answered by `endsAt` still are, with `connection: close`. */
+	beginStop(endsAt = Infinity): void {
 		this.isStopping = true;
-		// The method of the HTTP server would close idle connections, on which requests may be on their way.
-		NetServer.prototype.close.call(this.server);
+		this.endsAt = endsAt;
+		void this.connections.closePort();
 	}
 
-	/** Closes idle connections and waits for the requests in flight. */
+	/** Closes idle connections and waits until the requests in flight are answered. */
 	async drain(): Promise<void> {
-		this.server.closeIdleConnections();
-		if (this.inFlight > 0) {
-			await new Promise<void>(resolve => {
-				this.onIdle = resolve;
-			});
+		await this.connections.drain();
+	}
+
+	/** Refuses new requests and those that have not arrived completely, as no time is left to run them. */
+	refuseNew(): void {
+		this.isRefusing = true;
+		for (const {abort, isPassedOn} of this.open) {
+			if (!isPassedOn) {
+				abort.abort();
+			}
+		}
+	}
+
+	/** Ends the requests that are still running; their callers are told whether they may have run. */
+	endOpen(): void {
+		this.refuseNew();
+		for (const {abort} of this.open) {
+			abort.abort();
 		}
 	}
 
@@ -76,35 +112,47 @@
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {counters} = this.options;
 		counters.count(Counter.Requests);
-		this.inFlight += 1;
+		const request = this.track(req, res);
 		if (this.isStopping) {
 			res.setHeader('connection', 'close');
 		}
 
 		try {
-			const answer = await this.answer(req, res);
+			const answer = await this.answer(req, res, request);
 			counters.count(Counter.Answers);
 			this.send(res, answer);
 		} catch (err) {
-			const error = toRequestError(err);
+			const error = this.toAnsweredError(req, toRequestError(err));
 			counters.countRefusal(error.kind);
-			this.closeIfBodyUnread(req, res);
-			sendRefusal(res, error);
-		} finally {
-			this.inFlight -= 1;
-			if (this.inFlight === 0) {
-				this.onIdle?.();
-			}
+			await this.refuse(req, res, error);
 		}
 	}
 
-	private async answer(req: IncomingMessage, res: ServerResponse): Promise<Answer> {
+	/** Adds a request until its answer is written or its connection closed. */
+	private track(req: IncomingMessage, res: ServerResponse): OpenRequest {
+		const request = {abort: new AbortController(), isPassedOn: false};
+		this.open.add(request);
+		this.connections.recordRequest(req, res);
+		res.once('close', () => {
+			this.open.delete(request);
+		});
+		return request;
+	}
+
+	/** Converts the error of a request that the end of a stop aborted to one that its caller is told. */
+	private toAnsweredError({socket}: IncomingMessage, err: RequestError): RequestError {
+		const kind = endedKinds[err.kind];
+		return kind === undefined || !this.isRefusing || socket.destroyed ? err : new RequestError(kind, 'The instance stopped.');
+	}
+
+	private async answer(req: IncomingMessage, res: ServerResponse, request: OpenRequest): Promise<Answer> {
 		const {router, limits, now, isReady} = this.options;
 		if (!isReady()) {
 			throw new RequestError(ErrorKind.NotReady);
 		}
 
 		const arrivedAt = now();
+		this.checkTimeLeft();
 		const method = req.method!;
 		const path = req.url!;
 		const match = router.match(method, path);
@@ -114,9 +162,12 @@
 
 		const {route, pool, key} = match;
 		const requestId = readRequestId(req, route.repeat);
-		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: limits.bodyTimeout});
+		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: limits.bodyTimeout, signal: request.abort.signal});
+		this.checkTimeLeft();
+		this.connections.recordBody(req.socket);
 		const callerTimeoutMs = readCallerTimeout(req, pool.timeout);
-		const abort = new AbortController();
+		request.isPassedOn = true;
+		const {abort} = request;
 		res.once('close', () => {
 			// After a complete answer there is nothing to abort, so the cost of aborting is avoided.
 			if (!res.writableFinished) {
@@ -135,12 +186,19 @@
 			requestId,
 			repeat: route.repeat,
 			caller: headerText(req.headers, 'x-caller') || (req.socket.remoteAddress ?? ''),
-			deadline: arrivedAt + Math.min(callerTimeoutMs, pool.timeout),
+			deadline: Math.min(arrivedAt + Math.min(callerTimeoutMs, pool.timeout), this.endsAt),
 			signal: abort.signal,
 		};
 		return router.run(order);
 	}
 
+	/** Throws when a request can no longer be run and answered before the end of the stop. */
+	private checkTimeLeft(): void {
+		if (this.isRefusing || this.options.now() >= this.endsAt) {
+			throw new RequestError(ErrorKind.Stopping);
+		}
+	}
+
 	private send(res: ServerResponse, answer: Answer): void {
 		if (this.isStopping) {
 			res.setHeader('connection', 'close');
@@ -150,11 +208,18 @@
 		res.end(answer.body);
 	}
 
-	/** Closes the connection when the body was not read completely; the rest of it would be parsed as the next request. */
-	private closeIfBodyUnread(req: IncomingMessage, res: ServerResponse): void {
-		if (!req.complete && !res.headersSent) {
+	private async refuse(req: IncomingMessage, res: ServerResponse, err: RequestError): Promise<void> {
+		if (!req.complete) {
+			const {body, bodyTimeout} = this.options.limits;
+			await sendEarlyRefusal(req, res, err, {maxBytes: body, timeoutMs: bodyTimeout});
+			return;
+		}
+
+		if (this.isStopping && !res.headersSent) {
 			res.setHeader('connection', 'close');
 		}
+
+		sendRefusal(res, err);
 	}
 }
 
