Callers' server: a connection is not closed before the time announced on it

Cause: Node.js announces the idle timeout that applied when the head of the request was read, and starts the one that applies when the answer is written; a configuration in between may shorten it.

--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -301,6 +301,14 @@
 		}) ?? true;
 	}
 
+	/**
+	 * Returns the header by which the caller knows how long it may use the connection. Node.js would announce the timeout
+	 * at the arrival of the request, which may have been shortened since.
+	 */
+	private connectionHeader(isLast: boolean): readonly [string, string] {
+		return isLast ? ['connection', 'close'] : ['keep-alive', `timeout=${Math.floor(this.options.view.limits.idleTimeoutMs / 1000)}`];
+	}
+
 	private send(res: ServerResponse, req: IncomingMessage, result: OrderResult): void {
 		const isLast = this.isStopping || (!req.complete && !(isOverload(result) && hasSmallBody(req)));
 		if (result.kind === 'failure') {
@@ -310,12 +318,13 @@
 				}
 			}
 
+			res.setHeader(...this.connectionHeader(isLast));
 			sendFailure(req, res, result, isLast);
 			return;
 		}
 
 		const {status, headers, body, isFramed} = result.answer;
-		const lines = isLast ? ['connection', 'close'] : [];
+		const lines = [...this.connectionHeader(isLast || !isFramed)];
 		for (const [name, value] of this.options.wire.toCaller(headers)) {
 			lines.push(name, value);
 		}
@@ -325,9 +334,6 @@
 		} else {
 			// The target stated no length, so the answer may be truncated; a length added here would hide that.
 			res.removeHeader('transfer-encoding');
-			if (!isLast) {
-				lines.push('connection', 'close');
-			}
 		}
 
 		// Headers that are set one by one before are copied and looked up several times.
--- a/packages/gateway/src/front/refusal.ts
+++ b/packages/gateway/src/front/refusal.ts
@@ -27,7 +27,7 @@
 	return status === 504 ? status : unknownStatus;
 }
 
-/** Answers a request that no target answered, or closes the connection if the caller left or the headers were sent. `isLast` states that the connection is closed after the answer. */
+/** Answers a request that no target answered, or closes the connection if the caller left or the headers were sent. `isLast` states that the connection is closed after the answer, as a header of `res` says already. */
 export function sendFailure(req: IncomingMessage, res: ServerResponse, result: Pick<FailedResult, 'error' | 'isNotRun' | 'retryAfterMs'>, isLast = false): void {
 	if (result.error === ErrorKind.CallerDisconnected || result.error === ErrorKind.CallerDisconnectedBeforeSend || res.headersSent) {
 		res.destroy();
@@ -41,10 +41,6 @@
 		headers['retry-after'] = (Math.max(50, result.retryAfterMs) / msPerSecond).toFixed(2);
 	}
 
-	if (isLast) {
-		headers.connection = 'close';
-	}
-
 	res.writeHead(status, headers);
 	if (req.complete || !isLast) {
 		res.end(body);
