Stop: other instances get the replies of a steward that ends

Cause: the steward took forwarded requests until its end, and closed its links with replies unwritten and calls unread.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,6 +54,9 @@
 /** Largest sum of the bodies of requests and answers that the process holds, in bytes: one of the largest size, and others beside it. */
 const maxHeldBytes = 96 * 1024 * 1024;
 
+/** Longest time at the end of a stop for the replies to calls of other instances, in milliseconds. */
+const lastRepliesMs = 100;
+
 /** Interval between updates of the gauges, in milliseconds. */
 const gaugeIntervalMs = 1000;
 
@@ -244,7 +247,10 @@
 			leave: () => {
 				this.coordinator.leave();
 			},
-			close: async () => this.close(),
+			close: async () => {
+				await this.net.stop(lastRepliesMs);
+				await this.close();
+			},
 		});
 		this.health = new ProbeServer(async path => path === ports.healthPath
 			? {status: this.isReady ? 200 : 503, type: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -12,7 +12,7 @@
 const stopCheckIntervalMs = 50;
 
 /** Longest time for which the last answers are written, in milliseconds; shorter than what the schedule leaves until the end of the grace period. */
-const lastAnswersMs = 200;
+const lastAnswersMs = 150;
 
 /** Options of a planned stop. */
 export type PlannedStopOptions = {
