--- a/packages/gateway/src/queue/dispatch-queues.test.ts
+++ b/packages/gateway/src/queue/dispatch-queues.test.ts
@@ -34,6 +34,8 @@
 class Harness {
 	readonly view = new View();
 	isReleased = false;
+	/** Whether an order that is passed on can be answered before the process ends. */
+	canAnswer = true;
 	readonly results = new Map<string, OrderResult>();
 	readonly queues: DispatchQueues;
 	private readonly sent: Array<(result: TargetResult) => void> = [];
@@ -72,6 +74,7 @@
 			onCrash: ignore,
 			onAlive: ignore,
 			guard: new CrashGuard(view, clock),
+			stop: {canAnswer: () => this.canAnswer},
 		});
 	}
 
@@ -86,9 +89,13 @@
 
 	/** Runs orders; their results are in `results` once they have ended. */
 	async run(...ids: readonly string[]): Promise<void> {
-		for (const id of ids) {
-			void this.queues.run(queueId, createOrder(id), signal).then(result => {
-				this.results.set(id, result);
+		await this.runOrders(ids.map(id => createOrder(id)));
+	}
+
+	async runOrders(orders: readonly Order[]): Promise<void> {
+		for (const order of orders) {
+			void this.queues.run(queueId, order, signal).then(result => {
+				this.results.set(order.requestId, result);
 			});
 		}
 
@@ -158,3 +165,19 @@
 	});
 	t.like(harness.results.get('sent'), {kind: 'failure', error: ErrorKind.ConnectionLost, isNotRun: false});
 });
+
+test('all waiting orders of a long queue are given back when they can no longer be answered', async t => {
+	const harness = new Harness();
+	const orders = Array.from({length: 2000}, (_, i) => ({
+		...createOrder(`r${i}`), objectiveMs: 1, objectiveAt: 1e6, deadline: 1e7,
+	}));
+	await harness.runOrders(orders);
+	t.is(harness.sentCount, 1);
+	t.is(harness.results.size, 0);
+	harness.canAnswer = false;
+	await harness.answer(refused);
+	const ended = harness.results.size;
+	// A queue with waiting orders keeps its timer, and with it the process.
+	harness.setSteward('e2');
+	t.is(ended, orders.length);
+});
