Stop: it waits for replies to other instances that are being written

The caller of another instance got 502 for a once-only request that its target had answered: the steward stopped while a large answer (40 MB) was on its way over the link.

Cause: the stop waited for its queues and its callers, not for its links.

Change: it also waits, up to its end, while calls of other instances run or replies to them are not written.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -242,6 +242,7 @@
 			callers: this.callers,
 			dispatcher: this.dispatcher,
 			queues: this.queues,
+			net: this.net,
 			clock,
 			telemetry,
 			leave: () => {
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -133,6 +133,11 @@
 		return this.lastNumber;
 	}
 
+	/** Whether calls of the other side run here, or replies are not written yet. */
+	get hasReplies(): boolean {
+		return this.runningCalls.size > 0 || this.socket.writableLength > 0;
+	}
+
 	/** Names the link to the other side. */
 	sendName(name: string): void {
 		this.write({k: FrameKind.Hello, b: name});
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -52,6 +52,11 @@
 		return listen(this.server, host, port);
 	}
 
+	/** Whether calls of other instances run here, or replies to them are not written yet. */
+	get hasReplies(): boolean {
+		return [...this.incoming].some(link => link.hasReplies);
+	}
+
 	/** Calls an operation of the instance at an address. Rejects with a `LinkError`. */
 	async call(addr: string, op: string, value: unknown, options: CallOptions = {}): Promise<unknown> {
 		const reply = await this.exchange(addr, op, {value, bytes: noBytes}, options);
--- a/packages/gateway/src/planned-stop.test.ts
+++ b/packages/gateway/src/planned-stop.test.ts
@@ -24,6 +24,7 @@
 				},
 			},
 			queues: {inFlight: 0, queued: 0},
+			net: {hasReplies: false},
 			clock: systemClock,
 			telemetry: new Telemetry(systemClock),
 			callers: {
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -2,6 +2,7 @@
 import type {Dispatcher} from './dispatch/index.js';
 import type {CallerServer} from './front/index.js';
 import {sleep, waitForPendingReads} from './net/index.js';
+import type {PeerNet} from './peers/index.js';
 import type {DispatchQueues} from './queue/index.js';
 import type {Telemetry} from './telemetry/index.js';
 
@@ -22,6 +23,7 @@
 	readonly callers: Pick<CallerServer, 'beginStop' | 'closeIdle' | 'connectionCount' | 'countConnections' | 'giveUp' | 'inFlight' | 'logOpenRequests'>;
 	readonly dispatcher: Pick<Dispatcher, 'rejectLate'>;
 	readonly queues: Pick<DispatchQueues, 'inFlight' | 'queued'>;
+	readonly net: Pick<PeerNet, 'hasReplies'>;
 	readonly clock: Clock;
 	readonly telemetry: Telemetry;
 	/** Leaves the cluster. */
@@ -54,7 +56,7 @@
 
 	private async runOnce(): Promise<void> {
 		const {
-			schedule, callers, dispatcher, queues, clock, telemetry, graceMs, leave, close,
+			schedule, callers, dispatcher, queues, net, clock, telemetry, graceMs, leave, close,
 		} = this.options;
 		const startedAt = clock.now();
 		telemetry.info('gateway', 'Stopping.', {
@@ -71,7 +73,7 @@
 		await sleep(Math.min(closeIdleDelayMs, (schedule.endsAt - startedAt) / 2));
 		telemetry.info('gateway', 'Closing idle connections of callers.', callers.countConnections());
 		await callers.closeIdle();
-		await this.waitUntil(schedule.endsAt, () => callers.connectionCount + queues.inFlight + queues.queued === 0);
+		await this.waitUntil(schedule.endsAt, () => callers.connectionCount + queues.inFlight + queues.queued === 0 && !net.hasReplies);
 		clearInterval(rejections);
 		// Answers of targets may have arrived while the event loop was late.
 		await waitForPendingReads();
