Dispatch queue: many orders with an obstacle do not overflow the stack

When all orders of a long queue could not be sent, as when a stop made them too late, most of them got no result: with 2000 waiting, 1252 were settled before a RangeError.

Cause: an order with an obstacle freed its slot, which sent the next one, in the same call.

Change: the slot is freed in a microtask.

--- a/packages/gateway/src/queue/dispatch-queue.ts
+++ b/packages/gateway/src/queue/dispatch-queue.ts
@@ -281,7 +281,10 @@
 		const obstacle = this.findObstacle(order, waitMs);
 		if (obstacle !== undefined) {
 			this.settle(request.id, obstacle);
-			this.applyDecision(this.admission.finish(limiter, AttemptOutcome.Cancelled, 1, startedAt));
+			// All orders of a long queue may have an obstacle, and the next one is sent by this call.
+			queueMicrotask(() => {
+				this.applyDecision(this.admission.finish(limiter, AttemptOutcome.Cancelled, 1, startedAt));
+			});
 			return;
 		}
 
