--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {
-	BodyBudget, ErrorKind, priorityOf, Repeat, type Clock, type HostRoute, type StopSchedule,
+	answerSlackMs, BodyBudget, ErrorKind, priorityOf, Repeat, type Clock, type HostRoute, type StopSchedule,
 } from '@bluebellyard/core';
 import {
 	failure, hasReturned, type Dispatcher, type OrderResult,
@@ -28,8 +28,8 @@
 /** Time for which idle connections are kept beyond the limit announced to callers, in milliseconds. */
 const idleSlackMs = 1000;
 
-/** Time after its deadline at which a request is answered even without a result, in milliseconds. */
-const answerSlackMs = 200;
+/** Longest time for which the result of a request that is given up is waited for, in milliseconds; shorter than the time for the last answers. */
+const giveUpMs = 50;
 
 /** Retry delay reported while this instance has no configuration, in milliseconds. */
 const startingRetryMs = 400;
@@ -280,6 +280,9 @@
 			let isGivenUp = false;
 			accepted.open.giveUp = () => {
 				isGivenUp = true;
+				setTimeout(() => {
+					resolve(toStopped(failure(ErrorKind.CallerDisconnected, {isNotRun: false})));
+				}, giveUpMs);
 				abort.abort();
 			};
 
