Stop: all connections that wait to be accepted are, before the port closes

Cause: the event loop accepts one connection in a turn, and the stop waited for two turns.

Change: gateway and router wait until no connection was accepted in two turns, at most a thousand times.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -17,6 +17,9 @@
 /** Time for which a new connection is kept open for its first request, in milliseconds; several round trips of a far caller. */
 const firstRequestMs = 500;
 
+/** Largest number of times that connections are waited for; callers may go on opening them. */
+const maxAcceptTurns = 1000;
+
 type Connection = {
 	/** Monotonic milliseconds. */
 	readonly openedAt: number;
@@ -31,12 +34,23 @@
 /** Open connections of callers. The HTTP server takes a connection on which nothing has arrived for one in the middle of a request, and one whose answer is complete but not written for an idle one. */
 export class CallerConnections {
 	private readonly connections = new Map<Socket, Connection>();
+	private accepted = 0;
 	private readonly clock: Clock;
 
 	constructor(clock: Clock) {
 		this.clock = clock;
 	}
 
+	/** Resolves when all connections that wait to be accepted are, and what has arrived on them is read. */
+	async acceptPending(): Promise<void> {
+		// The event loop accepts one connection in a turn.
+		for (let turns = 0, accepted = -1; accepted !== this.accepted && turns < maxAcceptTurns; turns += 1) {
+			accepted = this.accepted;
+			// eslint-disable-next-line no-await-in-loop
+			await waitForPendingReads();
+		}
+	}
+
 	/** Number of open connections. */
 	get size(): number {
 		return this.connections.size;
@@ -44,6 +58,7 @@
 
 	/** Adds a connection until it is closed. */
 	add(socket: Socket): void {
+		this.accepted += 1;
 		this.connections.set(socket, {
 			openedAt: this.clock.now(), requests: 0, waiting: [], handledBytes: 0,
 		});
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -126,7 +126,7 @@
 	/** Stops accepting connections, and from now on closes idle ones. Begins the stop if that was not done. */
 	async closeIdle(): Promise<void> {
 		this.beginStop();
-		await waitForPendingReads();
+		await this.connections.acceptPending();
 		// The method of the HTTP server also closes connections whose answer is complete but not written.
 		NetServer.prototype.close.call(this.server);
 		this.connections.closeIdle();
--- a/packages/gateway/src/front/close-idle.test.ts
+++ b/packages/gateway/src/front/close-idle.test.ts
@@ -43,6 +43,32 @@
 socket.on('close', () => store(status));
 `;
 
+/** Worker script: opens connections, counts the requests sent on them in `flag`, and posts how many were answered. */
+const newCallers = `
+const {parentPort, workerData: {port, count, flag}} = require('node:worker_threads');
+const {connect} = require('node:net');
+let answered = 0;
+let closed = 0;
+for (let n = 0; n < count; n += 1) {
+	const socket = connect(port, '127.0.0.1', () => {
+		socket.write(\`GET / HTTP/1.1\\r\\nHost: a.example\\r\\nId: n\${n}\\r\\n\\r\\n\`, () => {
+			Atomics.add(flag, 0, 1);
+			Atomics.notify(flag, 0);
+		});
+	});
+	socket.on('data', () => {
+		answered += 1;
+	});
+	socket.on('error', () => undefined);
+	socket.on('close', () => {
+		closed += 1;
+		if (closed === count) {
+			parentPort.postMessage(answered);
+		}
+	});
+}
+`;
+
 /** Starts a server whose dispatcher answers paths that begin with /large with a large body, and others with a small one. */
 async function startServer(t: ExecutionContext): Promise<{readonly server: CallerServer; readonly port: number}> {
 	const view = createConfiguredView();
@@ -139,6 +165,22 @@
 	t.is(await status, 200);
 });
 
+test('requests on connections that wait to be accepted are answered before the port is closed', async t => {
+	const {server, port} = await startServer(t);
+	const flag = new Int32Array(new SharedArrayBuffer(4));
+	const worker = new Worker(newCallers, {eval: true, workerData: {port, count: 10, flag}});
+	await once(worker, 'online');
+	await nextTurn();
+	// Blocks this thread until all requests are sent.
+	while (Atomics.load(flag, 0) < 10) {
+		Atomics.wait(flag, 0, Atomics.load(flag, 0), 100);
+	}
+
+	await server.closeIdle();
+	const [answered] = await once(worker, 'message') as [number];
+	t.is(answered, 10);
+});
+
 test('a request that waits to be read is answered although the idle timeout of its connection has passed', async t => {
 	const {port} = await startServer(t);
 	const {block, status} = await startBlockingCaller(port);
--- a/packages/router/src/entry/connections.ts
+++ b/packages/router/src/entry/connections.ts
@@ -3,6 +3,9 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Server as TlsServer} from 'node:tls';
 
+/** Largest number of times that connections are waited for; callers may go on opening them. */
+const maxAcceptTurns = 1000;
+
 type Connection = {
 	/** Requests whose answers are not written yet. */
 	requests: number;
@@ -17,6 +20,7 @@
 export class Connections {
 	private readonly connections = new Map<Socket, Connection>();
 	private requestCount = 0;
+	private accepted = 0;
 	private onIdle: (() => void) | undefined;
 
 	/** Tracks the connections of `server`, and closes those that its timeout finds idle. */
@@ -60,7 +64,13 @@
 
 	/** Closes the port when the connections that wait there are accepted; they would be reset. */
 	async closePort(): Promise<void> {
-		await readArrived();
+		// The event loop accepts one connection in a turn.
+		for (let turns = 0, accepted = -1; accepted !== this.accepted && turns < maxAcceptTurns; turns += 1) {
+			accepted = this.accepted;
+			// eslint-disable-next-line no-await-in-loop
+			await readArrived();
+		}
+
 		// The method of the HTTP server would close idle connections, on which requests may be on their way.
 		NetServer.prototype.close.call(this.server);
 	}
@@ -96,6 +106,7 @@
 	}
 
 	private add(socket: Socket): Connection {
+		this.accepted += 1;
 		const connection = {requests: 0, handledBytes: socket.bytesRead};
 		this.connections.set(socket, connection);
 		socket.once('close', () => {
