Tests: crowds of callers outside the limits, at all ports of a process

What callers may see: processes that end at their heap limit, exceed the memory of their machine, have no descriptor left or answer nobody, beside callers that send ahead, read nothing, stop short or send tiny chunks.

The tests start the system's own processes with lowered limits, one test at a time, after all others (ava.crowds.config.js). They check that a process lives, its peak of resident memory, its sockets, and one ordinary answer while the crowd is there and after it has left. Bounds: the memory that the settings give, and the descriptors less the 200 that the machines keep for files. Settings of a section [process] are unknown to the present code, which ignores them.

--- a/ava.config.js
+++ b/ava.config.js
@@ -7,7 +7,7 @@
 
 /** The tests run from the compiled output of each package. */
 const config = {
-	files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js', 'scripts/*.test.mjs'],
+	files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js', 'scripts/*.test.mjs', '!**/crowds/**'],
 	timeout: '120s',
 	workerThreads: false,
 	environmentVariables: {TEST_OUTPUT_DIR: outputDir},
--- a/packages/router/src/mocks/instance-process.ts
+++ b/packages/router/src/mocks/instance-process.ts
@@ -19,12 +19,12 @@
 	readonly exited: Promise<number | null>;
 };
 
-/** Starts the daemon with the given settings text; kills it at the end of the test. */
-export async function startInstanceProcess(t: ExecutionContext, settings: string): Promise<InstanceProcess> {
+/** Starts the daemon with the given settings text and options of Node.js; kills it at the end of the test. */
+export async function startInstanceProcess(t: ExecutionContext, settings: string, nodeOptions: readonly string[] = []): Promise<InstanceProcess> {
 	const folder = mkdtempSync(join(tmpdir(), 'bluebellyard-'));
 	const file = join(folder, 'settings.ini');
 	writeFileSync(file, settings);
-	const child = spawn(process.execPath, [script, '--settings', file], {stdio: ['ignore', 'pipe', 'ignore']});
+	const child = spawn(process.execPath, [...nodeOptions, script, '--settings', file], {stdio: ['ignore', 'pipe', 'ignore']});
 	const exited = new Promise<number | null>(resolve => {
 		child.once('exit', resolve);
 	});
--- /dev/null
+++ b/packages/standins/src/crowd/index.ts
@@ -0,0 +1,2 @@
+export * from './crowd.js';
+export * from './process-use.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './crowd/index.js';
 export * from './host/index.js';
 export * from './log/index.js';
 export * from './membership/index.js';
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,5 +1,5 @@
 /**
- * Runs all tests. A failed test that KNOWN-RED.txt lists under `test:` is printed
+ * Runs all tests: first those that may run beside each other, then those of `ava.crowds.config.js`. A failed test that KNOWN-RED.txt lists under `test:` is printed
  * and ignored; any other failure fails the run. What failed tests and their child
  * processes wrote stays in a directory of its own under `.test-output`.
  */
@@ -18,27 +18,35 @@
 import {readTap} from './tap.mjs';
 
 const knownRedFile = 'KNOWN-RED.txt';
-const tapFile = 'tap.txt';
 
 const outputDir = path.resolve('.test-output', new Date().toISOString().replaceAll(':', '-'));
 mkdirSync(outputDir, {recursive: true});
 
-const runner = spawn('npx', ['ava', '--tap'], {
-	stdio: ['ignore', 'pipe', 'inherit'],
-	env: {...process.env, TEST_OUTPUT_DIR: outputDir},
-});
-const closed = once(runner, 'close');
-runner.stdout.pipe(createWriteStream(path.join(outputDir, tapFile)));
-
 const results = [];
-for await (const result of readTap(createInterface({input: runner.stdout}))) {
-	results.push(result);
-	if (!result.isOk) {
-		console.log(result.lines.join('\n'));
+
+/** Runs the tests of a configuration and adds their results; resolves to the exit code. */
+async function runTests(tapFile, options) {
+	const runner = spawn('npx', ['ava', '--tap', ...options], {
+		stdio: ['ignore', 'pipe', 'inherit'],
+		env: {...process.env, TEST_OUTPUT_DIR: outputDir},
+	});
+	const closed = once(runner, 'close');
+	runner.stdout.pipe(createWriteStream(path.join(outputDir, tapFile)));
+	for await (const result of readTap(createInterface({input: runner.stdout}))) {
+		results.push(result);
+		if (!result.isOk) {
+			console.log(result.lines.join('\n'));
+		}
 	}
+
+	const [exitCode] = await closed;
+	return exitCode;
 }
 
-const [exitCode] = await closed;
+const exitCodes = [
+	await runTests('tap.txt', []),
+	await runTests('crowds.tap.txt', ['--config', 'ava.crowds.config.js']),
+];
 const knownRed = readKnownRed(knownRedFile);
 const failures = results.filter(({isOk}) => !isOk);
 
@@ -62,4 +70,4 @@
 }
 
 console.log(`${results.length - failures.length} passed, ${failures.length} failed`);
-process.exitCode = isPassed(knownRed, results, exitCode) ? 0 : 1;
+process.exitCode = exitCodes.every(exitCode => isPassed(knownRed, results, exitCode)) ? 0 : 1;
