Gateway: one account of what callers make a process hold

What callers saw: processes that end at their heap limit or take more memory than their machine has, and no answer while a crowd of others sends bodies in small chunks or keeps silent connections.

Cause: what was bounded was not what is held. The budget of bodies counted from 64 KiB on, gave nothing up once all bodies were complete, and ended before an answer was written. Requests that wait behind unanswered ones, connections, heads, and the answers of the health and metrics addresses were in no sum; a body that stands still was kept for ever; nothing bounded connections by the descriptors, nor the time that small chunks take.

Nothing is read from a connection on which more than 8 requests wait (ReadPause), connections in small chunks take turns (ChunkTurns), bodies that stand still get 408 at their deadline, heads have the configured limit and are checked each half second. Beyond its share of the descriptors a new connection replaces one that is unused, incomplete or idle. Limits follow from [process] memory and descriptors, which the deploy file fills in.

Why one commit: one account is the fix; each part alone moves what is held to another place.

--- a/packages/core/src/bytes/body-buffer.ts
+++ b/packages/core/src/bytes/body-buffer.ts
@@ -16,6 +16,8 @@
 	private block: Buffer | undefined;
 	private filled = 0;
 	private size = 0;
+	/** Stated length of a large body; 0 if it is not known. */
+	private expectedBytes = 0;
 
 	/** Number of bytes collected. */
 	get length(): number {
@@ -27,9 +29,25 @@
 		return this.blocks.length + (this.block === undefined ? 0 : 1);
 	}
 
+	/**
+	 * States the length of the body before its first chunk. A large one is then collected in one block: chunks that are kept
+	 * are freed by a full garbage collection only, and joining them takes as much memory again.
+	 */
+	expect(length: number): void {
+		this.expectedBytes = length > blockBytes ? length : 0;
+	}
+
 	/** Appends a chunk. The caller must not change it afterwards. */
 	append(chunk: Uint8Array): void {
 		const isFirst = this.size === 0;
+		if (this.expectedBytes > 0 && this.size + chunk.length <= this.expectedBytes && (isFirst || this.block !== undefined)) {
+			this.block ??= Buffer.allocUnsafeSlow(this.expectedBytes);
+			this.block.set(chunk, this.filled);
+			this.filled += chunk.length;
+			this.size += chunk.length;
+			return;
+		}
+
 		this.size += chunk.length;
 		const fits = this.block !== undefined && this.filled + chunk.length <= blockBytes;
 		// Most bodies have one chunk, which is kept without a copy.
@@ -64,6 +82,7 @@
 		this.block = undefined;
 		this.filled = 0;
 		this.size = 0;
+		this.expectedBytes = 0;
 	}
 
 	private closeBlock(): void {
@@ -71,6 +90,7 @@
 			this.blocks.push(this.block.subarray(0, this.filled));
 			this.block = undefined;
 			this.filled = 0;
+			this.expectedBytes = 0;
 		}
 	}
 }
--- a/packages/core/src/bytes/index.ts
+++ b/packages/core/src/bytes/index.ts
@@ -1,2 +1,2 @@
-export * from './body-budget.js';
+export * from './memory-budget.js';
 export * from './body-buffer.js';
--- a/packages/core/src/bytes/body-budget.test.ts
+++ b/packages/core/src/bytes/memory-budget.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import {BodyBudget} from './body-budget.js';
+import {MemoryBudget} from './memory-budget.js';
 
 const mb = 1024 * 1024;
 
 // Guards against a process that is ended for its memory, as each of several bodies is below the limit of one.
 test('over the limit the largest incomplete body is given up', t => {
-	const budget = new BodyBudget(10 * mb);
+	const budget = new MemoryBudget(10 * mb);
 	const evicted: string[] = [];
 	const [small, large, complete] = ['small', 'large', 'complete'].map(name => budget.open(() => {
 		evicted.push(name);
@@ -25,7 +25,7 @@
 });
 
 test('beside complete bodies that fill the budget a growing one is given up', t => {
-	const budget = new BodyBudget(10 * mb);
+	const budget = new MemoryBudget(10 * mb);
 	let evictions = 0;
 	const onEvict = () => {
 		evictions += 1;
--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
-import type {Clock} from '@bluebellyard/core';
+import type {BudgetShare, Clock, MemoryBudget} from '@bluebellyard/core';
+import {PauseReason, ReadPause} from '@bluebellyard/http-client';
 import {waitForPendingReads} from '../net/index.js';
 
 /** What a connection of a caller is used for. */
@@ -20,7 +21,25 @@
 /** Largest number of times that connections are waited for; callers may go on opening them. */
 const maxAcceptTurns = 1000;
 
+/** Number of requests that wait on a connection from which nothing more is read from it; its end is not noticed then. */
+const maxWaiting = 8;
+
+/** Memory that counts for an open connection with its parser, in bytes. */
+const connectionBytes = 8192;
+
+/** Memory that counts for a request that is not answered, in bytes: a head of the usual limit. */
+const requestBytes = 16_384;
+
+/** Memory that counts for a connection from which nothing is read, in bytes: what the system may hold for it. */
+const unreadBytes = 65_536;
+
+/** Uses of the connections that are closed for a new one, in this order. */
+const replaceableUses = [ConnectionUse.Unused, ConnectionUse.Receiving, ConnectionUse.Idle];
+
+const lateHeadAnswer = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
 type Connection = {
+	readonly socket: Socket;
 	/** Monotonic milliseconds. */
 	readonly openedAt: number;
 	/** Requests whose answers are not written yet, waiting ones included. */
@@ -29,16 +48,31 @@
 	readonly waiting: Array<() => void>;
 	/** Bytes received by the end of the last request. */
 	handledBytes: number;
+	/** When part of a request was first seen on it, in monotonic milliseconds; undefined if there is none. */
+	receivingSince: number | undefined;
+	readonly pause: ReadPause;
+	/** What the connection and its requests take of the memory, without their bodies and answers. */
+	readonly share: BudgetShare;
+};
+
+/** Options of the connections of a server. */
+export type ConnectionsOptions = {
+	readonly clock: Clock;
+	/** What the connections hold counts towards it. */
+	readonly budget: MemoryBudget;
+	/** Largest number of open connections. */
+	readonly maxConnections: number;
 };
 
 /** Open connections of callers. The HTTP server takes a connection on which nothing has arrived for one in the middle of a request, and one whose answer is complete but not written for an idle one. */
 export class CallerConnections {
+	/** The oldest first. */
 	private readonly connections = new Map<Socket, Connection>();
 	private accepted = 0;
-	private readonly clock: Clock;
+	private readonly options: ConnectionsOptions;
 
-	constructor(clock: Clock) {
-		this.clock = clock;
+	constructor(options: ConnectionsOptions) {
+		this.options = options;
 	}
 
 	/** Resolves when all connections that wait to be accepted are, and what has arrived on them is read. */
@@ -56,15 +90,37 @@
 		return this.connections.size;
 	}
 
-	/** Adds a connection until it is closed. */
+	/** Adds a connection until it is closed. If there are too many, one on which no request runs is closed for it; if there is none, the new one. */
 	add(socket: Socket): void {
 		this.accepted += 1;
-		this.connections.set(socket, {
-			openedAt: this.clock.now(), requests: 0, waiting: [], handledBytes: 0,
-		});
+		if (this.connections.size >= this.options.maxConnections) {
+			const replaced = this.findReplaceable();
+			if (replaced === undefined) {
+				socket.destroy();
+				return;
+			}
+
+			this.drop(replaced);
+		}
+
+		const connection: Connection = {
+			socket,
+			openedAt: this.options.clock.now(),
+			requests: 0,
+			waiting: [],
+			handledBytes: 0,
+			receivingSince: undefined,
+			pause: new ReadPause(socket),
+			share: this.options.budget.open(() => {
+				this.drop(connection);
+			}),
+		};
+		this.connections.set(socket, connection);
 		socket.once('close', () => {
 			this.connections.delete(socket);
+			connection.share.release();
 		});
+		connection.share.update(connectionBytes);
 	}
 
 	/**
@@ -73,28 +129,42 @@
 	 */
 	startInTurn(socket: Socket, start: () => void): void {
 		const connection = this.connections.get(socket);
-		if (connection === undefined || socket.writableEnded) {
+		if (connection === undefined || socket.writableEnded || socket.destroyed) {
 			return;
 		}
 
 		connection.requests += 1;
+		connection.receivingSince = undefined;
 		if (connection.requests === 1) {
+			this.updateShare(connection);
 			start();
-		} else {
-			connection.waiting.push(start);
+			return;
 		}
+
+		connection.waiting.push(start);
+		if (connection.waiting.length > maxWaiting) {
+			connection.pause.add(PauseReason.SentAhead);
+		}
+
+		this.updateShare(connection);
 	}
 
 	/** Records that an answer was written. */
 	recordAnswer(socket: Socket): void {
 		const connection = this.connections.get(socket);
-		if (connection !== undefined) {
-			connection.requests -= 1;
-			connection.handledBytes = socket.bytesRead;
-			if (!socket.writableEnded) {
-				connection.waiting.shift()?.();
-			}
+		if (connection === undefined) {
+			return;
+		}
+
+		connection.requests -= 1;
+		connection.handledBytes = socket.bytesRead;
+		const start = socket.writableEnded ? undefined : connection.waiting.shift();
+		if (connection.waiting.length === 0) {
+			connection.pause.remove(PauseReason.SentAhead);
 		}
+
+		this.updateShare(connection);
+		start?.();
 	}
 
 	/** Records that the rest of a request that is answered was read. */
@@ -105,6 +175,11 @@
 		}
 	}
 
+	/** Returns what stops reading from a connection; undefined if it is closed. */
+	findPause(socket: Socket): ReadPause | undefined {
+		return this.connections.get(socket)?.pause;
+	}
+
 	/** Closes a connection on which nothing arrives any more, unless a request is not answered. */
 	async closeIfSilent(socket: Socket): Promise<void> {
 		const {bytesRead} = socket;
@@ -116,29 +191,100 @@
 
 	/** Closes idle connections, and unused ones that were not opened just now. */
 	closeIdle(): void {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		for (const [socket, connection] of this.connections) {
-			const use = findUse(socket, connection);
+			const use = findUse(connection);
 			if (use === ConnectionUse.Idle || (use === ConnectionUse.Unused && now - connection.openedAt >= firstRequestMs)) {
 				socket.destroy();
 			}
 		}
 	}
 
+	/** Answers 408 on the connections on which part of a head has waited for its rest for longer than `timeoutMs`, and closes them. */
+	async closeLateHeads(timeoutMs: number): Promise<void> {
+		const late = this.countHeads().filter(({since}) => this.options.clock.now() - since > timeoutMs);
+		if (late.length === 0) {
+			return;
+		}
+
+		// The rest may have arrived while the event loop was blocked.
+		await waitForPendingReads();
+		for (const {connection, since} of late) {
+			if (connection.receivingSince === since && findUse(connection) === ConnectionUse.Receiving) {
+				connection.socket.end(lateHeadAnswer);
+			}
+		}
+	}
+
 	/** Returns the number of connections by use. */
 	count(): Record<ConnectionUse, number> {
 		const counts = {
 			[ConnectionUse.Unused]: 0, [ConnectionUse.Idle]: 0, [ConnectionUse.Receiving]: 0, [ConnectionUse.Busy]: 0,
 		};
-		for (const [socket, connection] of this.connections) {
-			counts[findUse(socket, connection)] += 1;
+		for (const connection of this.connections.values()) {
+			counts[findUse(connection)] += 1;
 		}
 
 		return counts;
 	}
+
+	/** Counts the heads that have arrived in part towards the budget; returns their connections and when each was first seen. */
+	private countHeads(): Array<{connection: Connection; since: number}> {
+		const now = this.options.clock.now();
+		const found: Array<{connection: Connection; since: number}> = [];
+		for (const connection of this.connections.values()) {
+			if (findUse(connection) === ConnectionUse.Receiving) {
+				connection.receivingSince ??= now;
+				this.updateShare(connection);
+				found.push({connection, since: connection.receivingSince});
+			} else {
+				connection.receivingSince = undefined;
+			}
+		}
+
+		return found;
+	}
+
+	private updateShare(connection: Connection): void {
+		const {socket, requests, waiting, pause, share, handledBytes} = connection;
+		// While its only request runs, the connection is closed by its caller alone.
+		if (requests === 1 && waiting.length === 0) {
+			share.complete();
+		} else {
+			share.reopen();
+		}
+
+		const unhandledBytes = requests === 0 ? socket.bytesRead - handledBytes : 0;
+		share.update(connectionBytes + (requests * requestBytes) + (pause.isPaused ? unreadBytes : 0) + unhandledBytes);
+	}
+
+	private drop({socket, share}: Connection): void {
+		this.connections.delete(socket);
+		share.release();
+		socket.destroy();
+	}
+
+	/** Returns the oldest connection of the use that is given up first. */
+	private findReplaceable(): Connection | undefined {
+		let found: Connection | undefined;
+		let rank = replaceableUses.length;
+		for (const connection of this.connections.values()) {
+			const use = connection.pause.has(PauseReason.Turn) ? ConnectionUse.Receiving : findUse(connection);
+			const connectionRank = replaceableUses.indexOf(use);
+			if (connectionRank !== -1 && connectionRank < rank) {
+				found = connection;
+				rank = connectionRank;
+				if (rank === 0) {
+					break;
+				}
+			}
+		}
+
+		return found;
+	}
 }
 
-function findUse({bytesRead}: Socket, {requests, handledBytes}: Connection): ConnectionUse {
+function findUse({socket: {bytesRead}, requests, handledBytes}: Connection): ConnectionUse {
 	if (requests > 0) {
 		return ConnectionUse.Busy;
 	}
--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {
-	answerSlackMs, BodyBudget, ErrorKind, priorityOf, Repeat, type Clock, type HostRoute, type StopSchedule,
+	answerSlackMs, MemoryBudget, ErrorKind, priorityOf, Repeat, type Clock, type HostRoute, type StopSchedule,
 } from '@bluebellyard/core';
 import {findPassedOnEnd, CloseDelimitedAnswers} from '@bluebellyard/http-client';
 import {
@@ -16,15 +16,17 @@
 import type {View} from '../view/index.js';
 import {Cancellation, listen, waitForPendingReads} from '../net/index.js';
 import {CallerConnections, type ConnectionUse} from './caller-connections.js';
+import {ChunkTurns} from './chunk-turns.js';
+import {holdAnswer} from './hold-answer.js';
 import {OpenRequests, RequestPhase, type OpenRequest} from './open-requests.js';
 import {OrderBuilder, toTimeout, type AcceptedRequest} from './order-builder.js';
 import type {OverloadCheck} from './overload-check.js';
-import {readBody} from './read-body.js';
+import {memoryRetryMs, readBody} from './read-body.js';
 import {recordOutcome, type Outcome} from './record-outcome.js';
-import {maxRestBytes, sendFailure} from './refusal.js';
+import {hasSmallBody, sendFailure} from './refusal.js';
 
-/** Largest header block that the parser accepts, in bytes; the configured limit is checked separately. */
-const maxHeaderBytes = 65_536;
+/** Interval between checks for heads that arrive too slowly, in milliseconds. */
+const headCheckMs = 500;
 
 /** Time for which idle connections are kept beyond the limit announced to callers, in milliseconds. */
 const idleSlackMs = 1000;
@@ -48,8 +50,10 @@
 	readonly telemetry: Telemetry;
 	/** Admission check of this instance; undefined if it is off. */
 	readonly overload?: Pick<OverloadCheck, 'check'> | undefined;
-	/** Limits the bytes of all bodies held at once; unlimited if undefined. */
-	readonly bodies?: BodyBudget | undefined;
+	/** Limits what is held for callers at once; unlimited if undefined. */
+	readonly budget?: MemoryBudget | undefined;
+	/** Largest number of open connections; unlimited if undefined. */
+	readonly maxConnections?: number;
 	/** The time that is left to the process; undefined if it is not limited. */
 	readonly stop?: Pick<StopSchedule, 'canAnswer' | 'limitDeadline'>;
 	/** Called with the key of each request for a sharded service. */
@@ -60,20 +64,25 @@
 export class CallerServer {
 	private readonly server: Server;
 	private readonly orders: OrderBuilder;
-	private readonly bodies: BodyBudget;
+	private readonly budget: MemoryBudget;
 	private isStopping = false;
 	private readonly requests = new OpenRequests();
 	private readonly connections: CallerConnections;
 	private stopTimer: NodeJS.Timeout | undefined;
 	private isClosingIdle = false;
 	private readonly closeDelimited = new CloseDelimitedAnswers();
+	private readonly turns = new ChunkTurns();
+	private headTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: CallerServerOptions) {
 		this.orders = new OrderBuilder(options);
-		this.connections = new CallerConnections(options.clock);
-		this.bodies = options.bodies ?? new BodyBudget(Number.POSITIVE_INFINITY);
+		this.budget = options.budget ?? new MemoryBudget(Number.POSITIVE_INFINITY);
+		this.connections = new CallerConnections({
+			clock: options.clock, budget: this.budget, maxConnections: options.maxConnections ?? Number.POSITIVE_INFINITY,
+		});
+		// The server checks its own timeouts rarely, and closes connections by them on which requests wait to be read.
 		this.server = createServer({
-			maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true,
+			headersTimeout: 0, requestTimeout: 0, keepAlive: true, noDelay: true,
 		}, (req, res) => {
 			this.receive(req, res);
 		});
@@ -110,6 +119,9 @@
 
 	/** Starts to listen. Resolves to the port. */
 	async start(host: string, port: number): Promise<number> {
+		this.headTimer = setInterval(() => {
+			void this.connections.closeLateHeads(this.options.view.limits.headerTimeoutMs + idleSlackMs);
+		}, headCheckMs);
 		return listen(this.server, host, port);
 	}
 
@@ -153,6 +165,7 @@
 	/** Closes all connections immediately. Those with a part of an answer whose end is that of the connection are reset. */
 	close(): void {
 		clearInterval(this.stopTimer);
+		clearInterval(this.headTimer);
 		this.closeDelimited.reset();
 		this.server.close();
 		this.server.closeAllConnections();
@@ -164,11 +177,12 @@
 	}
 
 	private updateLimits(): void {
-		const {idleTimeoutMs, headerTimeoutMs} = this.options.view.limits;
+		const {idleTimeoutMs, headerBytes} = this.options.view.limits;
+		// New connections take it from the server.
+		Object.assign(this.server, {maxHeaderSize: headerBytes});
 		this.server.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
 		// Replaces the idle timeout, which has a slack of its own, when bytes arrive that begin no request.
 		this.server.timeout = idleTimeoutMs + (2 * idleSlackMs);
-		this.server.headersTimeout = headerTimeoutMs + idleSlackMs;
 	}
 
 	private receive(req: IncomingMessage, res: ServerResponse, expectsContinue = false): void {
@@ -235,7 +249,7 @@
 		}
 
 		open.isTooLate = () => !this.canAnswer(route, headers, open);
-		const rejection = this.rejectTooLate(open) ?? this.options.overload?.check(route, priorityOf(route, team), headers.callerTimeoutMs);
+		const rejection = this.rejectTooLate(open) ?? this.rejectWithoutMemory() ?? this.options.overload?.check(route, priorityOf(route, team), headers.callerTimeoutMs);
 		const outcome = rejection ?? await this.run(req, {
 			headers, route, admitted, open,
 		}, abort);
@@ -247,7 +261,15 @@
 	private async run(req: IncomingMessage, accepted: AcceptedRequest, abort: Cancellation): Promise<Outcome> {
 		const {view} = this.options;
 		const {signal} = abort;
-		const body = await readBody(req, {maxBytes: view.limits.bodyBytes, budget: this.bodies, tooLate: accepted.open.tooLate});
+		const {route, headers, open} = accepted;
+		const body = await readBody(req, {
+			maxBytes: view.limits.bodyBytes,
+			timeoutMs: open.arrivedAt + toTimeout(route, headers) - this.options.clock.now(),
+			budget: this.budget,
+			tooLate: open.tooLate,
+			turns: this.turns,
+			pause: this.connections.findPause(req.socket),
+		});
 		if (!body.isRead) {
 			return {result: signal.aborted ? failure(ErrorKind.CallerDisconnectedBeforeSend, {reason: 'the caller left before its request was read'}) : body.failure};
 		}
@@ -301,6 +323,12 @@
 		return isTooLate?.() === true ? {result: failure(ErrorKind.Stopping, {reason: 'the process ends before the request can be answered'})} : undefined;
 	}
 
+	private rejectWithoutMemory(): Outcome | undefined {
+		return this.budget.isFull
+			? {result: failure(ErrorKind.InstanceBusy, {retryAfterMs: memoryRetryMs, reason: 'what is held for other requests takes too much memory'})}
+			: undefined;
+	}
+
 	private canAnswer(route: HostRoute, headers: CallerHeaders, {arrivedAt}: OpenRequest): boolean {
 		return this.options.stop?.canAnswer({
 			route: route.name, objectiveMs: route.objectiveMs, deadline: arrivedAt + toTimeout(route, headers), isOnce: route.repeat === Repeat.Once,
@@ -330,6 +358,7 @@
 		}
 
 		const {status, headers, body, framing} = result.answer;
+		holdAnswer(res, body.length, this.budget);
 		const statedLength = headers.find(([name]) => name.toLowerCase() === 'content-length')?.[1];
 		const {length, isClose} = findPassedOnEnd({
 			status, framing, bytes: body.length, statedLength,
@@ -366,8 +395,3 @@
 function isOverload(result: OrderResult): boolean {
 	return result.kind === 'failure' && result.error === ErrorKind.InstanceBusy;
 }
-
-/** Returns whether the body of a request is known to be small; the server discards it after the answer. */
-function hasSmallBody({headers}: IncomingMessage): boolean {
-	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxRestBytes;
-}
--- a/packages/gateway/src/front/body-budget.test.ts
+++ b/packages/gateway/src/front/memory-budget.test.ts
@@ -2,7 +2,7 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import {Buffer} from 'node:buffer';
 import test from 'ava';
-import {BodyBudget, ErrorKind, systemClock} from '@bluebellyard/core';
+import {MemoryBudget, ErrorKind, systemClock} from '@bluebellyard/core';
 import {failure, type Order} from '../dispatch/index.js';
 import {createConfig, PlainWire} from '../mocks/index.js';
 import {TeamAdmission} from '../teams/index.js';
@@ -20,7 +20,7 @@
 	const telemetry = new Telemetry(systemClock);
 	const read: number[] = [];
 	const server = new CallerServer({
-		view, wire: new PlainWire(), bodies: new BodyBudget(1200 * kb), admission: new TeamAdmission({view, metrics: telemetry.metrics}), clock: systemClock, telemetry, dispatcher: {
+		view, wire: new PlainWire(), budget: new MemoryBudget(1200 * kb), admission: new TeamAdmission({view, metrics: telemetry.metrics}), clock: systemClock, telemetry, dispatcher: {
 			async run({body}: Order) {
 				read.push(body.length);
 				return failure(ErrorKind.NoTarget, {});
--- a/packages/gateway/src/front/refusal.ts
+++ b/packages/gateway/src/front/refusal.ts
@@ -14,8 +14,11 @@
 /** Longest time for which the rest of a rejected request is read, in milliseconds; a caller has usually sent it by then. */
 const maxRestMs = 1000;
 
+/** Size below which a chunk is small, in bytes: its own cost is far larger than that of its bytes. */
+export const smallChunkBytes = 128;
+
 /** Largest rest of a rejected request that is read, in bytes; a larger one costs more than a new connection. */
-export const maxRestBytes = 65_536;
+const maxRestBytes = 65_536;
 
 /** Returns the status of a failure. Only a request that certainly has not run gets a status which states so. */
 export function getHttpStatus({error, isNotRun}: Pick<FailedResult, 'error' | 'isNotRun'>): number {
@@ -51,6 +54,11 @@
 	endAfterRest(req, res);
 }
 
+/** Returns whether the body of a request is known to be small; the server discards it after the answer. */
+export function hasSmallBody({headers}: IncomingMessage): boolean {
+	return Number(headers['content-length'] ?? Number.POSITIVE_INFINITY) <= maxRestBytes;
+}
+
 /** Ends an answer when the rest of its request was read: the end closes the connection, and closing it with unread data would reset it before the caller has read the answer. */
 function endAfterRest(req: IncomingMessage, res: ServerResponse): void {
 	let bytes = 0;
@@ -61,7 +69,7 @@
 
 	const timer = setTimeout(end, maxRestMs);
 	req.on('data', (chunk: Buffer) => {
-		bytes += chunk.length;
+		bytes += Math.max(chunk.length, smallChunkBytes);
 		if (bytes > maxRestBytes) {
 			end();
 		}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	BodyBudget, ReservationMode, StopSchedule, systemClock, type Clock, type LeaseTiming, type HostRoute, type RetryBudgetCfg,
+	MemoryBudget, ReservationMode, StopSchedule, systemClock, type Clock, type LeaseTiming, type HostRoute,
 } from '@bluebellyard/core';
 import {
 	createUnverifiedRecorder, DispatchQueues, isConnectionRefused, PathChecker, probeConnection, ProbeOutcome, receivesByte, TargetClient,
@@ -25,7 +25,9 @@
 import type {
 	KeyedLog, OperatorFeed, TargetControl, TargetFeed, Wire,
 } from './ports/index.js';
-import {ContactBoundMode, DirectMode, type GatewaySettings} from './settings/index.js';
+import {
+	ContactBoundMode, DirectMode, toProcessLimits, toRetryBudget, type GatewaySettings,
+} from './settings/index.js';
 import {TeamAdmission, TeamRates} from './teams/index.js';
 import {type Telemetry} from './telemetry/index.js';
 import {stewardSlots, View, type NodeInfo} from './view/index.js';
@@ -36,12 +38,6 @@
 /** Timeout of a grant, in milliseconds. */
 const grantTimeoutMs = 500;
 
-/** Smallest number of instances among which the allowed retries are divided; an instance may not know all others yet. */
-const minInstances = 8;
-
-/** Fraction of the allowed retries that the instances use, so that uneven load does not exceed the limit. */
-const retryShareUsed = 0.75;
-
 /** Time since the leader was heard from which it may have named another steward, in milliseconds; it waits at least as long for an instance that does not answer. */
 const stewardContactMs = 1000;
 
@@ -51,9 +47,6 @@
 /** Largest number of list entries per service in a report; each key takes two, itself and its expected run time. */
 const maxReportedEntries = 4000;
 
-/** Largest sum of the bodies of requests and answers that the process holds, in bytes: one of the largest size, and others beside it. */
-const maxHeldBytes = 96 * 1024 * 1024;
-
 /** Longest time at the end of a stop for the replies to calls of other instances, in milliseconds. */
 const lastRepliesMs = 100;
 
@@ -112,9 +105,11 @@
 		};
 		const {self} = this;
 		const random = () => Math.random();
+		const limits = toProcessLimits(cfg.process);
+		const budget = new MemoryBudget(limits.heldBytes);
+		const probeOptions = {clock, budget, maxConnections: limits.probeConnections};
 		this.net = new PeerNet(async (op, message, signal, link) => this.handleCall(op as PeerOp, message, signal, link), clock, addr => this.isFar(addr));
-		const bodies = new BodyBudget(maxHeldBytes);
-		this.client = new TargetClient(ports.wire, clock, {localAddress: cfg.targets['local-address'], bodies, onUnverified: createUnverifiedRecorder(telemetry)});
+		this.client = new TargetClient(ports.wire, clock, {localAddress: cfg.targets['local-address'], budget, onUnverified: createUnverifiedRecorder(telemetry)});
 		this.coordinator = new Coordinator({
 			...ports,
 			self,
@@ -199,7 +194,7 @@
 			clock,
 			telemetry,
 			random,
-			retryBudget: instances => toBudget(cfg, instances),
+			retryBudget: instances => toRetryBudget(cfg, instances),
 			guard: this.guard,
 			stop,
 			balancing: cfg.balancing.mode,
@@ -225,7 +220,8 @@
 		this.callers = new CallerServer({
 			overload: this.overload,
 			view,
-			bodies,
+			budget,
+			maxConnections: limits.callerConnections,
 			stop,
 			wire: ports.wire,
 			dispatcher: this.dispatcher,
@@ -255,7 +251,7 @@
 		});
 		this.health = new ProbeServer(async path => path === ports.healthPath
 			? {status: this.isReady ? 200 : 503, type: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
-			: undefined);
+			: undefined, probeOptions);
 		const explainer = new RequestExplainer({
 			self,
 			view,
@@ -270,7 +266,7 @@
 			return url.pathname === explainPath
 				? answerExplain(url, query => explainer.explain(query))
 				: {status: 200, type: 'text/plain; version=0.0.4', body: await telemetry.metrics.text()};
-		});
+		}, probeOptions);
 	}
 
 	/** Whether this instance can serve callers. */
@@ -389,9 +385,3 @@
 function toTiming(cfg: GatewaySettings): LeaseTiming {
 	return {leaseMs: Math.min(usualLeaseMs, cfg.keys['hold-max']), transitMs: grantTimeoutMs};
 }
-
-function toBudget({retries}: GatewaySettings, instances: number): RetryBudgetCfg {
-	// Half of the additional retries may be used immediately, the other half accrues over the window.
-	const extra = retries.extra * retryShareUsed / Math.max(minInstances, instances) / 2;
-	return {share: retries.ratio * retryShareUsed, perSecond: extra / (retries.window / 1000), burst: Math.max(1, extra)};
-}
--- a/packages/gateway/src/queue/exchange.ts
+++ b/packages/gateway/src/queue/exchange.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
-import {AttemptOutcome, type BodyBudget, type BudgetShare} from '@bluebellyard/core';
+import {AttemptOutcome, type MemoryBudget, type BudgetShare} from '@bluebellyard/core';
 import {
 	UnverifiedReason, AnswerHandler, UnverifiedAnswerError, type WholeAnswer,
 } from '@bluebellyard/http-client';
@@ -31,7 +31,7 @@
 export type ExchangeOptions = {
 	readonly wire: Wire;
 	/** Answers that are being received count towards it. */
-	readonly bodies: BodyBudget;
+	readonly budget: MemoryBudget;
 	/** Called when something arrived that is not proved to be a whole answer. */
 	readonly onUnverified?: (req: TargetRequest, err: UnverifiedAnswerError) => void;
 };
@@ -43,6 +43,8 @@
 	private controller: Dispatcher.DispatchController | undefined;
 	private isDone = false;
 	private isWritten = false;
+	/** Length of the body that the answer states; 0 without one. */
+	private statedBytes = 0;
 	/** Whether the head of the final answer has arrived. */
 	private hasBegun = false;
 	private meta: TargetHeaders | undefined;
@@ -52,14 +54,14 @@
 	private readonly timer: NodeJS.Timeout;
 	private readonly onAbort: () => void;
 
-	constructor(private readonly req: TargetRequest, {wire, bodies, onUnverified}: ExchangeOptions) {
+	constructor(private readonly req: TargetRequest, {wire, budget, onUnverified}: ExchangeOptions) {
 		super({
 			method: req.method, id: req.requestId, idHeader: wire.requestIdHeader, mayEndWithConnection: true,
 		});
 		this.wire = wire;
 		this.onUnverified = onUnverified;
-		this.share = bodies.open(() => {
-			this.fail(AttemptOutcome.Broken, 'the bodies of requests and answers take too much memory');
+		this.share = budget.open(() => {
+			this.fail(AttemptOutcome.Broken, 'what is held for requests and answers takes too much memory');
 		});
 		let resolve: (result: TargetResult) => void = () => undefined;
 		this.result = new Promise(done => {
@@ -106,6 +108,11 @@
 		}
 
 		this.meta = meta;
+		const stated = Number(headers['content-length'] ?? 0);
+		if (stated <= maxAnswerBytes) {
+			this.statedBytes = stated;
+			this.share.update(stated);
+		}
 	}
 
 	protected override handleProgress(bytes: number): void {
@@ -114,7 +121,7 @@
 			return;
 		}
 
-		this.share.update(bytes);
+		this.share.update(Math.max(bytes, this.statedBytes));
 		if (bytes > maxAnswerBytes) {
 			this.fail(AttemptOutcome.Broken, 'the answer is too large');
 		}
--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -2,7 +2,7 @@
  * Sends single requests to targets and classifies their answers.
  */
 import {buildConnector} from 'undici';
-import {AttemptOutcome, BodyBudget, type Clock} from '@bluebellyard/core';
+import {AttemptOutcome, MemoryBudget, type Clock} from '@bluebellyard/core';
 import {TrackedClient} from '@bluebellyard/http-client';
 import type {Wire} from '../ports/index.js';
 import {Exchange, type ExchangeOptions} from './exchange.js';
@@ -24,7 +24,7 @@
 const maxHeaderBytes = 65_536;
 
 /** Further options of a client. */
-export type TargetClientOptions = Partial<Pick<ExchangeOptions, 'bodies' | 'onUnverified'>> & {
+export type TargetClientOptions = Partial<Pick<ExchangeOptions, 'budget' | 'onUnverified'>> & {
 	/** IP address to connect from; the system selects one if it is undefined. */
 	readonly localAddress?: string | undefined;
 };
@@ -46,9 +46,9 @@
 	private readonly exchangeOptions: ExchangeOptions;
 	private readonly connector = buildConnector({timeout: connectTimeoutMs});
 
-	constructor(wire: Wire, clock: Clock, {localAddress, bodies = new BodyBudget(Number.POSITIVE_INFINITY), onUnverified}: TargetClientOptions = {}) {
+	constructor(wire: Wire, clock: Clock, {localAddress, budget = new MemoryBudget(Number.POSITIVE_INFINITY), onUnverified}: TargetClientOptions = {}) {
 		this.localAddress = localAddress;
-		this.exchangeOptions = {wire, bodies, onUnverified};
+		this.exchangeOptions = {wire, budget, onUnverified};
 		this.wire = wire;
 		this.clock = clock;
 	}
--- a/packages/gateway/src/settings/settings.ts
+++ b/packages/gateway/src/settings/settings.ts
@@ -111,6 +111,12 @@
 		/** CPU time in cores below which the instance rejects requests while it is short of it; 0 turns this off. */
 		cores: z.coerce.number().min(0).default(0),
 	}).default({cores: 0}),
+	process: z.object({
+		/** Memory of the process, in MiB; a share of it bounds what is held for callers, targets and other instances. */
+		memory: z.coerce.number().min(64).default(350),
+		/** Number of descriptors that the process may open. */
+		descriptors: z.coerce.number().int().min(256).default(4100),
+	}).default({memory: 350, descriptors: 4100}),
 	shutdown: z.object({
 		/** Time from a stop request until the process is killed, in seconds. */
 		grace: seconds(6),
