Gateway: messages of other instances count towards the memory of the process

What callers saw: a process that takes more memory than its machine has, as frames on the port for other instances are held without a sum; anybody who reaches the port can send them, and so can large requests on their way to the instance of their queue.

Cause: each frame may have 72 MB, and there is no bound on their number. Calls that run and replies that are not sent were not counted either.

Change: both take shares of the process's budget. A body for which there is no memory is dropped as it arrives; the call is answered with a frame that says that it does not run (the caller gets LinkError with isSent false), a dropped reply counts as lost. The link and the calls beside it go on. A large body is written without a copy. Incoming links have a share of the descriptors; a new one replaces one that has not named itself. Files of the link were parted.

--- a/packages/gateway/src/peers/frames.ts
+++ b/packages/gateway/src/peers/frames.ts
@@ -14,6 +14,8 @@
 	readonly value: unknown;
 	/** Body that is sent unchanged; may be empty. */
 	readonly bytes: Buffer;
+	/** Whether the body was dropped on its way, as there is no memory for it. */
+	readonly isDropped?: boolean;
 };
 
 /** Body of a message without one. */
@@ -25,6 +27,9 @@
 /** Largest frame, in bytes; fits a body of 64 MiB with its headers. */
 const maxFrameBytes = 72 * 1024 * 1024;
 
+/** Size from which a body is not copied into its frame, in bytes; a further write costs more than a small copy. */
+const maxCopiedBytes = 16_384;
+
 /** Size of the dictionary of previous heads, in bytes; about two requests. A larger one costs time and hardly improves the compression. */
 const dictionaryBytes = 760;
 
@@ -81,8 +86,8 @@
 	isCompressed = false;
 	private readonly dictionary = new HeadDictionary();
 
-	/** Encodes a message. */
-	encode({value, bytes}: Message): Buffer {
+	/** Encodes a message. Returns what is to be sent; a large body is not copied. */
+	encode({value, bytes}: Message): Buffer[] {
 		const plain = packr.pack(value);
 		const head = this.isCompressed ? this.dictionary.deflate(plain) : plain;
 		const isDeflated = this.isCompressed && isCompressible(bytes);
@@ -91,7 +96,7 @@
 		prefix.writeUInt8((this.isCompressed ? FrameFlag.DeflatedHead : FrameFlag.None) + (isDeflated ? FrameFlag.DeflatedBytes : FrameFlag.None), 0);
 		prefix.writeUInt32BE(head.length, 1);
 		prefix.writeUInt32BE(body.length, 1 + 4);
-		return Buffer.concat([prefix, head, body]);
+		return body.length < maxCopiedBytes ? [Buffer.concat([prefix, head, body])] : [Buffer.concat([prefix, head]), body];
 	}
 }
 
@@ -102,12 +107,46 @@
 	private readonly dictionary = new HeadDictionary();
 	private chunks: Buffer[] = [];
 	private bufferedBytes = 0;
+	/** Prefix and head of a frame whose body is dropped. */
+	private droppedFrame: Buffer | undefined;
+	/** Bytes of that body that have not arrived yet. */
+	private droppedBytes = 0;
+
+	/** Number of bytes that are held for a frame that is not complete. */
+	get heldBytes(): number {
+		return this.bufferedBytes;
+	}
+
+	/** Drops the body of the frame that is not complete. Returns whether it could: its head must have arrived. */
+	dropBody(): boolean {
+		if (this.droppedFrame !== undefined || this.bufferedBytes < prefixBytes) {
+			return false;
+		}
+
+		const prefix = this.peek(prefixBytes);
+		const end = prefixBytes + prefix.readUInt32BE(1);
+		if (this.bufferedBytes < end) {
+			return false;
+		}
+
+		this.droppedBytes = end + prefix.readUInt32BE(1 + 4) - this.bufferedBytes;
+		this.droppedFrame = Buffer.from(this.peek(end));
+		this.droppedFrame.writeUInt8(this.droppedFrame.readUInt8(0) % FrameFlag.DeflatedBytes, 0);
+		this.droppedFrame.writeUInt32BE(0, 1 + 4);
+		this.chunks = [];
+		this.bufferedBytes = 0;
+		return true;
+	}
 
 	/** Appends received bytes and returns the messages that are now complete. Throws a `RangeError` if the bytes are not a frame. */
 	push(chunk: Buffer): Message[] {
-		this.chunks.push(chunk);
-		this.bufferedBytes += chunk.length;
 		const messages: Message[] = [];
+		const rest = this.skipDropped(chunk, messages);
+		if (rest.length > 0) {
+			this.chunks.push(rest);
+			this.bufferedBytes += rest.length;
+		}
+
 		for (let message = this.next(); message !== undefined; message = this.next()) {
 			messages.push(message);
 		}
@@ -115,6 +154,25 @@
 		return messages;
 	}
 
+	/** Skips what belongs to a dropped body, and adds its message when all of it has arrived. Returns the bytes after it. */
+	private skipDropped(chunk: Buffer, messages: Message[]): Buffer {
+		const frame = this.droppedFrame;
+		if (frame === undefined) {
+			return chunk;
+		}
+
+		const skipped = Math.min(chunk.length, this.droppedBytes);
+		this.droppedBytes -= skipped;
+		if (this.droppedBytes === 0) {
+			this.droppedFrame = undefined;
+			this.chunks = [frame];
+			this.bufferedBytes = frame.length;
+			messages.push({...this.next()!, isDropped: true});
+		}
+
+		return chunk.subarray(skipped);
+	}
+
 	private next(): Message | undefined {
 		if (this.bufferedBytes < prefixBytes) {
 			return undefined;
--- a/packages/gateway/src/peers/lost-calls.test.ts
+++ b/packages/gateway/src/peers/lost-calls.test.ts
@@ -11,7 +11,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {systemClock} from '@bluebellyard/core';
 import {noBytes} from './frames.js';
-import {LinkError} from './peer-link.js';
+import {LinkError} from './link-error.js';
 import {PeerNet} from './peer-net.js';
 
 /** Forwards connections, and can keep what is sent on the present ones. */
--- a/packages/gateway/src/peers/peer-link.ts
+++ b/packages/gateway/src/peers/peer-link.ts
@@ -1,72 +1,21 @@
 import type {Socket} from 'node:net';
 import type {Buffer} from 'node:buffer';
-import {Cancellation, waitForPendingReads, type CancelSignal} from '../net/index.js';
+import type {BudgetShare, MemoryBudget} from '@bluebellyard/core';
+import {Cancellation, waitForPendingReads} from '../net/index.js';
 import {
 	FrameReader, FrameWriter, noBytes, type Message,
 } from './frames.js';
+import type {CallHandler, CallOptions, LinkState} from './call-handler.js';
+import {FrameKind, type FrameHead} from './frame-head.js';
+import {LinkError} from './link-error.js';
 import {checkIntervalMs, type CheckedLink, type SilenceChecks} from './silence-checks.js';
 
-/** Kinds of frames on a link. */
-enum FrameKind {
-	Call = 1,
-	Reply = 2,
-	Cancel = 3,
-	Probe = 4,
-	ProbeReply = 5,
-	/** Names the link; the first frame of the side that opened it. */
-	Hello = 6,
-	/** The sender runs no further calls: `n` is the number of the last one that it runs. */
-	Stop = 7,
-}
-
-type FrameHead = {
-	readonly k: FrameKind;
-	/** Number of the call on this link. */
-	readonly n?: number;
-	/** Name of the called operation. */
-	readonly op?: string;
-	/** Arguments or result. */
-	readonly b?: unknown;
-};
-
 /** Time without received data, while calls are open, after which the other side is probed, in milliseconds; a few round trips on a bad link. */
 const probeAfterMs = 250;
 
 /** Time without received data after which the link is closed, in milliseconds; two lost packets are retransmitted within it. */
 const closeAfterMs = 900;
 
-/** Thrown when a call gets no reply. */
-export class LinkError extends Error {
-	override readonly name = 'LinkError';
-
-	/** `isSent` states whether the other side may have received the call; `ask` finds out whether it has. */
-	constructor(message: string, readonly isSent: boolean, private readonly ask?: () => Promise<boolean>) {
-		super(message);
-	}
-
-	/** Resolves to whether the other side has received the call, or may still receive it; also true if it can't be asked. */
-	async wasReceived(): Promise<boolean> {
-		return this.isSent && (await this.ask?.() ?? true);
-	}
-}
-
-/** Tells when a link is lost, also after a call that came over it has been answered. */
-export type LinkState = {
-	/** Calls a function once when the link is lost; at once if it is lost already. Returns a function that withdraws it. */
-	readonly whenDown: (listener: () => void) => () => void;
-};
-
-/** Handles a call of another instance. `signal` aborts when the caller cancels the call or the link closes before it is answered. */
-export type CallHandler = (op: string, message: Message, signal: CancelSignal, link: LinkState) => Promise<Message>;
-
-/** Conditions that cancel a call. The timeout is a plain timer, since `AbortSignal.timeout` costs more than the rest of a call. */
-export type CallOptions = {
-	/** Aborts when the reply is no longer needed. */
-	readonly signal?: CancelSignal;
-	/** Longest wait for the reply, in milliseconds. */
-	readonly timeoutMs?: number;
-};
-
 type OpenCall = {
 	readonly resolve: (reply: Message) => void;
 	readonly reject: (err: LinkError) => void;
@@ -74,6 +23,8 @@
 
 /** Options of a link. */
 export type PeerLinkOptions = {
+	/** What is received and not complete, or not sent yet, counts towards it. */
+	readonly budget: MemoryBudget;
 	/** Called when the other side runs no further calls. */
 	readonly onStop?: (link: PeerLink) => void;
 	/** Called once when the link is lost. */
@@ -103,6 +54,8 @@
 	/** Name that the other side gave the link; undefined if this side opened it. */
 	private givenName: string | undefined;
 	private lastNumber = 0;
+	private readonly receivedShare: BudgetShare;
+	private readonly unsentShare: BudgetShare;
 
 	constructor(
 		private readonly socket: Socket,
@@ -111,6 +64,13 @@
 		private readonly options: PeerLinkOptions,
 	) {
 		this.receivedAt = checks.clock.now();
+		this.receivedShare = options.budget.open(() => {
+			if (!this.reader.dropBody()) {
+				this.shutDown('no memory for what was received');
+			}
+		});
+		this.unsentShare = options.budget.open(() => undefined);
+		this.unsentShare.complete();
 		socket.setNoDelay(true);
 		socket.on('data', (chunk: Buffer) => {
 			this.receive(chunk);
@@ -251,13 +211,37 @@
 					return;
 				}
 
-				this.handleFrame(message.value as FrameHead, message.bytes);
+				this.handleMessage(message);
 			}
+
+			this.receivedShare.update(this.reader.heldBytes);
 		} catch (err) {
 			this.shutDown(`invalid frame: ${String(err)}`);
 		}
 	}
 
+	private handleMessage({value, bytes, isDropped = false}: Message): void {
+		const frame = value as FrameHead;
+		if (!isDropped) {
+			this.handleFrame(frame, bytes);
+			return;
+		}
+
+		const number = frame.n ?? 0;
+		if (frame.k === FrameKind.Call) {
+			this.lastNumber = Math.max(this.lastNumber, number);
+			this.write({k: FrameKind.Reject, n: number});
+		} else {
+			this.rejectCall(number, new LinkError('no memory for the reply', true));
+		}
+	}
+
+	private rejectCall(number: number, err: LinkError): void {
+		const call = this.openCalls.get(number);
+		this.openCalls.delete(number);
+		call?.reject(err);
+	}
+
 	private handleFrame(frame: FrameHead, bytes: Buffer): void {
 		const number = frame.n ?? 0;
 		switch (frame.k) {
@@ -301,12 +285,20 @@
 				this.handleStop(number);
 				break;
 			}
+
+			case FrameKind.Reject: {
+				this.rejectCall(number, new LinkError('the other side has no memory for the call', false));
+				break;
+			}
 		}
 	}
 
 	private async run(number: number, op: string, message: Message): Promise<void> {
 		const abort = new Cancellation();
 		this.runningCalls.set(number, abort);
+		const share = this.options.budget.open(() => undefined);
+		share.complete();
+		share.update(message.bytes.length);
 		// If the event loop lags, the other side may have cancelled the call already.
 		await waitForPendingReads();
 		try {
@@ -318,6 +310,7 @@
 			this.writer.isCompressed = this.reader.isCompressed;
 			this.write({k: FrameKind.Reply, n: number, b: value}, bytes);
 		} finally {
+			share.release();
 			this.runningCalls.delete(number);
 			this.endIfAnswered();
 		}
@@ -346,10 +339,20 @@
 	private write(head: FrameHead, bytes: Buffer = noBytes): void {
 		// A write after the end destroys the connection with the replies that are not sent yet.
 		if (!this.isDown && !this.socket.writableEnded) {
-			this.socket.write(this.writer.encode({value: head, bytes}));
+			this.socket.cork();
+			for (const part of this.writer.encode({value: head, bytes})) {
+				this.socket.write(part, this.countUnsent);
+			}
+
+			this.socket.uncork();
+			this.countUnsent();
 		}
 	}
 
+	private readonly countUnsent = (): void => {
+		this.unsentShare.update(this.isDown ? 0 : this.socket.writableLength);
+	};
+
 	private startChecks(): void {
 		if (!this.isChecked) {
 			this.isChecked = true;
@@ -365,6 +368,8 @@
 
 		this.isDown = true;
 		this.socket.destroy();
+		this.receivedShare.release();
+		this.unsentShare.release();
 		const {countReceived} = this.options;
 		for (const [number, call] of this.openCalls) {
 			call.reject(new LinkError(reason, true, countReceived && (async () => {
@@ -386,8 +391,3 @@
 		this.options.onDown(this);
 	}
 }
-
-/** Returns whether an error of a call to another instance proves that the call was not sent. */
-export function isUnsent(err: unknown): boolean {
-	return err instanceof LinkError && !err.isSent;
-}
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -2,12 +2,12 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
-import type {Clock} from '@bluebellyard/core';
+import {MemoryBudget, type Clock} from '@bluebellyard/core';
 import {listen, sleep} from '../net/index.js';
 import {noBytes, type Message} from './frames.js';
-import {
-	LinkError, PeerLink, type CallHandler, type CallOptions,
-} from './peer-link.js';
+import {LinkError} from './link-error.js';
+import type {CallHandler, CallOptions} from './call-handler.js';
+import {PeerLink} from './peer-link.js';
 import {SilenceChecks} from './silence-checks.js';
 
 /** Timeout for opening a connection to another instance, in milliseconds. A lost packet is retransmitted after about 200 ms in fast networks and 1 s in slow ones. */
@@ -25,6 +25,16 @@
 /** Largest number of lost links that are remembered; calls on older ones count as received. */
 const maxLostLinks = 512;
 
+/** Options of the connections to other instances. */
+export type PeerNetOptions = {
+	/** Returns whether an address is in another failure domain. */
+	readonly isFar?: (addr: string) => boolean;
+	/** What is held of messages counts towards it. */
+	readonly budget?: MemoryBudget;
+	/** Largest number of connections that other instances may have open here. */
+	readonly maxIncoming?: number;
+};
+
 type Outgoing = {
 	readonly link: Promise<PeerLink>;
 	failedAt: number | undefined;
@@ -39,8 +49,18 @@
 	private readonly server: Server;
 	private readonly checks: SilenceChecks;
 
-	/** `isFar` returns whether an address is in another failure domain. */
-	constructor(private readonly handler: CallHandler, private readonly clock: Clock, private readonly isFar: (addr: string) => boolean = () => false) {
+	private readonly isFar: (addr: string) => boolean;
+	private readonly budget: MemoryBudget;
+	private readonly maxIncoming: number;
+
+	constructor(
+		private readonly handler: CallHandler,
+		private readonly clock: Clock,
+		{isFar = () => false, budget = new MemoryBudget(Number.POSITIVE_INFINITY), maxIncoming = Number.POSITIVE_INFINITY}: PeerNetOptions = {},
+	) {
+		this.isFar = isFar;
+		this.budget = budget;
+		this.maxIncoming = maxIncoming;
 		this.checks = new SilenceChecks(clock);
 		this.server = createServer(socket => {
 			this.accept(socket);
@@ -105,9 +125,21 @@
 	}
 
 	private accept(socket: Socket): void {
+		if (this.incoming.size >= this.maxIncoming) {
+			// Instances name their links at once.
+			const unnamed = [...this.incoming].find(({name}) => name === undefined);
+			if (unnamed === undefined) {
+				socket.destroy();
+				return;
+			}
+
+			unnamed.close();
+		}
+
 		this.incoming.add(new PeerLink(socket, async (op, message, signal, link) => op === endLinkOp
 			? {value: this.endLink(String(message.value)), bytes: noBytes}
 			: this.handler(op, message, signal, link), this.checks, {
+			budget: this.budget,
 			onDown: link => {
 				this.incoming.delete(link);
 				this.recordLost(link);
@@ -197,6 +229,7 @@
 				const name = randomUUID();
 				let received: Promise<number | undefined> | undefined;
 				const link = new PeerLink(socket, this.handler, this.checks, {
+					budget: this.budget,
 					onStop: onUnusable,
 					onDown: onUnusable,
 					countReceived: async () => {
--- a/packages/gateway/src/peers/peers.test.ts
+++ b/packages/gateway/src/peers/peers.test.ts
@@ -6,7 +6,8 @@
 import {systemClock} from '@bluebellyard/core';
 import type {CancelSignal} from '../net/index.js';
 import {FrameReader, FrameWriter, type Message} from './frames.js';
-import {LinkError, type LinkState} from './peer-link.js';
+import type {LinkState} from './call-handler.js';
+import {LinkError} from './link-error.js';
 import {PeerNet} from './peer-net.js';
 
 for (const isCompressed of [false, true]) {
@@ -19,7 +20,7 @@
 		];
 		const writer = new FrameWriter();
 		writer.isCompressed = isCompressed;
-		const bytes = Buffer.concat(messages.map(message => writer.encode(message)));
+		const bytes = Buffer.concat(messages.flatMap(message => writer.encode(message)));
 		for (const size of [1, 3, 7, bytes.length]) {
 			const reader = new FrameReader();
 			const read: Message[] = [];
@@ -52,8 +53,8 @@
 	let [plainBytes, bytes] = [0, 0];
 	for (let n = 0; n < 50; n += 1) {
 		const message = createRequestMessage(n);
-		plainBytes += plain.encode(message).length;
-		bytes += compressed.encode(message).length;
+		plainBytes += Buffer.concat(plain.encode(message)).length;
+		bytes += Buffer.concat(compressed.encode(message)).length;
 	}
 
 	t.true(bytes < plainBytes / 3, `${bytes} of ${plainBytes} bytes`);
--- a/packages/gateway/src/peers/stopped-links.test.ts
+++ b/packages/gateway/src/peers/stopped-links.test.ts
@@ -11,7 +11,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {systemClock} from '@bluebellyard/core';
 import {noBytes, type Message} from './frames.js';
-import {LinkError} from './peer-link.js';
+import {LinkError} from './link-error.js';
 import {PeerNet} from './peer-net.js';
 
 /** Size of a reply that exceeds the buffers of a connection, in bytes. */
