Router: one account of what callers and other instances make it hold

What callers saw: a router process that ends at its heap limit or takes more memory than it may, beside callers that send ahead or stop short.

Cause: the class of the gateway's: bodies had a limit each and no sum, requests sent ahead ran beside each other in any number, answers and connections were not counted.

Change: the servers for callers and for forwarded orders share a MemoryBudget ([limits] held), and reading stops on a connection with more than 8 unanswered requests. Connections of callers have a limit ([limits] callers); a new one replaces an idle one.

Open: the gRPC port of the router is in no sum.

--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -2,7 +2,9 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {ErrorKind, Repeat, RequestError} from '@bluebellyard/core';
+import {
+	ErrorKind, MemoryBudget, Repeat, RequestError,
+} from '@bluebellyard/core';
 import {CloseDelimitedAnswers} from '@bluebellyard/http-client';
 import {Counter, type Counters} from '../metrics/index.js';
 import type {Address, LimitSettings} from '../settings/index.js';
@@ -30,6 +32,8 @@
 	readonly limits: LimitSettings;
 	readonly counters: Counters;
 	readonly now: () => number;
+	/** Memory for what is held, shared with other servers of the instance; one of its own if undefined. */
+	readonly budget?: MemoryBudget;
 	/** Returns whether this instance has loaded the tables that it routes by. */
 	readonly isReady: () => boolean;
 };
@@ -45,6 +49,7 @@
 export class CallerServer {
 	private readonly server: Server;
 	private readonly connections: Connections;
+	private readonly budget: MemoryBudget;
 	private readonly open = new Set<OpenRequest>();
 	private readonly closeDelimited = new CloseDelimitedAnswers();
 	private isStopping = false;
@@ -63,7 +68,8 @@
 		}, (req, res) => {
 			void this.serve(req, res);
 		});
-		this.connections = new Connections(this.server);
+		this.budget = options.budget ?? new MemoryBudget(limits.held);
+		this.connections = new Connections(this.server, this.budget, limits.callers);
 	}
 
 	/** Starts to listen; resolves to the address with the port that was bound. */
@@ -165,7 +171,9 @@
 
 		const {route, pool, key} = match;
 		const requestId = readRequestId(req, route.repeat);
-		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: limits.bodyTimeout, signal: request.abort.signal});
+		const body = await readBody(req, {
+			maxBytes: limits.body, timeoutMs: limits.bodyTimeout, signal: request.abort.signal, budget: this.budget, res,
+		});
 		this.checkTimeLeft();
 		this.connections.recordBody(req.socket);
 		const callerTimeoutMs = readCallerTimeout(req, pool.timeout);
@@ -207,6 +215,13 @@
 			res.setHeader('connection', 'close');
 		}
 
+		const share = this.budget.open(() => {
+			res.destroy();
+		});
+		res.once('close', () => {
+			share.release();
+		});
+		share.update(answer.body.length);
 		const {headers, isClose} = answerHeaders(answer);
 		if (isClose) {
 			res.removeHeader('transfer-encoding');
--- a/packages/router/src/entry/connections.ts
+++ b/packages/router/src/entry/connections.ts
@@ -2,15 +2,29 @@
 import {Server as NetServer, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Server as TlsServer} from 'node:tls';
+import type {BudgetShare, MemoryBudget} from '@bluebellyard/core';
+import {PauseReason, ReadPause} from '@bluebellyard/http-client';
 
 /** Largest number of times that connections are waited for; callers may go on opening them. */
 const maxAcceptTurns = 1000;
 
+/** Number of unanswered requests on a connection from which nothing more is read from it. */
+const maxSentAhead = 8;
+
+/** Memory that counts for an open connection with its parser, in bytes. */
+const connectionBytes = 8192;
+
+/** Memory that counts for a request that is not answered, in bytes: a head of the usual limit. */
+const requestBytes = 16_384;
+
 type Connection = {
 	/** Requests whose answers are not written yet. */
 	requests: number;
 	/** Bytes received by the end of the last request. */
 	handledBytes: number;
+	readonly pause: ReadPause;
+	/** What the connection and its requests take of the memory, without their bodies and answers. */
+	readonly share: BudgetShare;
 };
 
 /**
@@ -24,7 +38,7 @@
 	private onIdle: (() => void) | undefined;
 
 	/** Tracks the connections of `server`, and closes those that its timeout finds idle. */
-	constructor(private readonly server: Server) {
+	constructor(private readonly server: Server, private readonly budget: MemoryBudget, private readonly maxConnections = Number.POSITIVE_INFINITY) {
 		server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => {
 			this.add(socket);
 		});
@@ -45,8 +59,18 @@
 		connection.requests += 1;
 		connection.handledBytes = socket.bytesRead;
 		this.requestCount += 1;
+		if (connection.requests > maxSentAhead) {
+			connection.pause.add(PauseReason.SentAhead);
+		}
+
+		updateShare(connection);
 		res.once('close', () => {
 			connection.requests -= 1;
+			if (connection.requests <= maxSentAhead) {
+				connection.pause.remove(PauseReason.SentAhead);
+			}
+
+			updateShare(connection);
 			this.requestCount -= 1;
 			if (this.requestCount === 0) {
 				this.onIdle?.();
@@ -107,15 +131,43 @@
 
 	private add(socket: Socket): Connection {
 		this.accepted += 1;
-		const connection = {requests: 0, handledBytes: socket.bytesRead};
+		if (this.connections.size >= this.maxConnections) {
+			const idle = [...this.connections].find(([, {requests}]) => requests === 0);
+			(idle?.[0] ?? socket).destroy();
+			if (idle !== undefined) {
+				this.connections.delete(idle[0]);
+			}
+		}
+
+		const connection = {
+			requests: 0,
+			handledBytes: socket.bytesRead,
+			pause: new ReadPause(socket),
+			share: this.budget.open(() => {
+				socket.destroy();
+			}),
+		};
 		this.connections.set(socket, connection);
+		updateShare(connection);
 		socket.once('close', () => {
 			this.connections.delete(socket);
+			connection.share.release();
 		});
 		return connection;
 	}
 }
 
+function updateShare({requests, share}: Connection): void {
+	// While its only request runs, the connection is closed by its caller alone.
+	if (requests === 1) {
+		share.complete();
+	} else {
+		share.reopen();
+	}
+
+	share.update(connectionBytes + (requests * requestBytes));
+}
+
 /** Resolves after everything that has arrived was read: reads of one turn of the event loop come after its timers. */
 async function readArrived(): Promise<void> {
 	await nextTurn();
--- a/packages/router/src/entry/internal-server.ts
+++ b/packages/router/src/entry/internal-server.ts
@@ -2,7 +2,9 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {createServer as createTlsServer, type Server as TlsServer} from 'node:https';
-import {ErrorKind, Repeat, RequestError} from '@bluebellyard/core';
+import {
+	ErrorKind, MemoryBudget, Repeat, RequestError,
+} from '@bluebellyard/core';
 import {AnswerFraming} from '@bluebellyard/http-client';
 import type {Address, LimitSettings, TlsFiles} from '../settings/index.js';
 import {
@@ -21,6 +23,8 @@
 	readonly limits: LimitSettings;
 	readonly tls: TlsFiles | undefined;
 	readonly now: () => number;
+	/** Memory for what is held, shared with other servers of the instance; one of its own if undefined. */
+	readonly budget?: MemoryBudget;
 };
 
 /** Additional header size allowed for the headers that instances add, in bytes. */
@@ -30,6 +34,7 @@
 export class InternalServer {
 	private readonly server: Server | TlsServer;
 	private readonly connections: Connections;
+	private readonly budget: MemoryBudget;
 	private isStopping = false;
 
 	constructor(private readonly options: InternalServerOptions) {
@@ -44,7 +49,8 @@
 			: createTlsServer({
 				...common, ...tls, requestCert: true, rejectUnauthorized: true,
 			}, serve);
-		this.connections = new Connections(this.server);
+		this.budget = options.budget ?? new MemoryBudget(options.limits.held);
+		this.connections = new Connections(this.server, this.budget);
 	}
 
 	/** Starts to listen; resolves to the address with the port that was bound. */
@@ -107,7 +113,9 @@
 			throw new RequestError(ErrorKind.BadRequest);
 		}
 
-		const body = await readBody(req, {maxBytes: limits.body, timeoutMs: remainingMs});
+		const body = await readBody(req, {
+			maxBytes: limits.body, timeoutMs: remainingMs, budget: this.budget, res,
+		});
 		this.connections.recordBody(req.socket);
 		const abort = new AbortController();
 		res.once('close', () => {
--- a/packages/router/src/entry/read-body.ts
+++ b/packages/router/src/entry/read-body.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
-import {BodyBuffer, ErrorKind, RequestError} from '@bluebellyard/core';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	BodyBuffer, ErrorKind, RequestError, type MemoryBudget,
+} from '@bluebellyard/core';
 
 const emptyBody = Buffer.alloc(0);
 
@@ -13,6 +15,13 @@
 	readonly signal?: AbortSignal;
 };
 
+/** Limits for a body that is held. */
+export type HeldBodyLimits = BodyLimits & {
+	/** The body counts towards it until `res` is closed. */
+	readonly budget: MemoryBudget;
+	readonly res: ServerResponse;
+};
+
 /** Returns whether the headers of a request announce a body. */
 export function hasBody(req: IncomingMessage): boolean {
 	const length = req.headers['content-length'];
@@ -20,7 +29,7 @@
 }
 
 /** Reads the complete body; rejects with a `RequestError` when it is too large, arrives too slowly or is truncated, or when the instance stops. */
-export async function readBody(req: IncomingMessage, limits: BodyLimits): Promise<Buffer> {
+export async function readBody(req: IncomingMessage, limits: HeldBodyLimits): Promise<Buffer> {
 	if (!hasBody(req)) {
 		return emptyBody;
 	}
@@ -31,6 +40,15 @@
 
 	return new Promise((resolve, reject) => {
 		const body = new BodyBuffer();
+		const statedBytes = Number(req.headers['content-length'] ?? 0);
+		body.expect(statedBytes);
+		let isDone = false;
+		const share = limits.budget.open(() => {
+			finish(new RequestError(ErrorKind.InstanceBusy));
+		});
+		limits.res.once('close', () => {
+			share.release();
+		});
 		const timer = setTimeout(() => {
 			finish(new RequestError(ErrorKind.CallerTimeout));
 		}, limits.timeoutMs);
@@ -41,17 +59,27 @@
 
 		signal?.addEventListener('abort', onAbort, {once: true});
 		const finish = (err?: RequestError) => {
+			isDone = true;
 			clearTimeout(timer);
 			signal?.removeEventListener('abort', onAbort);
 			req.removeAllListeners('data');
 			if (err === undefined) {
+				share.complete();
 				resolve(body.toBytes());
 			} else {
+				body.clear();
+				share.release();
 				reject(err);
 			}
 		};
 
 		req.on('data', (chunk: Buffer) => {
+			share.update(Math.max(body.length + chunk.length, statedBytes));
+			if (isDone) {
+				// It was given up for its size.
+				return;
+			}
+
 			body.append(chunk);
 			if (body.length > limits.maxBytes) {
 				finish(new RequestError(ErrorKind.BodyTooLarge));
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {
-	systemClock, type HeartbeatAnswer, type Timing,
+	systemClock, type HeartbeatAnswer, type Timing, MemoryBudget,
 } from '@bluebellyard/core';
 import {periodic} from 'most';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
@@ -91,11 +91,12 @@
 		});
 		this.host.executors.setReference(pool => router.referenceMs(pool));
 		const isReady = () => this.host.isReady;
+		const budget = new MemoryBudget(cfg.limits.held);
 		this.callerServer = new CallerServer({
-			router, limits: cfg.limits, counters: this.counters, now, isReady,
+			budget, router, limits: cfg.limits, counters: this.counters, now, isReady,
 		});
 		this.internalServer = new InternalServer({
-			stewardExecutor, limits: cfg.limits, tls, now,
+			budget, stewardExecutor, limits: cfg.limits, tls, now,
 		});
 		this.controlServer = new ControlServer({
 			member, router, isReady, folded: () => this.host.folded, now,
--- a/packages/router/src/mocks/limits.ts
+++ b/packages/router/src/mocks/limits.ts
@@ -3,6 +3,8 @@
 /** Generous limits for tests. */
 export const testLimits: LimitSettings = {
 	body: 65_536,
+	held: 100_663_296,
+	callers: 3000,
 	headers: 16_384,
 	queue: 100,
 	headersTimeout: 5000,
--- a/packages/router/src/settings/load-settings.ts
+++ b/packages/router/src/settings/load-settings.ts
@@ -65,6 +65,8 @@
 		limits: {
 			body: limits.body,
 			headers: limits.headers,
+			held: limits.held,
+			callers: limits.callers,
 			queue: limits.queue,
 			headersTimeout: limits['headers-timeout'],
 			bodyTimeout: limits['body-timeout'],
--- a/packages/router/src/settings/schema.ts
+++ b/packages/router/src/settings/schema.ts
@@ -26,6 +26,7 @@
 const maxRetentionMs = 30 * 24 * 3_600_000;
 const maxBodyBytes = 1_073_741_824;
 const maxHeaderBytes = 1_048_576;
+const maxHeldBytes = 68_719_476_736;
 const maxCount = 1_000_000;
 
 const parseName = (text: string) => isName(text) ? text : undefined;
@@ -122,6 +123,8 @@
 const limits = z.strictObject({
 	body: sizeField('Largest size of a request body.', '1MiB', maxBodyBytes),
 	headers: sizeField('Largest size of a request head.', '16KiB', maxHeaderBytes),
+	held: sizeField('Largest sum of what the instance holds for callers and other instances: bodies, answers and connections. At least a body of the largest size.', '96MiB', maxHeldBytes),
+	callers: countField('Largest number of connections of callers. Beyond it one on which no request runs is closed for each new one.', '3000'),
 	queue: countField('Largest number of requests that wait in this instance, over all targets.', '1024'),
 	'headers-timeout': durationField('Time within which a caller must send the head of a request.', '5s'),
 	'body-timeout': durationField('Time within which a caller must send a complete request.', '10s'),
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -52,6 +52,10 @@
 
 /** Limits on callers and connections. */
 export type LimitSettings = {
+	/** Largest sum of what is held for callers and other instances, in bytes. */
+	readonly held: number;
+	/** Largest number of connections of callers. */
+	readonly callers: number;
 	/** Largest size of a request body, in bytes. */
 	readonly body: number;
 	/** Largest size of a request head, in bytes. */
