An answer with a status below 100 is none

What callers may have seen: an answer with status 000.

Cause: AnswerHandler took any status under 200 for that of an interim response, and waited for the answer after it.

Change: a status below 100 ends the request with UnverifiedAnswerError at its head. All paths that take an answer go through it: targets of the gateway, packages/router, the store, grants and releases. AnswerHandler also tells the length of the body to its buffer.

--- a/packages/http-client/src/answer-handler.ts
+++ b/packages/http-client/src/answer-handler.ts
@@ -7,6 +7,9 @@
 import type {ConnectionState} from './connection-state.js';
 import type {WholeAnswer} from './whole-answer.js';
 
+/** Smallest status of HTTP. */
+const minStatus = 100;
+
 /** A request as far as its answer depends on it. */
 export type AnsweredRequest = {
 	readonly method: string;
@@ -55,6 +58,8 @@
 	private statedEnd: StatedEnd = {framing: AnswerFraming.Unsupported};
 	private client: ObservedClient | undefined;
 	private isEnded = false;
+	private isDiscarding = false;
+	private hasInvalidStatus = false;
 
 	constructor(request: AnsweredRequest) {
 		this.request = request;
@@ -83,7 +88,12 @@
 		}
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+		if (status < minStatus) {
+			this.rejectStatus(controller, status);
+			return;
+		}
+
 		this.handleResponse(status);
 		if (status < 200) {
 			return;
@@ -97,6 +107,9 @@
 		}
 
 		this.handleHead(status, headers);
+		if (!this.isDiscarding) {
+			this.body.expect(this.statedEnd.length ?? 0);
+		}
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -105,6 +118,10 @@
 	}
 
 	onResponseEnd(): void {
+		if (this.hasInvalidStatus) {
+			return;
+		}
+
 		this.isEnded = true;
 		const {status, headers, connection, statedEnd: {framing, length}, request: {idHeader, mayEndWithConnection}} = this;
 		const body = this.body.toBytes();
@@ -124,7 +141,9 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
-		this.handleError(err);
+		if (!this.hasInvalidStatus) {
+			this.handleError(err);
+		}
 	}
 
 	/** Whether all of the answer has arrived; it may still have to be confirmed. */
@@ -134,6 +153,7 @@
 
 	/** Drops what has arrived of the body. */
 	protected discardBody(): void {
+		this.isDiscarding = true;
 		this.body.clear();
 	}
 
@@ -161,6 +181,14 @@
 	/** Handles the end of a request without a whole answer; a `UnverifiedAnswerError` if bytes arrived that may be one. */
 	protected abstract handleError(err: Error): void;
 
+	/** Ends the request: nothing that follows such a status belongs to an answer. */
+	private rejectStatus(controller: Dispatcher.DispatchController, status: number): void {
+		this.hasInvalidStatus = true;
+		const err = new UnverifiedAnswerError(UnverifiedReason.InvalidStatus, {framing: AnswerFraming.Unsupported, status, bytes: 0});
+		controller.abort(err);
+		this.handleError(err);
+	}
+
 	private async confirm(answer: WholeAnswer): Promise<void> {
 		if (await this.client?.isReachable() === true) {
 			this.handleAnswer(answer);
--- a/packages/http-client/src/verify-answer.ts
+++ b/packages/http-client/src/verify-answer.ts
@@ -11,6 +11,8 @@
  * | the same, and it is larger than `maxCloseDelimitedBytes` | besides, the other side accepts another connection afterwards | with its length, as its receiver could not tell the end of this process from that of the answer |
  * | anything else | none | not |
  *
+ * Whatever states its end, an answer with a status below 100 is none; the parser accepts such statuses.
+ *
  * An end of the connection by this side proves nothing. An orderly end proves less than a length: a process that is
  * killed ends its connections so, too, and one that breaks an answer off may. The receiver has the seal.
  */
@@ -22,6 +24,8 @@
 
 /** Why an answer counts as none. */
 export enum UnverifiedReason {
+	/** Its status is none: below 100. */
+	InvalidStatus = 'invalid-status',
 	/** Its end is not stated, or not in a supported way. */
 	UnsupportedFraming = 'unsupported-framing',
 	/** Its body has another length than it states. */
--- a/packages/router/src/work/whole-answers.test.ts
+++ b/packages/router/src/work/whole-answers.test.ts
@@ -57,6 +57,17 @@
 	});
 }
 
+// The connection stays open, so that only the status tells that this is no answer.
+for (const status of ['000', '099', '20', '1000']) {
+	test(`not an answer: status ${status}`, async t => {
+		const err = await t.throwsAsync(exchangeWith(t, async (socket, id) => {
+			socket.write(`HTTP/1.1 ${status} Status\r\n${id}Content-Length: 4\r\n\r\nbody`);
+		}), {instanceOf: RequestError});
+		t.is(err.answer.outcome, Outcome.Unknown);
+		t.not(err.kind, ErrorKind.TargetTimeout);
+	});
+}
+
 const quoted = 'GET / HTTP/1.1\r\nServer: t\r\n\r\nHTTP/1.1 200 OK\r\nServer: other\r\n\r\n';
 
 const whole: ReadonlyArray<readonly [name: string, body: string, answer: (socket: Socket, id: string) => Promise<void>]> = [
