Gateway: a connection that was opened just now is closed last for a new one

What callers may see: beside a crowd that opens connections and sends parts of heads, a caller whose first bytes are on their way is closed for the next connection of the crowd, as the unused ones went first, whatever their age. Links of more than 487 instances were refused.

Change: connections silent for half a second go first, then idle ones, then those opened just now; those with a request that runs never. Incoming links have a quarter of the descriptors, those that nobody has named a sixteenth.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -33,8 +33,15 @@
 /** Memory that counts for a connection from which nothing is read, in bytes: what the system may hold for it. */
 const unreadBytes = 65_536;
 
-/** Uses of the connections that are closed for a new one, in this order. */
-const replaceableUses = [ConnectionUse.Unused, ConnectionUse.Receiving, ConnectionUse.Idle];
+/** How soon a connection is closed for a new one. */
+enum Replacement {
+	/** Nothing useful has arrived on it for long. */
+	First = 0,
+	Idle = 1,
+	/** Its request may be on its way. */
+	Last = 2,
+	Never = 3,
+}
 
 const lateHeadAnswer = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -264,24 +271,45 @@
 		socket.destroy();
 	}
 
-	/** Returns the oldest connection of the use that is given up first. */
+	/** Returns the oldest of the connections that are closed first for a new one. */
 	private findReplaceable(): Connection | undefined {
 		let found: Connection | undefined;
-		let rank = replaceableUses.length;
+		let best = Replacement.Never;
 		for (const connection of this.connections.values()) {
-			const use = connection.pause.has(PauseReason.Turn) ? ConnectionUse.Receiving : findUse(connection);
-			const connectionRank = replaceableUses.indexOf(use);
-			if (connectionRank !== -1 && connectionRank < rank) {
+			const replacement = this.findReplacement(connection);
+			if (replacement < best) {
 				found = connection;
-				rank = connectionRank;
-				if (rank === 0) {
-					break;
-				}
+				best = replacement;
+			}
+
+			if (best === Replacement.First) {
+				break;
 			}
 		}
 
 		return found;
 	}
+
+	private findReplacement(connection: Connection): Replacement {
+		const now = this.options.clock.now();
+		switch (findUse(connection)) {
+			case ConnectionUse.Unused: {
+				return now - connection.openedAt >= firstRequestMs ? Replacement.First : Replacement.Last;
+			}
+
+			case ConnectionUse.Receiving: {
+				return now - (connection.receivingSince ?? now) >= firstRequestMs ? Replacement.First : Replacement.Last;
+			}
+
+			case ConnectionUse.Idle: {
+				return Replacement.Idle;
+			}
+
+			case ConnectionUse.Busy: {
+				return connection.pause.has(PauseReason.Turn) ? Replacement.First : Replacement.Never;
+			}
+		}
+	}
 }
 
 function findUse({socket: {bytesRead}, requests, handledBytes}: Connection): ConnectionUse {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,7 +109,7 @@
 		const budget = new MemoryBudget(limits.heldBytes);
 		const probeOptions = {clock, budget, maxConnections: limits.probeConnections};
 		this.net = new PeerNet(async (op, message, signal, link) => this.handleCall(op as PeerOp, message, signal, link), clock, {
-			isFar: addr => this.isFar(addr), budget, maxIncoming: limits.peerConnections,
+			isFar: addr => this.isFar(addr), budget, maxIncoming: limits.peerConnections, maxUnnamed: limits.unnamedPeerConnections,
 		});
 		this.client = new TargetClient(ports.wire, clock, {localAddress: cfg.targets['local-address'], budget, onUnverified: createUnverifiedRecorder(telemetry)});
 		this.coordinator = new Coordinator({
--- a/packages/gateway/src/peers/peer-net.ts
+++ b/packages/gateway/src/peers/peer-net.ts
@@ -33,6 +33,8 @@
 	readonly budget?: MemoryBudget;
 	/** Largest number of connections that other instances may have open here. */
 	readonly maxIncoming?: number;
+	/** Largest number of those on which nobody has named itself. */
+	readonly maxUnnamed?: number;
 };
 
 type Outgoing = {
@@ -52,15 +54,17 @@
 	private readonly isFar: (addr: string) => boolean;
 	private readonly budget: MemoryBudget;
 	private readonly maxIncoming: number;
+	private readonly maxUnnamed: number;
 
 	constructor(
 		private readonly handler: CallHandler,
 		private readonly clock: Clock,
-		{isFar = () => false, budget = new MemoryBudget(Number.POSITIVE_INFINITY), maxIncoming = Number.POSITIVE_INFINITY}: PeerNetOptions = {},
+		{isFar = () => false, budget = new MemoryBudget(Number.POSITIVE_INFINITY), maxIncoming = Number.POSITIVE_INFINITY, maxUnnamed = Number.POSITIVE_INFINITY}: PeerNetOptions = {},
 	) {
 		this.isFar = isFar;
 		this.budget = budget;
 		this.maxIncoming = maxIncoming;
+		this.maxUnnamed = maxUnnamed;
 		this.checks = new SilenceChecks(clock);
 		this.server = createServer(socket => {
 			this.accept(socket);
@@ -125,15 +129,13 @@
 	}
 
 	private accept(socket: Socket): void {
-		if (this.incoming.size >= this.maxIncoming) {
-			// Instances name their links at once.
-			const unnamed = [...this.incoming].find(({name}) => name === undefined);
-			if (unnamed === undefined) {
-				socket.destroy();
-				return;
-			}
-
-			unnamed.close();
+		// Instances name their links at once.
+		const unnamed = [...this.incoming].filter(({name}) => name === undefined);
+		if (unnamed.length >= this.maxUnnamed || (unnamed.length > 0 && this.incoming.size >= this.maxIncoming)) {
+			unnamed[0].close();
+		} else if (this.incoming.size >= this.maxIncoming) {
+			socket.destroy();
+			return;
 		}
 
 		this.incoming.add(new PeerLink(socket, async (op, message, signal, link) => op === endLinkOp
--- a/packages/gateway/src/settings/process-limits.ts
+++ b/packages/gateway/src/settings/process-limits.ts
@@ -17,9 +17,10 @@
 /** Descriptors that the system keeps for files. */
 const fileDescriptors = 200;
 
-/** Shares of the other descriptors; what remains is for connections to targets and the store. */
+/** Largest shares of the other descriptors; callers leave a quarter for the other instances, targets and the store. */
 const callerShare = 0.75;
-const peerShare = 1 / 8;
+const peerShare = 1 / 4;
+const unnamedPeerShare = 1 / 16;
 const probeShare = 1 / 32;
 
 /** Limits that follow from the memory and the descriptors of the process. */
@@ -30,6 +31,8 @@
 	readonly callerConnections: number;
 	/** Largest number of connections that other instances open. */
 	readonly peerConnections: number;
+	/** Largest number of those among them on which no instance has named itself. */
+	readonly unnamedPeerConnections: number;
 	/** Largest number of connections to the health address, and to the metrics address. */
 	readonly probeConnections: number;
 };
@@ -41,6 +44,7 @@
 		heldBytes: Math.max(minHeldMb, (memory - programMb) * heldShare) * bytesPerMb,
 		callerConnections: Math.floor(sockets * callerShare),
 		peerConnections: Math.floor(sockets * peerShare),
+		unnamedPeerConnections: Math.floor(sockets * unnamedPeerShare),
 		probeConnections: Math.floor(sockets * probeShare),
 	};
 }
