--- a/packages/core/src/bytes/body-buffer.test.ts
+++ b/packages/core/src/bytes/body-buffer.test.ts
@@ -48,3 +48,30 @@
 		}), {seed: 44, numRuns: 200});
 	});
 });
+
+// The sender states the length, and may state a wrong one.
+test('the body is the sequence of its chunks, whatever length was stated', t => {
+	t.notThrows(() => {
+		fc.assert(fc.property(fc.array(fc.integer({min: 0, max: 20_000}), {maxLength: 10}), fc.integer({min: 0, max: 100_000}), (sizes, length) => {
+			const body = new BodyBuffer();
+			body.expect(length);
+			const chunks = sizes.map((size, i) => Buffer.alloc(size, i + 1));
+			for (const chunk of chunks) {
+				body.append(chunk);
+			}
+
+			return body.toBytes().equals(Buffer.concat(chunks)) && body.length === Buffer.concat(chunks).length;
+		}), {seed: 53, numRuns: 300});
+	});
+});
+
+test('a body of the stated length takes one block', t => {
+	const body = new BodyBuffer();
+	body.expect(100_000);
+	for (let i = 0; i < 10; i += 1) {
+		body.append(Buffer.alloc(10_000, i));
+	}
+
+	t.is(body.blockCount, 1);
+	t.is(body.toBytes().length, 100_000);
+});
