Tests: answers that arrive before the port is closed are not missed

Trace: the worker posts its count when all its connections are closed, which may be while the test waits for closeIdle; the test listened for it only after that, and waited for ever. A trial with the former order and 200 ms between the two is pending each time. The product is not involved.

Change: the test listens before it closes the port. The check is the same.

--- a/packages/gateway/src/front/close-idle.test.ts
+++ b/packages/gateway/src/front/close-idle.test.ts
@@ -177,8 +177,10 @@
 		Atomics.wait(flag, 0, Atomics.load(flag, 0), 100);
 	}
 
+	// The callers may have all answers before the port is closed.
+	const posted = once(worker, 'message');
 	await server.closeIdle();
-	const [answered] = await once(worker, 'message') as [number];
+	const [answered] = await posted as [number];
 	t.is(answered, 10);
 });
 
