--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -2,6 +2,7 @@
  * A faulty upstream spoils a few of its answers: they have no length, and their bodies repeat the first bytes of a
  * status line until the upstream closes the connection. Checks that the processes go on answering.
  */
+/* eslint-disable camelcase -- The names are those of the platform. */
 import {Buffer} from 'node:buffer';
 import {fileURLToPath} from 'node:url';
 import {
@@ -11,21 +12,26 @@
 const folder = fileURLToPath(new URL('.', import.meta.url));
 
 /** Time for which requesters send, and the pause between two requests, in milliseconds. */
-const trafficMs = 60_000;
+const trafficMs = 42_000;
 const pauseMs = 40;
 
 /** Timeout of the routes, and the time after it by which at least half of the late requests must be answered, in milliseconds. */
-const timeoutMs = 2500;
+const timeoutMs = 2000;
 const slackMs = 500;
 
-/** Time for which requesters wait here, to see whether an answer comes at all. */
-const waitMs = 20_000;
+/** Deadline of the requesters, who give up then; that of `history-read` on the site, whose route has this timeout. */
+const deadlineMs = 3000;
+
+/** Time for which the liveness check waits here, to see for how long a process stands still. */
+const waitMs = 25_000;
 
 /** Fewest requests that are unanswered at their timeout for a judgement. */
 const minLate = 20;
 
-/** One in so many answers of the faulty upstream is spoilt. */
-const spoilEvery = 50;
+/** One in so many answers of the faulty upstream is spoilt, for 5 s at a time with pauses of 2 s. */
+const spoilEvery = 25;
+const spellMs = 5000;
+const cycleMs = 7000;
 
 /** Body of such an answer: a part of the start of a status line, over and over; 32 MB. */
 const spoiltBody = Buffer.from('HTTP/1.'.repeat(4_600_000));
@@ -33,6 +39,8 @@
 await runCase(folder, async lab => {
 	let spoilt = 0;
 	let received = 0;
+	let startedAt = performance.now();
+	const isInSpell = () => (performance.now() - startedAt) % cycleMs < spellMs;
 	const answer = async ({res, id, upstream}) => {
 		await sleep(20);
 		const body = `answer to ${id}`;
@@ -41,8 +49,8 @@
 
 	const answerFaulty = async exchange => {
 		const {req: {socket}, id, upstream} = exchange;
-		received += 1;
-		if (!hasTrouble || received % spoilEvery !== 0) {
+		received += isInSpell() ? 1 : 0;
+		if (!hasTrouble || !isInSpell() || received % spoilEvery !== 0) {
 			await answer(exchange);
 			return;
 		}
@@ -54,6 +62,10 @@
 		socket.end(spoiltBody);
 	};
 
+	for (const route of lab.config.routes) {
+		route.timeout_s = timeoutMs / 1000;
+	}
+
 	await lab.start({
 		gateways: [{name: 'edge-a-1', zone: 'a'}, {name: 'edge-a-2', zone: 'a'}, {name: 'edge-b-1', zone: 'b'}],
 		upstreams: [
@@ -67,7 +79,7 @@
 	const tooks = [];
 	const counts = {};
 	const silences = new Map(lab.gateways.map(({name}) => [name, 0]));
-	const startedAt = performance.now();
+	startedAt = performance.now();
 	const isOver = () => performance.now() - startedAt > trafficMs;
 	let number = 0;
 	const ask = async () => {
@@ -78,7 +90,7 @@
 		let outcome;
 		try {
 			const {status} = await send({
-				port, path: `/read/${id}`, headers: {'x-attempt-id': id, 'x-deadline-ms': String(timeoutMs)}, timeoutMs: waitMs,
+				port, path: `/read/${id}`, headers: {'x-attempt-id': id, 'x-deadline-ms': String(deadlineMs)}, timeoutMs: deadlineMs,
 			});
 			outcome = status;
 		} catch (err) {
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -12,13 +12,16 @@
 const folder = fileURLToPath(new URL('.', import.meta.url));
 
 /** Time for which requesters send, in milliseconds. */
-const trafficMs = 60_000;
+const trafficMs = 56_000;
 
 /** `timeout_s` of the route, in milliseconds, and the time after it by which at least half of the late requests must be answered. */
-const timeoutMs = 1200;
+const timeoutMs = 2000;
 const slackMs = 500;
 
-/** Time for which requesters wait here, to see whether an answer comes at all. */
+/** Deadline of the requesters, who give up then; that of `history-read` on the site, whose route has this timeout. */
+const deadlineMs = 3000;
+
+/** Time for which the liveness check waits here. */
 const waitMs = 10_000;
 
 /** Fewest requests that are unanswered at their timeout for a judgement. */
@@ -68,7 +71,7 @@
 			let outcome;
 			try {
 				const {status} = await send({
-					port, path: `/kread/${id}`, headers: {'x-attempt-id': id, 'x-deadline-ms': String(timeoutMs), 'x-shard-key': String((number * 7919) % 65_536)}, timeoutMs: waitMs,
+					port, path: `/kread/${id}`, headers: {'x-attempt-id': id, 'x-deadline-ms': String(deadlineMs), 'x-shard-key': String((number * 7919) % 65_536)}, timeoutMs: deadlineMs,
 				});
 				outcome = status;
 			} catch (err) {
@@ -95,13 +98,13 @@
 		const requests = [];
 		while (!isOver()) {
 			requests.push(ask());
-			if (number % 150 === 0) {
+			if (number % 450 === 0) {
 				const late = tooks.filter(tookMs => tookMs > timeoutMs).length;
-				lab.record(`sent ${number}, answered ${tooks.length}, later than ${timeoutMs} ms ${late}, longest ${Math.round(Math.max(...tooks))} ms, bodies of grant answers that are open ${children[0].state?.openBodies}, ${Math.round((children[0].state?.sentBytes ?? 0) / 1_000_000)} MB`);
+				lab.record(`sent ${number}, answered ${tooks.length}, later than ${timeoutMs} ms ${late}, bodies of grant answers that are open ${children[0].state?.openBodies}, ${Math.round((children[0].state?.sentBytes ?? 0) / 1_000_000)} MB, ${children[0].state?.spoilt} of ${children[0].state?.answers} answers spoilt`);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await sleep(50);
+			await sleep(16);
 		}
 
 		await Promise.all([...requests, ...watches]);
--- a/review/9/upstream.mjs
+++ b/review/9/upstream.mjs
@@ -1,5 +1,6 @@
 /**
- * A process with one upstream. With the argument `endless` it answers grants with a head and then a body that does not
+ * A process with one upstream. With the argument `endless` it answers some grants, up to 3 in 100 of all of its answers, for 5 s at a time with
+ * pauses of 2 s, with a head and then a body that does not
  * end: chunks of one byte, as fast as the receiver reads them, until the receiver closes the connection.
  */
 import {Buffer} from 'node:buffer';
@@ -8,6 +9,11 @@
 
 const [id, service, zone, mode] = process.argv.slice(2);
 const piece = Buffer.from('1\r\n.\r\n'.repeat(8000));
+const maxShare = 0.03;
+const spellMs = 5000;
+const cycleMs = 7000;
+let answers = 0;
+let spoilt = 0;
 let openBodies = 0;
 let sentBytes = 0;
 
@@ -37,11 +43,14 @@
 
 class FaultyUpstream extends Upstream {
 	grant(order, res) {
-		if (mode !== 'endless') {
+		answers += 1;
+		const isInSpell = performance.now() % cycleMs < spellMs;
+		if (mode !== 'endless' || !isInSpell || spoilt + 1 > answers * maxShare) {
 			super.grant(order, res);
 			return;
 		}
 
+		spoilt += 1;
 		const {socket} = res;
 		super.grant(order, {
 			writeHead(status) {
@@ -56,6 +65,7 @@
 const upstream = new FaultyUpstream(id, service, zone, {
 	isSharded: true,
 	async run({res, id: attempt}) {
+		answers += 1;
 		await sleep(20);
 		const body = `answer to ${attempt}`;
 		res.writeHead(200, {'x-attempt-id': attempt, 'x-response-seal': `${id}.${attempt}.200`, 'content-length': body.length}).end(body);
@@ -64,7 +74,9 @@
 await upstream.start();
 process.send({port: upstream.port, born: upstream.born});
 setInterval(() => {
-	process.send({openBodies, sentBytes});
+	process.send({
+		openBodies, sentBytes, answers, spoilt,
+	});
 }, 500);
 process.on('disconnect', () => {
 	process.exit();
--- a/review/common-2/lab.mjs
+++ b/review/common-2/lab.mjs
@@ -140,6 +140,19 @@
 	}
 }
 
+/** Gateway processes that run; killed when this process ends in any way that it can notice. */
+const running = new Set();
+process.on('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+for (const signal of ['SIGTERM', 'SIGINT']) {
+	process.on(signal, () => {
+		process.exit(couldNotRun);
+	});
+}
+
 /** A gateway process. */
 export class Gateway {
 	constructor(lab, name, zone, ports) {
@@ -188,10 +201,13 @@
 			env: {PATH: process.env.PATH, HOME: process.env.HOME, BLUEBELLYARD_NODE_FILE: this.settings},
 			stdio: ['ignore', 'pipe', 'pipe'],
 		});
+		running.add(this.child);
 		const log = createWriteStream(path.join(this.lab.dir, `${this.name}.log`), {flags: 'a'});
 		this.child.stdout.pipe(log, {end: false});
 		this.child.stderr.pipe(log, {end: false});
-		this.child.once('exit', (code, signal) => {
+		const {child} = this;
+		child.once('exit', (code, signal) => {
+			running.delete(child);
 			this.lab.record(`${this.name} ended: ${code ?? signal}`);
 			this.end = code ?? signal;
 		});
