Answers are passed on with their length, whatever their target stated

Cause: answers that ended with their connection were passed on without a length up to 1 MiB.

Change: each answer with a body states its length, for callers of HTTP/1.0 and HTTP/1.1, in gateway and router. As a killed target ends its connections in an orderly way, too, an answer of any size that ended with its connection counts only if its target does not refuse another connection. Other failures of that connection say nothing of the target. CloseDelimitedAnswers and the framing header between routers have no use any more; the test of the former is replaced by one that sees the cut by the length.

--- a/packages/gateway/src/front/caller-server.ts
+++ b/packages/gateway/src/front/caller-server.ts
@@ -6,7 +6,7 @@
 import {
 	answerSlackMs, MemoryBudget, ErrorKind, priorityOf, Repeat, type Clock, type HostRoute, type StopSchedule,
 } from '@bluebellyard/core';
-import {findPassedOnEnd, CloseDelimitedAnswers} from '@bluebellyard/http-client';
+import {findPassedOnLength} from '@bluebellyard/http-client';
 import {
 	failure, hasReturned, type Dispatcher, type OrderResult,
 } from '../dispatch/index.js';
@@ -70,7 +70,6 @@
 	private readonly connections: CallerConnections;
 	private stopTimer: NodeJS.Timeout | undefined;
 	private isClosingIdle = false;
-	private readonly closeDelimited = new CloseDelimitedAnswers();
 	private readonly turns = new ChunkTurns();
 	private headTimer: NodeJS.Timeout | undefined;
 
@@ -162,11 +161,10 @@
 		}
 	}
 
-	/** Closes all connections immediately. Those with a part of an answer whose end is that of the connection are reset. */
+	/** Closes all connections immediately. */
 	close(): void {
 		clearInterval(this.stopTimer);
 		clearInterval(this.headTimer);
-		this.closeDelimited.reset();
 		this.server.close();
 		this.server.closeAllConnections();
 	}
@@ -360,10 +358,10 @@
 		const {status, headers, body, framing} = result.answer;
 		holdAnswer(res, body.length, this.budget);
 		const statedLength = headers.find(([name]) => name.toLowerCase() === 'content-length')?.[1];
-		const {length, isClose} = findPassedOnEnd({
+		const length = findPassedOnLength({
 			status, framing, bytes: body.length, statedLength,
 		});
-		const lines = [...this.connectionHeader(isLast || isClose)];
+		const lines = [...this.connectionHeader(isLast)];
 		for (const [name, value] of this.options.wire.toCaller(headers)) {
 			lines.push(name, value);
 		}
@@ -372,11 +370,6 @@
 			lines.push('content-length', length);
 		}
 
-		if (isClose) {
-			res.removeHeader('transfer-encoding');
-			this.closeDelimited.add(res);
-		}
-
 		// Headers that are set one by one before are copied and looked up several times.
 		res.writeHead(status, lines);
 		res.end(body);
--- a/packages/gateway/src/front/stated-length.test.ts
+++ b/packages/gateway/src/front/stated-length.test.ts
@@ -1,7 +1,7 @@
-/** Guards against an answer that looks whole and is not: its target broke it off and the gateway stated a length, or the process ended before a large one was written. */
+/** Guards against a part of an answer that looks whole as the process was killed while it was written: without a length, a caller takes the end of the process for that of the answer. */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {systemClock} from '@bluebellyard/core';
 import {AnswerFraming} from '@bluebellyard/http-client';
@@ -16,8 +16,8 @@
 
 type TestAnswer = Pick<Answer, 'status' | 'framing'> & {readonly text: string; readonly headers?: HeaderList};
 
-/** Returns what a caller gets of an answer. */
-async function receive(t: ExecutionContext, answer: TestAnswer, {method = 'GET', version = '1.1'} = {}): Promise<string> {
+/** Starts a server that gives an answer to each request, and connects a caller to it. */
+async function connectTo(t: ExecutionContext, answer: TestAnswer): Promise<{socket: Socket; server: CallerServer}> {
 	const view = createConfiguredView();
 	const telemetry = new Telemetry(systemClock);
 	const server = new CallerServer({
@@ -38,7 +38,12 @@
 	t.teardown(() => {
 		server.close();
 	});
-	const socket = connect(port, '127.0.0.1');
+	return {socket: connect(port, '127.0.0.1'), server};
+}
+
+/** Returns what a caller gets of an answer. */
+async function receive(t: ExecutionContext, answer: TestAnswer, {method = 'GET', version = '1.1'} = {}): Promise<string> {
+	const {socket} = await connectTo(t, answer);
 	let received = '';
 	socket.setEncoding('latin1').on('data', (chunk: string) => {
 		received += chunk;
@@ -49,20 +54,32 @@
 }
 
 for (const version of ['1.0', '1.1']) {
-	test(`an answer whose target states no end has none for a caller with HTTP/${version}`, async t => {
-		const received = await receive(t, {status: 200, framing: AnswerFraming.Close, text: 'body'}, {version});
-		t.notRegex(received, /content-length|transfer-encoding/iv);
-		t.regex(received, /\r\nconnection: close\r\n/v);
-		t.true(received.endsWith('\r\n\r\nbody'));
-	});
-
-	test(`a large one has its length, as the process may end before it is written, for a caller with HTTP/${version}`, async t => {
-		const received = await receive(t, {status: 200, framing: AnswerFraming.Close, text: 'x'.repeat(2_000_000)}, {version});
-		t.regex(received, /\r\ncontent-length: 2000000\r\n/v);
-		t.notRegex(received, /transfer-encoding/iv);
-	});
+	for (const bytes of [0, 4, 540_000, 2_000_000]) {
+		test(`an answer of ${bytes} bytes whose target states no end has its length for a caller with HTTP/${version}`, async t => {
+			const text = 'x'.repeat(bytes);
+			const received = await receive(t, {status: 200, framing: AnswerFraming.Close, text}, {version});
+			t.true(received.toLowerCase().includes(`\r\ncontent-length: ${bytes}\r\n`));
+			t.notRegex(received, /transfer-encoding/iv);
+			t.true(received.endsWith(`\r\n\r\n${text}`));
+		});
+	}
 }
 
+test('a server that closes cuts an answer whose target states no end short of its length', async t => {
+	const bytes = 30_000_000;
+	const {socket, server} = await connectTo(t, {status: 200, framing: AnswerFraming.Close, text: 'x'.repeat(bytes)});
+	socket.write('GET / HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n');
+	await once(socket, 'readable');
+	server.close();
+	let received = '';
+	socket.setEncoding('latin1').on('data', (chunk: string) => {
+		received += chunk;
+	}).on('error', () => undefined);
+	await once(socket, 'close');
+	t.regex(received, /\r\ncontent-length: 30000000\r\n/v);
+	t.true(received.length < bytes, `${received.length}`);
+});
+
 test('an answer without a length whose end the target stated has its length', async t => {
 	t.regex(await receive(t, {status: 200, framing: AnswerFraming.Chunks, text: 'body'}), /\r\ncontent-length: 4\r\n/v);
 });
--- a/packages/http-client/src/answer-handler.ts
+++ b/packages/http-client/src/answer-handler.ts
@@ -31,8 +31,8 @@
 export type ObservedClient = {
 	/** State of the present connection, or of the last one. */
 	readonly connection: ConnectionState | undefined;
-	/** Resolves to whether the other side accepts another connection. Never rejects. */
-	readonly isReachable: () => Promise<boolean>;
+	/** Resolves to whether the other side refuses another connection, as after its end. Never rejects. */
+	readonly refusesConnections: () => Promise<boolean>;
 };
 
 /** What arrived is not proved to be a whole answer. */
@@ -133,7 +133,7 @@
 		};
 		if (reason !== undefined) {
 			this.handleUnverified(reason, answer);
-		} else if (needsLiveSender(framing, body.length)) {
+		} else if (needsLiveSender(framing)) {
 			void this.confirm(answer);
 		} else {
 			this.handleAnswer(answer);
@@ -190,7 +190,7 @@
 	}
 
 	private async confirm(answer: WholeAnswer): Promise<void> {
-		if (await this.client?.isReachable() === true) {
+		if (await this.client?.refusesConnections() === false) {
 			this.handleAnswer(answer);
 		} else {
 			this.handleUnverified(UnverifiedReason.SenderGone, answer);
--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -5,6 +5,5 @@
 export * from './hold-end.js';
 export * from './request-whole.js';
 export * from './tracked-client.js';
-export * from './close-delimited-answers.js';
 export * from './read-pause.js';
 export type * from './whole-answer.js';
--- a/packages/http-client/src/tracked-client.test.ts
+++ b/packages/http-client/src/tracked-client.test.ts
@@ -1,15 +1,11 @@
 /** Guards against an end of the connection that is taken for the end of an answer. */
-import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import {connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
-import type {Dispatcher} from 'undici';
+import {buildConnector, type Dispatcher} from 'undici';
 import {startRawTarget} from './mocks/index.js';
 import {UnverifiedAnswerError} from './answer-handler.js';
 import {requestWhole} from './request-whole.js';
 import {createTrackedPool, TrackedClient} from './tracked-client.js';
-import {CloseDelimitedAnswers} from './close-delimited-answers.js';
 
 const part = 'HTTP/1.1 200 OK\r\n\r\npart';
 
@@ -77,30 +73,35 @@
 	await t.throwsAsync(answer, {message: 'given up'});
 });
 
-test('a part of an answer that ends with its connection is reset at the end of the process', async t => {
-	const bytes = 30_000_000;
-	const closeDelimited = new CloseDelimitedAnswers();
-	const server = createServer((_req, res) => {
-		res.removeHeader('transfer-encoding');
-		closeDelimited.add(res);
-		res.writeHead(200, {connection: 'close'}).end(Buffer.alloc(bytes));
-	}).listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => {
-		server.close();
-	});
-	const addr = server.address();
-	const socket = connect(typeof addr === 'object' && addr !== null ? addr.port : 0, '127.0.0.1');
-	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
-	await once(socket, 'readable');
-	closeDelimited.reset();
-	let received = 0;
-	socket.on('data', (chunk: Buffer) => {
-		received += chunk.length;
+// An answer without a length whose sender is killed in the middle ends in an orderly way, too. Only a refusal shows it.
+for (const [code, isWhole] of [['ECONNREFUSED', false], ['ECONNRESET', true], ['UND_ERR_CONNECT_TIMEOUT', true]] as const) {
+	test(`an answer without a length is ${isWhole ? 'whole' : 'none'} if another connection fails with ${code}`, async t => {
+		const connector = buildConnector({});
+		let connections = 0;
+		const client = new TrackedClient(await start(t, socket => {
+			socket.end(part);
+		}), {
+			connect(options, callback) {
+				connections += 1;
+				if (connections === 1) {
+					connector(options, callback);
+				} else {
+					callback(Object.assign(new Error('not connected'), {code}), null);
+				}
+			},
+		});
+		t.teardown(async () => client.destroy());
+		const answer = request(client);
+		if (isWhole) {
+			const {body} = await answer;
+			t.is(body.toString(), 'part');
+		} else {
+			await t.throwsAsync(answer, {instanceOf: UnverifiedAnswerError, message: /sender-gone/v});
+		}
+
+		t.is(connections, 2);
 	});
-	await t.throwsAsync(once(socket, 'end'), {code: 'ECONNRESET'});
-	t.true(received < bytes, `${received}`);
-});
+}
 
 test('a reset right after an orderly end of the connection is no end of an answer', async t => {
 	const reset = (socket: Socket) => {
--- a/packages/http-client/src/tracked-client.ts
+++ b/packages/http-client/src/tracked-client.ts
@@ -59,16 +59,17 @@
 		return super.dispatch(options, handler);
 	}
 
-	async isReachable(): Promise<boolean> {
+	/** A connection that is not opened in time, or fails in another way than by a refusal, says nothing: the other side may have no room for it. */
+	async refusesConnections(): Promise<boolean> {
 		return new Promise(resolve => {
 			if (this.connectOptions === undefined) {
-				resolve(false);
+				resolve(true);
 				return;
 			}
 
-			this.connector(this.connectOptions, (err, socket) => {
+			this.connector(this.connectOptions, (err: NodeJS.ErrnoException | null, socket) => {
 				socket?.on('error', () => undefined).destroy();
-				resolve(err === null);
+				resolve(err?.code === 'ECONNREFUSED');
 			});
 		});
 	}
--- a/packages/http-client/src/verify-answer.ts
+++ b/packages/http-client/src/verify-answer.ts
@@ -7,14 +7,13 @@
  * | its method or status | its head; it has no body | without a body |
  * | a length | exactly as many bytes | with its length |
  * | chunks | the last chunk, before any end of the connection | with its length |
- * | nothing, it ends with the connection | an orderly end by the other side, with no later answer on the connection among the bytes | as it came, so that it says no more than the other side did |
- * | the same, and it is larger than `maxCloseDelimitedBytes` | besides, the other side accepts another connection afterwards | with its length, as its receiver could not tell the end of this process from that of the answer |
+ * | nothing, it ends with the connection | an orderly end by the other side, with no later answer on the connection among the bytes, and the other side does not refuse another connection afterwards | with its length, as its receiver could not tell the end of this process from that of the answer |
  * | anything else | none | not |
  *
  * Whatever states its end, an answer with a status below 100 is none; the parser accepts such statuses.
  *
  * An end of the connection by this side proves nothing. An orderly end proves less than a length: a process that is
- * killed ends its connections so, too, and one that breaks an answer off may. The receiver has the seal.
+ * killed ends its connections so, too, which is why the other side is asked whether it still accepts connections.
  */
 import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
@@ -41,12 +40,6 @@
 /** Status of answers that may state no length. */
 const noContentStatus = 204;
 
-/**
- * Largest answer that is passed on without a length if it ended with its connection, in bytes. The buffers of a connection
- * usually take it at once, so that all of it is delivered even if this process ends.
- */
-const maxCloseDelimitedBytes = 1_048_576;
-
 /** An answer as it was received, up to what looks like its end. */
 export type ReceivedAnswer = StatedEnd & {
 	readonly status: number;
@@ -105,19 +98,11 @@
 }
 
 /** Returns whether an answer that passed `verifyAnswer` is whole only if the other side has not ended itself. */
-export function needsLiveSender(framing: AnswerFraming, bytes: number): boolean {
-	return framing === AnswerFraming.Close && bytes > maxCloseDelimitedBytes;
+export function needsLiveSender(framing: AnswerFraming): boolean {
+	return framing === AnswerFraming.Close;
 }
 
-/** How the end of a whole answer is stated when it is passed on. */
-export type PassedOnEnd = {
-	/** Value of `Content-Length`; undefined for none. */
-	readonly length: string | undefined;
-	/** Whether the answer ends with the connection. */
-	readonly isClose: boolean;
-};
-
-/** A whole answer as far as its end depends on it. */
+/** A whole answer as far as the length that is passed on depends on it. */
 export type EndedAnswer = {
 	readonly status: number;
 	readonly framing: AnswerFraming;
@@ -127,12 +112,14 @@
 	readonly statedLength: string | undefined;
 };
 
-/** Returns how the end of a whole answer is stated when it is passed on. */
-export function findPassedOnEnd({status, framing, bytes, statedLength}: EndedAnswer): PassedOnEnd {
+/**
+ * Returns the `Content-Length` with which a whole answer is passed on; undefined for none. Every answer with a body has
+ * one, in any version of HTTP: without it, a receiver takes the end of this process for the end of the answer.
+ */
+export function findPassedOnLength({status, framing, bytes, statedLength}: EndedAnswer): string | undefined {
 	if (framing === AnswerFraming.NoBody) {
-		return {length: status === noContentStatus ? undefined : statedLength, isClose: false};
+		return status === noContentStatus ? undefined : statedLength;
 	}
 
-	const isClose = framing === AnswerFraming.Close && !needsLiveSender(framing, bytes);
-	return {length: isClose ? undefined : String(bytes), isClose};
+	return String(bytes);
 }
--- a/packages/router/src/entry/caller-server.ts
+++ b/packages/router/src/entry/caller-server.ts
@@ -5,7 +5,6 @@
 import {
 	ErrorKind, MemoryBudget, Repeat, RequestError,
 } from '@bluebellyard/core';
-import {CloseDelimitedAnswers} from '@bluebellyard/http-client';
 import {Counter, type Counters} from '../metrics/index.js';
 import type {Address, LimitSettings} from '../settings/index.js';
 import {
@@ -51,7 +50,6 @@
 	private readonly connections: Connections;
 	private readonly budget: MemoryBudget;
 	private readonly open = new Set<OpenRequest>();
-	private readonly closeDelimited = new CloseDelimitedAnswers();
 	private isStopping = false;
 	/** Whether requests are refused that are not passed on yet. */
 	private isRefusing = false;
@@ -112,9 +110,8 @@
 		}
 	}
 
-	/** Closes the server and all connections. Those with a part of an answer whose end is that of the connection are reset. */
+	/** Closes the server and all connections. */
 	async stop(): Promise<void> {
-		this.closeDelimited.reset();
 		await closeServer(this.server);
 	}
 
@@ -222,13 +219,7 @@
 			share.release();
 		});
 		share.update(answer.body.length);
-		const {headers, isClose} = answerHeaders(answer);
-		if (isClose) {
-			res.removeHeader('transfer-encoding');
-			this.closeDelimited.add(res);
-		}
-
-		res.writeHead(answer.status, headers);
+		res.writeHead(answer.status, answerHeaders(answer));
 		res.end(answer.body);
 	}
 
--- a/packages/router/src/entry/forwarder.ts
+++ b/packages/router/src/entry/forwarder.ts
@@ -2,7 +2,7 @@
 import {
 	ErrorKind, Outcome, Repeat, RequestError, type LoadReport,
 } from '@bluebellyard/core';
-import {AnswerFraming, createTrackedPool} from '@bluebellyard/http-client';
+import {createTrackedPool} from '@bluebellyard/http-client';
 import type {TlsFiles} from '../settings/index.js';
 import {
 	exchange, headerText, internalPrefix, forwardableHeaders, type Answer, type Order,
@@ -22,8 +22,6 @@
 	reason: `${internalPrefix}reason`,
 	load: `${internalPrefix}load`,
 	wait: `${internalPrefix}wait`,
-	/** How the target stated the end of its answer. */
-	framing: `${internalPrefix}framing`,
 } as const;
 
 /** Timeout for opening a connection, in milliseconds. */
@@ -147,6 +145,5 @@
 /** Returns the answer of a target as its steward received it. */
 function withoutInternalHeaders(answer: Answer): Answer {
 	const headers = Object.fromEntries(Object.entries(answer.headers).filter(([name]) => !name.startsWith(internalPrefix)));
-	const isClose = headerText(answer.headers, internalHeaders.framing) === String(AnswerFraming.Close);
-	return {...answer, headers, framing: isClose ? AnswerFraming.Close : answer.framing};
+	return {...answer, headers};
 }
--- a/packages/router/src/entry/internal-server.ts
+++ b/packages/router/src/entry/internal-server.ts
@@ -5,7 +5,6 @@
 import {
 	ErrorKind, MemoryBudget, Repeat, RequestError,
 } from '@bluebellyard/core';
-import {AnswerFraming} from '@bluebellyard/http-client';
 import type {Address, LimitSettings, TlsFiles} from '../settings/index.js';
 import {
 	answerHeaders, headerText, forwardableHeaders, type Answer, type Order,
@@ -88,9 +87,7 @@
 		try {
 			const answer = await this.answer(req, res, target);
 			this.prepareAnswer(res, target);
-			res.setHeader(internalHeaders.framing, answer.framing);
-			// Between instances each answer states its length, also if its target stated none.
-			res.writeHead(answer.status, {...answerHeaders(answer).headers, ...(answer.framing === AnswerFraming.Close && {'content-length': answer.body.length})});
+			res.writeHead(answer.status, answerHeaders(answer));
 			res.end(answer.body);
 		} catch (err) {
 			const error = toRequestError(err);
--- a/packages/router/src/work/headers.ts
+++ b/packages/router/src/work/headers.ts
@@ -1,4 +1,4 @@
-import {findPassedOnEnd} from '@bluebellyard/http-client';
+import {findPassedOnLength} from '@bluebellyard/http-client';
 import type {Answer, Headers} from './order.js';
 
 /** Hop-by-hop headers and others that concern a single connection. */
@@ -43,12 +43,10 @@
 	return typeof value === 'string' ? value : '';
 }
 
-/** Returns the headers with which an answer is passed on to a caller, and whether it ends with the connection. */
-export function answerHeaders({status, headers, body, framing}: Answer): {headers: Record<string, string | string[]>; isClose: boolean} {
-	const {length, isClose} = findPassedOnEnd({
+/** Returns the headers with which an answer is passed on. */
+export function answerHeaders({status, headers, body, framing}: Answer): Record<string, string | string[]> {
+	const length = findPassedOnLength({
 		status, framing, bytes: body.length, statedLength: headerText(headers, 'content-length') || undefined,
 	});
-	return {
-		headers: {...forwardableHeaders(headers), ...(length !== undefined && {'content-length': length}), ...(isClose && {connection: 'close'})}, isClose,
-	};
+	return {...forwardableHeaders(headers), ...(length !== undefined && {'content-length': length})};
 }
