Answers without a length are searched for later answers while they arrive

Cause: at the end of such an answer its whole body was searched in one call, and for each "HTTP/1." the end of the line was looked for in the next 64 KiB. Whole heads were listed as objects before they were compared, which no account knew of, and also an ordinary body held the event loop until all of it was searched.

Change: LaterAnswerSearch reads the body in the pieces in which it arrives. Each byte is read twice at most, whatever the bytes are. Of a head, what is kept is bounded by the answer's own head and one unfinished line of 64 KiB at most, which counts towards the memory budget.

The table of later-answer.test.ts runs in pieces of 1, 2 and 7 bytes, too; its test of a large body has nine kinds of bodies now.

--- a/packages/gateway/src/queue/exchange.ts
+++ b/packages/gateway/src/queue/exchange.ts
@@ -121,7 +121,7 @@
 			return;
 		}
 
-		this.share.update(Math.max(bytes, this.statedBytes));
+		this.share.update(Math.max(this.heldBytes, this.statedBytes));
 		if (bytes > maxAnswerBytes) {
 			this.fail(AttemptOutcome.Broken, 'the answer is too large');
 		}
--- a/packages/http-client/src/answer-handler.ts
+++ b/packages/http-client/src/answer-handler.ts
@@ -4,6 +4,7 @@
 import {BodyBuffer} from '@bluebellyard/core';
 import {UnverifiedReason, verifyAnswer, needsLiveSender} from './verify-answer.js';
 import {AnswerFraming, findFraming, type StatedEnd} from './answer-framing.js';
+import {LaterAnswerSearch} from './later-answer.js';
 import type {ConnectionState} from './connection-state.js';
 import type {WholeAnswer} from './whole-answer.js';
 
@@ -57,6 +58,7 @@
 	private headers: IncomingHttpHeaders = {};
 	private statedEnd: StatedEnd = {framing: AnswerFraming.Unsupported};
 	private client: ObservedClient | undefined;
+	private laterAnswerSearch: LaterAnswerSearch | undefined;
 	private isEnded = false;
 	private isDiscarding = false;
 	private hasInvalidStatus = false;
@@ -106,6 +108,8 @@
 			this.connection.isAnswerCloseDelimited = this.statedEnd.framing === AnswerFraming.Close;
 		}
 
+		this.laterAnswerSearch = this.createSearch(status, headers);
+
 		this.handleHead(status, headers);
 		if (!this.isDiscarding) {
 			this.body.expect(this.statedEnd.length ?? 0);
@@ -114,6 +118,7 @@
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
 		this.body.append(chunk);
+		this.laterAnswerSearch?.append(chunk);
 		this.handleProgress(this.body.length);
 	}
 
@@ -123,10 +128,10 @@
 		}
 
 		this.isEnded = true;
-		const {status, headers, connection, statedEnd: {framing, length}, request: {idHeader, mayEndWithConnection}} = this;
+		const {status, headers, connection, statedEnd: {framing, length}, request: {mayEndWithConnection}} = this;
 		const body = this.body.toBytes();
 		const reason = verifyAnswer({
-			framing, length, status, headers, body, connection, idHeader, mayEndWithConnection,
+			framing, length, bytes: body.length, connection, hasLaterAnswer: this.laterAnswerSearch?.finish() ?? false, mayEndWithConnection,
 		});
 		const answer = {
 			status, headers, body, framing,
@@ -151,10 +156,16 @@
 		return this.isEnded;
 	}
 
+	/** Number of bytes that are held for the answer: what has arrived of its body, and what the search of it keeps. */
+	protected get heldBytes(): number {
+		return this.body.length + (this.laterAnswerSearch?.heldBytes ?? 0);
+	}
+
 	/** Drops what has arrived of the body. */
 	protected discardBody(): void {
 		this.isDiscarding = true;
 		this.body.clear();
+		this.laterAnswerSearch = undefined;
 	}
 
 	/** Handles the head of an interim or final response. */
@@ -181,6 +192,18 @@
 	/** Handles the end of a request without a whole answer; a `UnverifiedAnswerError` if bytes arrived that may be one. */
 	protected abstract handleError(err: Error): void;
 
+	/** Returns the search for a later answer among the bytes of an answer; undefined if there can be none. */
+	private createSearch(status: number, headers: IncomingHttpHeaders): LaterAnswerSearch | undefined {
+		const {connection, request: {idHeader}, statedEnd: {framing}} = this;
+		if (framing !== AnswerFraming.Close || idHeader === undefined || connection === undefined) {
+			return undefined;
+		}
+
+		return new LaterAnswerSearch({
+			status, headers, idHeader, requestIds: connection.requestIds,
+		});
+	}
+
 	/** Ends the request: nothing that follows such a status belongs to an answer. */
 	private rejectStatus(controller: Dispatcher.DispatchController, status: number): void {
 		this.hasInvalidStatus = true;
--- a/packages/http-client/src/later-answer.test.ts
+++ b/packages/http-client/src/later-answer.test.ts
@@ -1,14 +1,24 @@
-/** Guards against a second answer that is taken for a part of the body of the first one, and against bodies that quote HTTP and count as two answers. */
+/** Guards against a second answer that is taken for a part of the body of the first one, against bodies that quote HTTP and count as two answers, and against bodies whose search holds the event loop or the memory. */
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import * as fc from 'fast-check';
-import {hasLaterAnswer} from './later-answer.js';
+import {LaterAnswerSearch, type CloseDelimitedAnswer} from './later-answer.js';
 
 const answer = {
 	status: 200, headers: {'x-id': 'r2', 'x-seal': 'a', date: 'Sun'}, idHeader: 'x-id', requestIds: new Set(['r1', 'r2']),
 };
 const own = 'HTTP/1.1 200 OK\r\nX-Id: r2\r\nX-Seal: a\r\nDate: Sun\r\n\r\n';
 
+/** Returns whether a later answer is found in a body that arrives in pieces of a size. */
+function search(body: Buffer, ofAnswer: CloseDelimitedAnswer = answer, pieceBytes = body.length): boolean {
+	const laterAnswerSearch = new LaterAnswerSearch(ofAnswer);
+	for (let start = 0; start < body.length; start += pieceBytes) {
+		laterAnswerSearch.append(body.subarray(start, start + pieceBytes));
+	}
+
+	return laterAnswerSearch.finish();
+}
+
 const cases: ReadonlyArray<readonly [name: string, text: string, isFound: boolean]> = [
 	['no HTTP', 'text HTTP/1 text', false],
 	['the own head', `text${own}text`, true],
@@ -33,30 +43,68 @@
 
 for (const [name, text, isFound] of cases) {
 	test(`${name}: ${isFound ? 'found' : 'not found'}`, t => {
-		t.is(hasLaterAnswer(Buffer.from(text), answer), isFound);
+		const body = Buffer.from(text);
+		for (const pieceBytes of [body.length, 1, 2, 7]) {
+			t.is(search(body, answer, pieceBytes), isFound, `${pieceBytes}`);
+		}
 	});
 }
 
 test('answers without an id: only the same head is found', t => {
 	const unnamed = {...answer, headers: {server: 't', date: 'Sun'}, requestIds: new Set(['r1'])};
-	t.true(hasLaterAnswer(Buffer.from('textHTTP/1.1 200 OK\r\nServer: t\r\nDate: Mon\r\nContent-Length: 4\r\n\r\ntext'), unnamed));
-	t.false(hasLaterAnswer(Buffer.from('textHTTP/1.1 200 OK\r\nServer: u\r\n\r\ntext'), unnamed));
-	t.false(hasLaterAnswer(Buffer.from('textHTTP/1.1 404 No\r\nServer: t\r\n\r\ntext'), unnamed));
-	t.false(hasLaterAnswer(Buffer.from('textHTTP/1.1 200 OK\r\n\r\ntext'), unnamed));
+	t.true(search(Buffer.from('textHTTP/1.1 200 OK\r\nServer: t\r\nDate: Mon\r\nContent-Length: 4\r\n\r\ntext'), unnamed));
+	t.false(search(Buffer.from('textHTTP/1.1 200 OK\r\nServer: u\r\n\r\ntext'), unnamed));
+	t.false(search(Buffer.from('textHTTP/1.1 404 No\r\nServer: t\r\n\r\ntext'), unnamed));
+	t.false(search(Buffer.from('textHTTP/1.1 200 OK\r\n\r\ntext'), unnamed));
 });
 
 test('a second copy is found behind any body, whole or cut behind the first byte of its headers', t => {
 	const statusLineBytes = 'HTTP/1.1 200 OK\r\n'.length;
 	t.notThrows(() => {
-		fc.assert(fc.property(fc.uint8Array({maxLength: 200}), fc.integer({min: statusLineBytes + 1, max: own.length}), fc.uint8Array({maxLength: 50}), (body, cutAt, rest) => {
+		fc.assert(fc.property(fc.uint8Array({maxLength: 200}), fc.integer({min: statusLineBytes + 1, max: own.length}), fc.uint8Array({maxLength: 50}), fc.integer({min: 1, max: 300}), (body, cutAt, rest, pieceBytes) => {
 			const isWhole = cutAt === own.length;
-			return hasLaterAnswer(Buffer.concat([body, Buffer.from(own.slice(0, cutAt)), ...(isWhole ? [rest] : [])]), answer);
+			return search(Buffer.concat([body, Buffer.from(own.slice(0, cutAt)), ...(isWhole ? [rest] : [])]), answer, pieceBytes);
 		}));
 	});
 });
 
-test('a large body full of status lines is read in one pass', t => {
-	const line = 'A: HTTP/1.1 200 OK\r\n';
-	t.false(hasLaterAnswer(Buffer.from(line.repeat(1_000_000)), answer));
-	t.true(hasLaterAnswer(Buffer.from(`${line.repeat(1_000_000)}X-Id: r2\r\n\r\n`), answer));
+const ownStatusLine = 'HTTP/1.1 200 OK\r\n';
+
+// The sender chooses the bytes. Bodies of 20 MB, in pieces as they arrive.
+const large: ReadonlyArray<readonly [name: string, piece: string]> = [
+	['starts of status lines without an end', 'HTTP/1.'],
+	['status lines without an end', 'HTTP/1.1 200 '],
+	['status lines in header lines', `A: ${ownStatusLine}`],
+	['heads of this answer that name another request', own.replace('r2', 'r3')],
+	['heads of this answer that are none', own.replace('\r\n\r\n', '\r\nno header\r\n')],
+	['long lines of heads', `${ownStatusLine}${'a'.repeat(65_000)}`],
+	['lines of heads that are too long', `${ownStatusLine}${'a'.repeat(70_000)}`],
+	['lines of a log', '{"line":"GET /a/b HTTP/1.1","status":200,"bytes":1234567}'],
+	['short lines', '\n'],
+];
+
+const largeBytes = 20_000_000;
+const pieceBytes = 65_536;
+
+for (const [name, piece] of large) {
+	test(`a large body of ${name} is searched while it arrives, and little of it is kept`, t => {
+		const body = Buffer.from(piece.repeat(Math.ceil(largeBytes / piece.length)));
+		const laterAnswerSearch = new LaterAnswerSearch(answer);
+		let heldBytes = 0;
+		for (let start = 0; start < body.length; start += pieceBytes) {
+			laterAnswerSearch.append(body.subarray(start, start + pieceBytes));
+			heldBytes = Math.max(heldBytes, laterAnswerSearch.heldBytes);
+		}
+
+		t.true(heldBytes <= 65_536, `${heldBytes}`);
+		laterAnswerSearch.append(Buffer.from(`\n${own}`));
+		t.true(laterAnswerSearch.finish());
+		t.false(search(body, answer, pieceBytes));
+	});
+}
+
+test('an id in a head with a line that is too long is found', t => {
+	t.true(search(Buffer.from(`${ownStatusLine}X-Id: r2\r\n${'a'.repeat(70_000)}`)));
+	t.false(search(Buffer.from(`${ownStatusLine}X-Id: r3\r\n${'a'.repeat(70_000)}`)));
+	t.true(search(Buffer.from(`${ownStatusLine}${'a'.repeat(70_000)}${own}`)));
 });
--- a/packages/http-client/src/later-answer.ts
+++ b/packages/http-client/src/later-answer.ts
@@ -1,5 +1,6 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
+import {BodyBuffer} from '@bluebellyard/core';
 
 /** An answer that ends with its connection, and the requests that the other side may have answered on that connection. */
 export type CloseDelimitedAnswer = {
@@ -10,14 +11,19 @@
 	readonly requestIds: ReadonlySet<string>;
 };
 
+/** Longest line that counts as one of a head, in bytes; parsers accept no larger heads. */
+const maxLineBytes = 65_536;
+
 const startOfHead = 'HTTP/1.';
 
-const lineFeed = 0x0A;
+/** Length of the start of a status line up to the status. */
+const statusLineChars = 'HTTP/1.1 200'.length;
 
-/** Longest line that counts as one of a head, in bytes; parsers accept no larger heads. */
-const maxLineBytes = 65_536;
+const digit = {zero: 0x30, one: 0x31, nine: 0x39};
+const space = 0x20;
 
-const statusLinePattern = /^HTTP\/1\.[01] (?<status>\d{3})(?: |$)/v;
+/** Space, carriage return and line feed. */
+const endsOfStatus = new Set([space, 0x0D, 0x0A]);
 
 const headerNamePattern = /^(?:[\w!#$%'*+.^`\|~\-]|&)+$/v;
 
@@ -26,115 +32,261 @@
 
 type HeaderLine = readonly [name: string, value: string];
 
-/** A status line within a body, with the header lines that follow it. */
-type EmbeddedHead = {
-	readonly status: number;
-	readonly lines: readonly HeaderLine[];
-	/** Whether an empty line follows. */
-	readonly isComplete: boolean;
-	/** What the body ends with if it ends within a line; undefined if it doesn't. */
-	readonly cutLine: string | undefined;
-	/** Position after the last of these lines. */
-	readonly end: number;
-};
+/** What follows in the body. */
+enum Part {
+	/** Anything; the next status line may be anywhere in it. */
+	Text = 'text',
+	/** The rest of a status line. */
+	StatusLine = 'status-line',
+	/** A header line, or the empty line at the end of a head. */
+	HeaderLine = 'header-line',
+}
 
 /**
- * Returns whether a later answer on the connection may be among the bytes of a body that ends with its connection: a head
- * that names a request of the connection, or one that is the same as the head of the answer itself, also if it is cut.
- * HTTP that a body quotes names other requests, or none.
+ * Searches the body of an answer that ends with its connection for a later answer on the connection: a head that names a
+ * request of the connection, or one that is the same as the head of the answer itself, also if it is cut. HTTP that a body
+ * quotes names other requests, or none.
+ *
+ * The body is searched while it arrives: its sender chooses the size and the bytes, and searching all of it at once would
+ * delay all other requests. The time is proportional to the bytes, whatever they are; of the body only an unfinished line
+ * of a head is kept.
  */
-export function hasLaterAnswer(body: Buffer, answer: CloseDelimitedAnswer): boolean {
-	let start = body.indexOf(startOfHead);
-	while (start !== -1) {
-		const head = readHead(body, start);
-		if (head !== undefined && mayAnswer(head, answer)) {
-			return true;
+export class LaterAnswerSearch {
+	private part = Part.Text;
+	private isFound = false;
+	/** Characters before the next ones that may begin a status line, if it is not in a head. */
+	private partialStart = '';
+	/** Unfinished line of a head. */
+	private readonly line = new BodyBuffer();
+	private head = new EmbeddedHead();
+	private ownLines: ReadonlySet<string> | undefined;
+
+	constructor(private readonly answer: CloseDelimitedAnswer) {
+		// The lines of the answer are listed when they are needed; most bodies contain no status line.
+	}
+
+	/** Number of bytes of the body that are kept for the search. */
+	get heldBytes(): number {
+		return this.line.length;
+	}
+
+	/** Searches the next bytes of the body. */
+	append(chunk: Buffer): void {
+		let text = this.partialStart + chunk.toString('latin1');
+		let position = 0;
+		this.partialStart = '';
+		while (!this.isFound && position < text.length) {
+			switch (this.part) {
+				case Part.Text: {
+					position = this.readText(text, position);
+					break;
+				}
+
+				case Part.StatusLine: {
+					position = this.readStatusLine(text, position);
+					break;
+				}
+
+				case Part.HeaderLine: {
+					[text, position] = this.readHeaderLine(text, position);
+					break;
+				}
+			}
 		}
+	}
 
-		// A status line among the header lines need not be read on its own: the head has all lines that follow it, too.
-		start = body.indexOf(startOfHead, head?.end ?? start + startOfHead.length);
+	/** Ends the search; returns whether a later answer may be among the bytes. */
+	finish(): boolean {
+		return this.isFound || (this.part === Part.HeaderLine && this.head.mayBeCut(this.takeLine(), this.answer));
 	}
 
-	return false;
-}
+	/** Reads up to a status line; returns the position after its status, or the end of the text. */
+	private readText(text: string, position: number): number {
+		const start = findStatusLine(text, position, text.length);
+		if (start === -1) {
+			this.keepPartialStart(text, position);
+			return text.length;
+		}
 
-/** Reads the head that begins at a position; undefined if there is no whole status line. */
-function readHead(body: Buffer, start: number): EmbeddedHead | undefined {
-	const statusLine = readLine(body, start);
-	const status = statusLinePattern.exec(statusLine?.text ?? '')?.groups?.status;
-	if (statusLine === undefined || status === undefined) {
-		return undefined;
+		this.part = Part.StatusLine;
+		this.head = new EmbeddedHead();
+		return this.recordStatus(text, start);
 	}
 
-	const lines: HeaderLine[] = [];
-	let {end} = statusLine;
-	for (;;) {
-		const line = readLine(body, end);
-		const header = parseHeader(line?.text);
-		if (line === undefined || header === undefined) {
-			return {
-				status: Number(status), lines, isComplete: line?.text === '', cutLine: line === undefined ? body.toString('latin1', end, end + maxLineBytes) : undefined, end,
-			};
+	/** Reads up to the end of a status line; returns the position after it, or the end of the text. Any status in it may be the one of the head. */
+	private readStatusLine(text: string, position: number): number {
+		const lineEnd = text.indexOf('\n', position);
+		const end = lineEnd === -1 ? text.length : lineEnd;
+		let read = position;
+		for (let start = findStatusLine(text, read, end); start !== -1; start = findStatusLine(text, read, end)) {
+			read = this.recordStatus(text, start);
+		}
+
+		if (lineEnd === -1) {
+			this.keepPartialStart(text, read);
+			return text.length;
 		}
 
-		lines.push(header);
-		end = line.end;
+		this.part = Part.HeaderLine;
+		return lineEnd + 1;
 	}
-}
 
-/** Reads a line without its end; undefined if the body ends before the line does, or it is too long. */
-function readLine(body: Buffer, start: number): {text: string; end: number} | undefined {
-	const length = body.subarray(start, start + maxLineBytes).indexOf(lineFeed);
-	if (length === -1) {
-		return undefined;
+	/** Reads a line of a head; returns the text that remains to be read, and the position in it. A line that is no header is read again as text. */
+	private readHeaderLine(text: string, position: number): [text: string, position: number] {
+		const lineEnd = text.indexOf('\n', position);
+		const end = lineEnd === -1 ? text.length : lineEnd;
+		const isTooLong = this.line.length + end - position > maxLineBytes;
+		if (lineEnd === -1 && !isTooLong) {
+			this.line.append(Buffer.from(text.slice(position), 'latin1'));
+			return [text, text.length];
+		}
+
+		const former = this.takeLine();
+		const line = isTooLong ? undefined : former + text.slice(position, end);
+		if (line !== undefined && this.recordLine(line.endsWith('\r') ? line.slice(0, -1) : line)) {
+			return [text, end + 1];
+		}
+
+		this.isFound = isTooLong && this.head.namesRequest;
+		this.part = Part.Text;
+		return former === '' ? [text, position] : [former + text.slice(position), 0];
 	}
 
-	const text = body.toString('latin1', start, start + length);
-	return {text: text.endsWith('\r') ? text.slice(0, -1) : text, end: start + length + 1};
-}
+	/** Records a line of the head; returns whether it is one. */
+	private recordLine(line: string): boolean {
+		if (line === '') {
+			this.isFound = this.head.isAnswer(this.listOwnLines());
+			this.part = Part.Text;
+			return true;
+		}
 
-function parseHeader(text = ''): HeaderLine | undefined {
-	const colon = text.indexOf(':');
-	const name = text.slice(0, Math.max(colon, 0));
-	return headerNamePattern.test(name) ? [name.toLowerCase(), text.slice(colon + 1).trim()] : undefined;
-}
+		const header = parseHeader(line);
+		if (header !== undefined) {
+			this.head.recordHeader(header, this.answer, this.listOwnLines());
+		}
 
-function mayAnswer(head: EmbeddedHead, answer: CloseDelimitedAnswer): boolean {
-	const isCut = head.cutLine !== undefined;
-	if (!head.isComplete && !isCut) {
-		return false;
+		return header !== undefined;
 	}
 
-	const named = head.lines.filter(([name]) => name === answer.idHeader);
-	if (named.length > 0) {
-		return named.some(([, id]) => answer.requestIds.has(id));
+	/** Records the status of a status line that begins at a position; returns the position after it. */
+	private recordStatus(text: string, start: number): number {
+		const end = start + statusLineChars;
+		this.head.hasOwnStatus ||= Number(text.slice(end - 3, end)) === this.answer.status;
+		return end;
 	}
 
-	return head.status === answer.status && (isCut ? isStartOfSameHead(head, answer) : isSameHead(head, answer));
-}
+	private keepPartialStart(text: string, position: number): void {
+		this.partialStart = text.slice(Math.max(position, text.length - statusLineChars));
+	}
 
-/** Returns whether the lines of a head are those of the answer itself. */
-function isSameHead({lines}: EmbeddedHead, answer: CloseDelimitedAnswer): boolean {
-	const own = new Set(listLines(answer).filter(line => isFixed(line)).map(line => formatLine(line)));
-	const embedded = new Set(lines.filter(line => isFixed(line)).map(line => formatLine(line)));
-	return own.size === embedded.size && [...embedded].every(line => own.has(line));
+	/** Returns the unfinished line, and keeps it no longer. */
+	private takeLine(): string {
+		if (this.line.length === 0) {
+			return '';
+		}
+
+		const line = this.line.toBytes().toString('latin1');
+		this.line.clear();
+		return line;
+	}
+
+	private listOwnLines(): ReadonlySet<string> {
+		this.ownLines ??= new Set(listLines(this.answer).filter(line => isFixed(line)).map(line => formatLine(line)));
+		return this.ownLines;
+	}
 }
 
-/** Returns whether the lines of a head with which a body ends are the first ones of the answer's own head. */
-function isStartOfSameHead({lines, cutLine = ''}: EmbeddedHead, answer: CloseDelimitedAnswer): boolean {
-	const own = listLines(answer);
-	const fixed = lines.filter(line => isFixed(line));
-	if (fixed.some(line => !own.some(other => formatLine(other) === formatLine(line)))) {
-		return false;
+/** What is known of a head within a body. Takes no more memory than the head of the answer itself, however long it is. */
+class EmbeddedHead {
+	/** Whether its status is that of the answer. */
+	hasOwnStatus = false;
+	/** Whether it names a request of the connection. */
+	namesRequest = false;
+	private namesAny = false;
+	private hasForeignLine = false;
+	private sameLines: Set<string> | undefined;
+
+	recordHeader(header: HeaderLine, {idHeader, requestIds}: CloseDelimitedAnswer, ownLines: ReadonlySet<string>): void {
+		const [name, value] = header;
+		if (name === idHeader) {
+			this.namesAny = true;
+			this.namesRequest ||= requestIds.has(value);
+		}
+
+		if (!isFixed(header)) {
+			return;
+		}
+
+		const line = formatLine(header);
+		if (ownLines.has(line)) {
+			this.sameLines ??= new Set();
+			this.sameLines.add(line);
+		} else {
+			this.hasForeignLine = true;
+		}
 	}
 
-	const [name, value] = parseHeader(cutLine) ?? [cutLine.trim().toLowerCase(), undefined];
-	if (name === answer.idHeader && value !== undefined) {
-		return [...answer.requestIds].some(id => id.startsWith(value));
+	/** Returns whether the head, which is complete, may be that of an answer to a request of the connection. */
+	isAnswer(ownLines: ReadonlySet<string>): boolean {
+		return this.namesAny ? this.namesRequest : this.hasOwnStatus && !this.hasForeignLine && (this.sameLines?.size ?? 0) === ownLines.size;
 	}
 
-	const isStartOfLine = name !== '' && own.some(other => value === undefined ? other[0].startsWith(name) : other[0] === name && other[1].startsWith(value));
-	return cutLine === '' ? fixed.length > 0 : isStartOfLine;
+	/** Returns whether the head, which ends with a part of a line, may be the start of such a head. */
+	mayBeCut(cutLine: string, answer: CloseDelimitedAnswer): boolean {
+		if (this.namesAny) {
+			return this.namesRequest;
+		}
+
+		if (!this.hasOwnStatus || this.hasForeignLine) {
+			return false;
+		}
+
+		if (cutLine === '') {
+			return this.sameLines !== undefined;
+		}
+
+		const [name, value] = parseHeader(cutLine) ?? [cutLine.trim().toLowerCase(), undefined];
+		if (name === answer.idHeader && value !== undefined) {
+			return [...answer.requestIds].some(id => id.startsWith(value));
+		}
+
+		return name !== '' && listLines(answer).some(line => value === undefined ? line[0].startsWith(name) : line[0] === name && line[1].startsWith(value));
+	}
+}
+
+/** Returns where the next status line with a whole status begins between two positions; -1 if none does. */
+function findStatusLine(text: string, from: number, to: number): number {
+	let start = text.indexOf(startOfHead, from);
+	while (start !== -1 && start < to) {
+		if (isStatusLine(text, start + startOfHead.length)) {
+			return start;
+		}
+
+		start = text.indexOf(startOfHead, start + startOfHead.length);
+	}
+
+	return -1;
+}
+
+/** Returns whether a minor version, a status and the end of the status are at a position. */
+function isStatusLine(text: string, position: number): boolean {
+	const minorVersion = text.codePointAt(position);
+	return (minorVersion === digit.zero || minorVersion === digit.one)
+		&& text.codePointAt(position + 1) === space
+		&& isDigit(text.codePointAt(position + 2))
+		&& isDigit(text.codePointAt(position + 3))
+		&& isDigit(text.codePointAt(position + 4))
+		&& endsOfStatus.has(text.codePointAt(position + 5) ?? 0);
+}
+
+function isDigit(code = 0): boolean {
+	return code >= digit.zero && code <= digit.nine;
+}
+
+function parseHeader(text: string): HeaderLine | undefined {
+	const colon = text.indexOf(':');
+	const name = text.slice(0, Math.max(colon, 0));
+	return headerNamePattern.test(name) ? [name.toLowerCase(), text.slice(colon + 1).trim()] : undefined;
 }
 
 /** Returns the header lines of an answer; all of its values of one name are separate lines. */
--- a/packages/http-client/src/verify-answer.test.ts
+++ b/packages/http-client/src/verify-answer.test.ts
@@ -1,5 +1,4 @@
 /** Guards against a rule that nothing else would miss, as the parser and the instances are right in all other tests. */
-import {Buffer} from 'node:buffer';
 import {Socket} from 'node:net';
 import test from 'ava';
 import {AnswerFraming} from './answer-framing.js';
@@ -11,7 +10,7 @@
 	connection.end = end;
 	connection.recordRequest('r1');
 	return verifyAnswer({
-		status: 200, headers: {'x-id': 'r1'}, framing: AnswerFraming.Length, length: 4, body: Buffer.from('body'), connection, idHeader: 'x-id', mayEndWithConnection: true, ...changes,
+		framing: AnswerFraming.Length, length: 4, bytes: 4, connection, hasLaterAnswer: false, mayEndWithConnection: true, ...changes,
 	});
 }
 
@@ -35,7 +34,7 @@
 	t.is(verify(close), UnverifiedReason.ConnectionLost);
 	t.is(verify({...close, connection: undefined}), UnverifiedReason.ConnectionLost);
 	t.is(verify({...close, mayEndWithConnection: false}, ConnectionEnd.Orderly), UnverifiedReason.UnsupportedFraming);
-	t.is(verify({...close, body: Buffer.from('bodyHTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n')}, ConnectionEnd.Orderly), UnverifiedReason.LaterAnswer);
+	t.is(verify({...close, hasLaterAnswer: true}, ConnectionEnd.Orderly), UnverifiedReason.LaterAnswer);
 });
 
 test('anything else: never', t => {
--- a/packages/http-client/src/verify-answer.ts
+++ b/packages/http-client/src/verify-answer.ts
@@ -15,11 +15,8 @@
  * An end of the connection by this side proves nothing. An orderly end proves less than a length: a process that is
  * killed ends its connections so, too, which is why the other side is asked whether it still accepts connections.
  */
-import type {Buffer} from 'node:buffer';
-import type {IncomingHttpHeaders} from 'node:http';
 import {AnswerFraming, type StatedEnd} from './answer-framing.js';
 import {ConnectionEnd, type ConnectionState} from './connection-state.js';
-import {hasLaterAnswer} from './later-answer.js';
 
 /** Why an answer counts as none. */
 export enum UnverifiedReason {
@@ -42,27 +39,26 @@
 
 /** An answer as it was received, up to what looks like its end. */
 export type ReceivedAnswer = StatedEnd & {
-	readonly status: number;
-	readonly headers: IncomingHttpHeaders;
-	readonly body: Buffer;
+	/** Number of bytes of its body. */
+	readonly bytes: number;
 	/** The connection on which it arrived; undefined if it was not observed. */
 	readonly connection: ConnectionState | undefined;
-	/** Header by which requests and answers name the request, in lower case; undefined if the other side answers each request once. */
-	readonly idHeader: string | undefined;
+	/** Whether a later answer on the connection may be among the bytes. */
+	readonly hasLaterAnswer: boolean;
 	/** Whether the other side may end answers with the connection. */
 	readonly mayEndWithConnection: boolean;
 };
 
 /** Returns why an answer is not proved to be whole; undefined if it is, but for the check that `needsLiveSender` asks for. */
 export function verifyAnswer(answer: ReceivedAnswer): UnverifiedReason | undefined {
-	const {framing, length, body, connection} = answer;
+	const {framing, length, bytes, connection} = answer;
 	switch (framing) {
 		case AnswerFraming.NoBody: {
 			return undefined;
 		}
 
 		case AnswerFraming.Length: {
-			return body.length === length ? undefined : UnverifiedReason.WrongLength;
+			return bytes === length ? undefined : UnverifiedReason.WrongLength;
 		}
 
 		case AnswerFraming.Chunks: {
@@ -80,9 +76,7 @@
 	}
 }
 
-function verifyCloseDelimited({
-	status, headers, body, connection, idHeader, mayEndWithConnection,
-}: ReceivedAnswer): UnverifiedReason | undefined {
+function verifyCloseDelimited({connection, hasLaterAnswer, mayEndWithConnection}: ReceivedAnswer): UnverifiedReason | undefined {
 	if (!mayEndWithConnection) {
 		return UnverifiedReason.UnsupportedFraming;
 	}
@@ -91,10 +85,7 @@
 		return UnverifiedReason.ConnectionLost;
 	}
 
-	const hasLater = idHeader !== undefined && hasLaterAnswer(body, {
-		status, headers, idHeader, requestIds: connection.requestIds,
-	});
-	return hasLater ? UnverifiedReason.LaterAnswer : undefined;
+	return hasLaterAnswer ? UnverifiedReason.LaterAnswer : undefined;
 }
 
 /** Returns whether an answer that passed `verifyAnswer` is whole only if the other side has not ended itself. */
