--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -188,6 +188,10 @@
 			this.queues.recordControlAnswer(target, headers);
 		};
 
+		ports.control.onEndlessAnswer = ({name, addr}) => {
+			telemetry.warn('control', 'Closed a connection on which the answer to a grant or release did not end.', {target: name, addr});
+		};
+
 		this.dispatcher = new Dispatcher({
 			self,
 			view,
--- a/packages/gateway/src/ports/target-control.ts
+++ b/packages/gateway/src/ports/target-control.ts
@@ -42,6 +42,9 @@
 	/** Called with the headers of each answer of the target itself. */
 	onAnswer: ((target: TargetRef, headers: TargetHeaders) => void) | undefined;
 
+	/** Called when the answer of a target did not end, and its connection was closed for that. The answer counts. */
+	onEndlessAnswer: ((target: TargetRef) => void) | undefined;
+
 	abstract grant(target: TargetRef, request: GrantRequest, timeoutMs: number): Promise<GrantReply>;
 
 	/** Revokes a grant of keys. Resolves, once the running requests have ended, to the state to hand over to the next owner. */
