Answers behind more than 32 interim responses are none

A target that sends interim responses (103) without end takes the time of the process until the deadline of the request, as nothing limited their number and no length ends them.

Change: AnswerHandler ends a request after 32 of them, with a reason of its own in the log.

Evidence: an answer behind 33 and behind 100,000 of them counted before (two tests failed); one behind 32 still counts.

--- a/packages/http-client/src/answer-handler.ts
+++ b/packages/http-client/src/answer-handler.ts
@@ -11,6 +11,9 @@
 /** Smallest status of HTTP. */
 const minStatus = 100;
 
+/** Largest number of interim responses before an answer; each takes time, and no length ends them. */
+const maxInterimResponses = 32;
+
 /** A request as far as its answer depends on it. */
 export type AnsweredRequest = {
 	readonly method: string;
@@ -61,7 +64,8 @@
 	private laterAnswerSearch: LaterAnswerSearch | undefined;
 	private isEnded = false;
 	private isDiscarding = false;
-	private hasInvalidStatus = false;
+	private interimResponses = 0;
+	private isRejected = false;
 
 	constructor(request: AnsweredRequest) {
 		this.request = request;
@@ -92,12 +96,17 @@
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		if (status < minStatus) {
-			this.rejectStatus(controller, status);
+			this.rejectHead(controller, status, UnverifiedReason.InvalidStatus);
 			return;
 		}
 
 		this.handleResponse(status);
 		if (status < 200) {
+			this.interimResponses += 1;
+			if (this.interimResponses > maxInterimResponses) {
+				this.rejectHead(controller, status, UnverifiedReason.InterimResponses);
+			}
+
 			return;
 		}
 
@@ -123,7 +132,7 @@
 	}
 
 	onResponseEnd(): void {
-		if (this.hasInvalidStatus) {
+		if (this.isRejected) {
 			return;
 		}
 
@@ -146,7 +155,7 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
-		if (!this.hasInvalidStatus) {
+		if (!this.isRejected) {
 			this.handleError(err);
 		}
 	}
@@ -204,10 +213,14 @@
 		});
 	}
 
-	/** Ends the request: nothing that follows such a status belongs to an answer. */
-	private rejectStatus(controller: Dispatcher.DispatchController, status: number): void {
-		this.hasInvalidStatus = true;
-		const err = new UnverifiedAnswerError(UnverifiedReason.InvalidStatus, {framing: AnswerFraming.Unsupported, status, bytes: 0});
+	/** Ends the request: nothing that follows such a head belongs to an answer. */
+	private rejectHead(controller: Dispatcher.DispatchController, status: number, reason: UnverifiedReason): void {
+		if (this.isRejected) {
+			return;
+		}
+
+		this.isRejected = true;
+		const err = new UnverifiedAnswerError(reason, {framing: AnswerFraming.Unsupported, status, bytes: 0});
 		controller.abort(err);
 		this.handleError(err);
 	}
--- a/packages/http-client/src/invalid-status.test.ts
+++ b/packages/http-client/src/invalid-status.test.ts
@@ -1,4 +1,4 @@
-/** Guards against callers that get an answer with a status that is none, and requests that wait for their deadline behind one. */
+/** Guards against callers that get an answer with a status that is none, requests that wait for their deadline behind one, and interim responses without end. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import type {Dispatcher} from 'undici';
@@ -60,6 +60,18 @@
 	});
 }
 
+const whole = 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody';
+
+// Interim responses have no length, and took the time of the process until the deadline of the request.
+for (const [count, isAnswered] of [[32, true], [33, false], [100_000, false]] as const) {
+	test(`an answer behind ${count} interim responses ${isAnswered ? 'counts' : 'does not'}`, async t => {
+		const results = await receive(t, ['HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(count), whole], false);
+		t.is(results.length, 1);
+		t.is(!(results[0] instanceof Error), isAnswered);
+		t.true(isAnswered || (results[0] instanceof UnverifiedAnswerError && results[0].reason === UnverifiedReason.InterimResponses));
+	});
+}
+
 async function receive(t: ExecutionContext, parts: readonly string[], isEnded: boolean): Promise<Array<WholeAnswer | Error>> {
 	const target = await startRawTarget(t, socket => {
 		socket.write(parts[0]);
@@ -85,8 +97,6 @@
 	return receiver.results;
 }
 
-const whole = 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody';
-
 for (const status of ['000', '099', '20', '1000', '101']) {
 	for (const [name, headers] of [['a length', 'Content-Length: 4\r\n'], ['no length', '']]) {
 		for (const [end, followed, isEnded] of [['kept open', [], false], ['closed', [], true], ['followed by a whole answer', [whole], true]] as const) {
