Router, log service, operators' commands: answers have largest sizes and an end

The lists of members, the pages of the log, the answers to grants of the router and those of instances to commands were read without a limit of bytes; `explain` waited for as long as bytes came.

--- a/packages/coordination/src/http-log/http-log-service.ts
+++ b/packages/coordination/src/http-log/http-log-service.ts
@@ -26,6 +26,9 @@
 
 const goneStatus = 410;
 
+/** Largest answer, in bytes; a page with the records of some thousand changes, or a snapshot. */
+const maxAnswerBytes = 16 * 1024 * 1024;
+
 type Answer = {
 	readonly status: number;
 	readonly body: unknown;
@@ -50,6 +53,7 @@
 		this.pool = new Pool(options.origin, {
 			connections: options.connections,
 			connect: {timeout: options.timeoutMs},
+			maxResponseSize: maxAnswerBytes,
 		});
 	}
 
--- a/packages/coordination/src/mocks/index.ts
+++ b/packages/coordination/src/mocks/index.ts
@@ -1,3 +1,4 @@
+export * from './endless-server.js';
 export * from './fake-log.js';
 export * from './fake-log-server.js';
 export * from './manual-clock.js';
--- a/packages/ctl/src/platform/instance-client.test.ts
+++ b/packages/ctl/src/platform/instance-client.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {endlessBodies, startEndlessServer} from '@bluebellyard/coordination/mocks';
 import test from 'ava';
 import {HttpInstanceClient} from './instance-client.js';
 
@@ -44,3 +45,16 @@
 		});
 	});
 }
+
+// Commands waited for ever, or took all memory.
+for (const body of endlessBodies) {
+	test(`an answer without end is an error: ${body.bytes} bytes at a time`, async t => {
+		const server = await startEndlessServer(body);
+		t.teardown(() => {
+			server.stop();
+		});
+		await t.throwsAsync(new HttpInstanceClient(body.bytes === 1 ? 300 : 60_000).fetchStatus(server.addr), {
+			any: true, name: body.bytes === 1 ? 'TimeoutError' : 'ResponseExceededMaxSizeError',
+		});
+	});
+}
--- a/packages/ctl/src/platform/instance-client.ts
+++ b/packages/ctl/src/platform/instance-client.ts
@@ -1,9 +1,14 @@
 /**
  * Clients for the control addresses of instances.
  */
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import {z} from 'zod';
 
+/** Largest answer, in bytes; many times the status of some thousand targets. */
+const maxAnswerBytes = 16 * 1024 * 1024;
+
+const agent = new Agent({maxResponseSize: maxAnswerBytes});
+
 const targetStatus = z.object({
 	target: z.string(),
 	pool: z.string(),
@@ -66,6 +71,7 @@
 	private async get(address: string, path: string): Promise<unknown> {
 		const res = await request(`http://${address}${path}`, {
 			signal: AbortSignal.timeout(this.timeoutMs),
+			dispatcher: agent,
 			// The process exits after a few requests; an idle keep-alive connection would delay that.
 			reset: true,
 		});
--- a/packages/router/src/host/membership-reader.test.ts
+++ b/packages/router/src/host/membership-reader.test.ts
@@ -1,3 +1,4 @@
+import {endlessBodies, startEndlessServer} from '@bluebellyard/coordination/mocks';
 import test from 'ava';
 import {MembershipReader, type MembershipListing} from './membership-reader.js';
 
@@ -19,3 +20,16 @@
 	answers[2](makeListing('third'));
 	t.deepEqual(await reads[2], makeListing('third'));
 });
+
+// Reads of the list waited for ever, or took all memory.
+for (const body of endlessBodies) {
+	test(`a list without end is none: ${body.bytes} bytes at a time`, async t => {
+		const server = await startEndlessServer(body);
+		t.teardown(() => {
+			server.stop();
+		});
+		await t.throwsAsync(MembershipReader.forOrigin(`http://${server.addr}`).readNewest(), {
+			any: true, name: body.bytes === 1 ? 'TimeoutError' : 'ResponseExceededMaxSizeError',
+		});
+	});
+}
--- a/packages/router/src/host/membership-reader.ts
+++ b/packages/router/src/host/membership-reader.ts
@@ -1,4 +1,4 @@
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import {z} from 'zod';
 import type {ListedTarget} from '@bluebellyard/core';
 
@@ -16,6 +16,11 @@
 /** Timeout of one read of the membership list, in milliseconds. */
 const readTimeoutMs = 2000;
 
+/** Largest list, in bytes; many times that of some thousand members. */
+const maxListBytes = 4 * 1024 * 1024;
+
+const agent = new Agent({maxResponseSize: maxListBytes});
+
 /** Contents of the platform's membership list, which lags behind the actual state. */
 export type MembershipListing = {
 	readonly targets: readonly ListedTarget[];
@@ -26,7 +31,7 @@
 
 /** Reads the platform's membership list. Rejects when the service is unreachable or the list is malformed. */
 async function readMembership(origin: string): Promise<MembershipListing> {
-	const res = await request(`${origin}/members`, {signal: AbortSignal.timeout(readTimeoutMs)});
+	const res = await request(`${origin}/members`, {signal: AbortSignal.timeout(readTimeoutMs), dispatcher: agent});
 	const {members} = membersSchema.parse(await res.body.json());
 	const targets = members
 		.filter(member => member.role === 'target')
--- a/packages/router/src/work/target-client.ts
+++ b/packages/router/src/work/target-client.ts
@@ -22,6 +22,9 @@
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 1000;
 
+/** Largest answer to a control request, in bytes; many times the list of all shards of a target. */
+const maxControlBytes = 4 * 1024 * 1024;
+
 /** HTTP client for one target, with separate connections for orders and for control requests. */
 export class TargetClient {
 	private readonly orderPool: Pool;
@@ -33,7 +36,7 @@
 		this.orderPool = createTrackedPool(origin, {
 			connections, connect, headersTimeout: 0, bodyTimeout: 0,
 		});
-		this.controlPool = createTrackedPool(origin, {connections: 2, connect});
+		this.controlPool = createTrackedPool(origin, {connections: 2, connect, maxResponseSize: maxControlBytes});
 	}
 
 	/** Sends one order. `checkBeforeSend` is called right before the first byte is written and throws to stop the order. Rejects with a `RequestError`. */
