Health checks and metrics state their lengths

An answer to a caller of HTTP/1.0 had neither a length nor chunks, so that the end of the process was the end of the metrics.

Change: each answer of the probe server has its length.

--- a/packages/gateway/src/front/probe-server.ts
+++ b/packages/gateway/src/front/probe-server.ts
@@ -1,4 +1,5 @@
-import {createServer, type Server} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {listen} from '../net/index.js';
 import {CallerConnections, type ConnectionsOptions} from './caller-connections.js';
 import {holdAnswer} from './hold-answer.js';
@@ -25,13 +26,11 @@
 					connections.recordAnswer(req.socket);
 				});
 				handler(req.url ?? '/').then(answer => {
-					const body = answer?.body ?? '';
+					const body = Buffer.from(answer?.body ?? '');
 					holdAnswer(res, body.length, options.budget);
-					res.writeHead(answer?.status ?? 404, {'content-type': answer?.type ?? 'text/plain'});
-					res.end(body);
+					send(res, answer?.status ?? 404, answer?.type ?? 'text/plain', body);
 				}, (err: unknown) => {
-					res.writeHead(500);
-					res.end(String(err));
+					send(res, 500, 'text/plain', Buffer.from(String(err)));
 				});
 			});
 		});
@@ -51,3 +50,9 @@
 		this.server.closeAllConnections();
 	}
 }
+
+/** Sends an answer with its length: without one, a caller of HTTP/1.0 takes the end of this process for that of the answer. */
+function send(res: ServerResponse, status: number, type: string, body: Buffer): void {
+	res.writeHead(status, {'content-type': type, 'content-length': body.length});
+	res.end(body);
+}
