Heads that may be joined from two answers are none

Cause: the parser makes one head of the cut copy and the head of the answer. Only the id was checked, which is that of the answer; status and X-Not-Executed were those of the copy.

Change: a status line in the reason phrase or in the value of a header is the joint of two heads. Such a head is none for requests, calls to the store, grants and releases; the outcome of the request is unknown.

--- a/packages/http-client/src/answer-handler.ts
+++ b/packages/http-client/src/answer-handler.ts
@@ -4,6 +4,7 @@
 import {BodyBuffer} from '@bluebellyard/core';
 import {UnverifiedReason, verifyAnswer, needsLiveSender} from './verify-answer.js';
 import {AnswerFraming, findFraming, type StatedEnd} from './answer-framing.js';
+import {isJoinedHead} from './joined-heads.js';
 import {LaterAnswerSearch} from './later-answer.js';
 import type {ConnectionState} from './connection-state.js';
 import type {WholeAnswer} from './whole-answer.js';
@@ -94,12 +95,17 @@
 		}
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders, reasonPhrase?: string): void {
 		if (status < minStatus) {
 			this.rejectHead(controller, status, UnverifiedReason.InvalidStatus);
 			return;
 		}
 
+		if (isJoinedHead(reasonPhrase, headers)) {
+			this.rejectHead(controller, status, UnverifiedReason.JoinedHeads);
+			return;
+		}
+
 		this.handleResponse(status);
 		if (status < 200) {
 			this.interimResponses += 1;
--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -6,5 +6,6 @@
 export * from './hold-end.js';
 export * from './request-whole.js';
 export * from './tracked-client.js';
+export * from './joined-heads.js';
 export * from './read-pause.js';
 export type * from './whole-answer.js';
--- a/packages/http-client/src/verify-answer.ts
+++ b/packages/http-client/src/verify-answer.ts
@@ -32,6 +32,8 @@
 	LaterAnswer = 'later-answer',
 	/** It ended with the connection, and the other side may have ended itself. */
 	SenderGone = 'sender-gone',
+	/** Its head may consist of parts of two. */
+	JoinedHeads = 'joined-heads',
 	/** It did not come; more interim responses came than an answer may have before it. */
 	InterimResponses = 'interim-responses',
 }
