Grants and releases: a body that has arrived in time counts on a busy process

What callers saw: nothing; found by a test that failed once beside other work (load 18). The time limit of a body fired before what had arrived meanwhile was read, and closed a connection that was sound. The test itself waited for 60 ms for the end of a body that takes 20; which of the two it was is not known.

Change: the limit looks again after the data that has arrived was handled, as calls to the store do.

--- a/packages/http-client/src/discard-body.ts
+++ b/packages/http-client/src/discard-body.ts
@@ -17,8 +17,12 @@
 	const {socket} = res;
 	const startBytes = socket.bytesRead;
 	return new Promise(resolve => {
+		let check: NodeJS.Immediate | undefined;
 		const timer = setTimeout(() => {
-			res.destroy();
+			// Data that has arrived while the process was busy is handled between timers and immediates.
+			check = setImmediate(() => {
+				res.destroy();
+			});
 		}, timeoutMs);
 		res.on('data', () => {
 			if (socket.bytesRead - startBytes > maxBytes) {
@@ -27,6 +31,7 @@
 		});
 		res.once('close', () => {
 			clearTimeout(timer);
+			clearImmediate(check);
 			resolve(res.complete);
 		});
 	});
