--- a/packages/http-client/src/later-answer.test.ts
+++ b/packages/http-client/src/later-answer.test.ts
@@ -61,7 +61,11 @@
 test('a second copy is found behind any body, whole or cut behind the first byte of its headers', t => {
 	const statusLineBytes = 'HTTP/1.1 200 OK\r\n'.length;
 	t.notThrows(() => {
-		fc.assert(fc.property(fc.uint8Array({maxLength: 200}), fc.integer({min: statusLineBytes + 1, max: own.length}), fc.uint8Array({maxLength: 50}), fc.integer({min: 1, max: 300}), (body, cutAt, rest, pieceBytes) => {
+		const bodies = fc.uint8Array({maxLength: 200});
+		const cuts = fc.integer({min: statusLineBytes + 1, max: own.length});
+		const rests = fc.uint8Array({maxLength: 50});
+		const pieceSizes = fc.integer({min: 1, max: 300});
+		fc.assert(fc.property(bodies, cuts, rests, pieceSizes, (body, cutAt, rest, pieceBytes) => {
 			const isWhole = cutAt === own.length;
 			return search(Buffer.concat([body, Buffer.from(own.slice(0, cutAt)), ...(isWhole ? [rest] : [])]), answer, pieceBytes);
 		}));
