Idle connections to targets hold no request bodies

Callers saw: requests with large bodies, one after the other, let processes exceed their memory; the platform kills them, and their requests end without an answer.

Cause: the callback of a client that counts its connections was made in a function that also reads the request. It kept the request, with its body, as long as the connection was open: a body for each connection to a target, outside of the memory budget.

Change: clients are created in a method of their own.

--- a/packages/gateway/src/queue/target-client.ts
+++ b/packages/gateway/src/queue/target-client.ts
@@ -101,7 +101,12 @@
 			return oldest.client;
 		}
 
-		return new TrackedClient(`http://${req.addr}`, {
+		return this.createClient(req.addr);
+	}
+
+	/** Creates a client. Its callbacks live as long as its connection, so they must not refer to the request that it is opened for. */
+	private createClient(addr: string): TrackedClient {
+		return new TrackedClient(`http://${addr}`, {
 			connect: this.connector,
 			now: () => this.clock.now(),
 			onConnect: () => {
