Tests: open connections send requests ahead to a paused process

Cause: one turn of the event loop reads all connections that have bytes to be read, up to 64 KB each, and the parser makes objects of all requests in them. Connections that the memory account gives up keep theirs until the turn ends.

--- a/packages/standins/src/crowd/crowd.ts
+++ b/packages/standins/src/crowd/crowd.ts
@@ -35,6 +35,15 @@
 		return this;
 	}
 
+	/** Sends further bytes on each connection that it has opened. */
+	send(bytes: Buffer): this {
+		for (const socket of this.sockets) {
+			socket.write(bytes);
+		}
+
+		return this;
+	}
+
 	/** Opens connections that each send a head and then the same part again and again; one that is closed is opened again. */
 	repeat(count: number, head: Buffer, part: Buffer): this {
 		for (let i = 0; i < count; i += 1) {
