Gateway: requests sent ahead on many connections are read in turns

Callers saw: the process that served them ended at its heap limit, with all their requests, when other callers had sent requests ahead on many connections and the process lagged.

Cause: one turn of the event loop reads all connections on which bytes wait, and the parser makes objects of all requests in a read of 64 KB. Those of connections that the memory account closes stay until the turn ends, so the account bounded a turn that reads few connections only.

Change: after 1,024 requests that wait for others, no other connection is read until the next turn of the event loop. The share of a connection does not count such a pause, which is no reason to close it.

--- a/packages/gateway/src/front/caller-connections.ts
+++ b/packages/gateway/src/front/caller-connections.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import type {BudgetShare, Clock, MemoryBudget} from '@bluebellyard/core';
-import {PauseReason, ReadPause} from '@bluebellyard/http-client';
+import {PauseReason, ReadPause, SentAheadLimit} from '@bluebellyard/http-client';
 import {waitForPendingReads} from '../net/index.js';
 
 /** What a connection of a caller is used for. */
@@ -77,6 +77,7 @@
 	private readonly connections = new Map<Socket, Connection>();
 	private accepted = 0;
 	private readonly options: ConnectionsOptions;
+	private readonly sentAhead = new SentAheadLimit(() => [...this.connections.values()].map(({pause}) => pause));
 
 	constructor(options: ConnectionsOptions) {
 		this.options = options;
@@ -137,6 +138,7 @@
 	startInTurn(socket: Socket, start: () => void): void {
 		const connection = this.connections.get(socket);
 		if (connection === undefined || socket.writableEnded || socket.destroyed) {
+			this.sentAhead.record();
 			return;
 		}
 
@@ -148,6 +150,7 @@
 			return;
 		}
 
+		this.sentAhead.record();
 		connection.waiting.push(start);
 		if (connection.waiting.length > maxWaiting) {
 			connection.pause.add(PauseReason.SentAhead);
@@ -261,8 +264,9 @@
 			share.reopen();
 		}
 
+		const isUnread = pause.has(PauseReason.SentAhead) || pause.has(PauseReason.Turn);
 		const unhandledBytes = requests === 0 ? socket.bytesRead - handledBytes : 0;
-		share.update(connectionBytes + (requests * requestBytes) + (pause.isPaused ? unreadBytes : 0) + unhandledBytes);
+		share.update(connectionBytes + (requests * requestBytes) + (isUnread ? unreadBytes : 0) + unhandledBytes);
 	}
 
 	private drop({socket, share}: Connection): void {
--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -8,4 +8,5 @@
 export * from './tracked-client.js';
 export * from './joined-heads.js';
 export * from './read-pause.js';
+export * from './sent-ahead-limit.js';
 export type * from './whole-answer.js';
--- a/packages/http-client/src/read-pause.ts
+++ b/packages/http-client/src/read-pause.ts
@@ -6,6 +6,8 @@
 	SentAhead = 'sent-ahead',
 	/** Other connections send bodies in small chunks, too, and take turns. */
 	Turn = 'turn',
+	/** Too many requests that were sent ahead were read on all connections since the event loop last ran other work. */
+	NextTurn = 'next-turn',
 }
 
 /**
