--- a/packages/router/src/crowds/entry.test.ts
+++ b/packages/router/src/crowds/entry.test.ts
@@ -55,6 +55,14 @@
 	t.deepEqual(await findFaults(t, router), []);
 });
 
+test('many connections send requests ahead to a router and read nothing', async t => {
+	const router = await startRouter(t);
+	const crowd = await new Crowd(Number(router.addr.split(':')[1])).open(100, repeatBytes(formatHead('GET'), 1500)).settle();
+	t.deepEqual(await findFaults(t, router), []);
+	crowd.leave();
+	t.deepEqual(await findFaults(t, router), []);
+});
+
 test('many bodies at a router stop short of their end', async t => {
 	const router = await startRouter(t);
 	const crowd = await new Crowd(Number(router.addr.split(':')[1]))
