Test of an unreachable steward: an address that refuses connections

Cause: the test forwarded to the port of a server that it had stopped, which the system may give to any server of the tests that run beside it. A forwarded request fails with 502 only if it may have been written, so that something had accepted the connection. A trial with another server at the address, which closes its connections, gives that outcome (connection-lost, 502); which server it was is not in the output.

Change: a port on which nothing listens, as in the test of the gateway's client. The checks are as before.

--- a/packages/router/src/entry/caller-server.test.ts
+++ b/packages/router/src/entry/caller-server.test.ts
@@ -14,6 +14,9 @@
 
 const now = () => systemClock.now();
 
+/** Refuses connections. The port of a stopped server may be given to another one. */
+const refusingAddr = '127.0.0.1:1';
+
 async function startServer(t: ExecutionContext, run: (order: Order) => Promise<Answer>, isReady = true) {
 	const counters = new MemoryCounters();
 	const server = new CallerServer({
@@ -89,10 +92,8 @@
 test('an unreachable steward leads to a refusal with retry-after', async t => {
 	const forwarder = new Forwarder(undefined, now);
 	t.teardown(async () => forwarder.close());
-	const stopped = await startServer(t, async () => t.fail());
-	await stopped.server.stop();
 	const {addr} = await startServer(t, async order => {
-		const {answer} = await forwarder.forward(stopped.addr, 't', order);
+		const {answer} = await forwarder.forward(refusingAddr, 't', order);
 		return answer;
 	});
 	await assertRefusal(t, addr, ErrorKind.StewardUnreachable);
